--- /dev/null
+++ b/internal/endpoint/errors.go
@@ -0,0 +1,18 @@
+package endpoint
+
+import "errors"
+
+// Definite refusals: the attempt did not start and will not.
+var (
+	ErrStaleToken = errors.New("fencing token is stale")
+	ErrRepeated   = errors.New("attempt was seen before") // the earlier arrival may have run
+	ErrExpired    = errors.New("start limit has passed")
+	ErrNoRoom     = errors.New("no room for the attempt")
+	ErrLeaving    = errors.New("endpoint is leaving")
+	ErrNotSent    = errors.New("command was not sent") // no connection; nothing reached the endpoint
+	ErrBadRequest = errors.New("endpoint refused the command as malformed")
+	ErrCancelled  = errors.New("attempt was cancelled before it started")
+)
+
+// ErrLost means that the command was sent and its end is not known.
+var ErrLost = errors.New("reply of endpoint lost")
--- /dev/null
+++ b/internal/model/ids.go
@@ -0,0 +1,90 @@
+package model
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// ShardCount is the fixed number of shards of a cell.
+const ShardCount = 256
+
+// ShardID numbers a shard, 0 to ShardCount-1.
+type ShardID uint16
+
+// RequestKey identifies a request within the cell.
+type RequestKey struct {
+	Template    TemplateID `json:"template"`
+	OrderingKey string     `json:"ordering_key,omitempty"` // value of the ordering key, empty without one
+	ID          string     `json:"id"`                     // the caller's Idempotency-Key or a minted UUIDv7
+}
+
+// Shard returns the shard that owns the request. Requests that share an
+// ordering key share a shard.
+func (k RequestKey) Shard() ShardID {
+	item := k.OrderingKey
+	if item == "" {
+		item = k.ID
+	}
+	return ShardID(xxhash.Sum64String(k.Template.Workspace+"\x00"+k.Template.Name+"\x00"+item) % ShardCount)
+}
+
+// String returns the key for logs and the time line.
+func (k RequestKey) String() string {
+	return k.Template.String() + "/" + k.ID
+}
+
+// AttemptID identifies one attempt to run one task of a request. It carries the shard and the
+// request, so that an endpoint's list is enough for a new owner to recover.
+type AttemptID string
+
+// NewAttemptID returns the identifier of an attempt. The nonce makes attempts of
+// successive shard owners differ.
+func NewAttemptID(key RequestKey, task int, nonce uint64) AttemptID {
+	return AttemptID(fmt.Sprintf("%d.%016x.%d.%016x", key.Shard(), key.Hash(), task, nonce))
+}
+
+// Hash returns a 64-bit hash of the whole key.
+func (k RequestKey) Hash() uint64 {
+	return xxhash.Sum64String(k.Template.Workspace + "\x00" + k.Template.Name + "\x00" + k.OrderingKey + "\x00" + k.ID)
+}
+
+// Shard returns the shard of the attempt, or false for an identifier that is
+// not of the form of NewAttemptID.
+func (a AttemptID) Shard() (ShardID, bool) {
+	head, _, ok := strings.Cut(string(a), ".")
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(head, 10, 16)
+	if err != nil || n >= ShardCount {
+		return 0, false
+	}
+	return ShardID(n), true
+}
+
+// RequestHash returns the hash of the request key of the attempt, or false
+// for an identifier that is not of the form of NewAttemptID.
+func (a AttemptID) RequestHash() (uint64, bool) {
+	parts := strings.Split(string(a), ".")
+	if len(parts) != 4 {
+		return 0, false
+	}
+	h, err := strconv.ParseUint(parts[1], 16, 64)
+	return h, err == nil
+}
+
+// MintedAt returns the minting time of a UUIDv7 identifier, or false for any
+// other identifier.
+func MintedAt(id string) (time.Time, bool) {
+	u, err := uuid.Parse(id)
+	if err != nil || u.Version() != 7 {
+		return time.Time{}, false
+	}
+	ms := int64(u[0])<<40 | int64(u[1])<<32 | int64(u[2])<<24 | int64(u[3])<<16 | int64(u[4])<<8 | int64(u[5])
+	return time.UnixMilli(ms), true
+}
--- /dev/null
+++ b/internal/model/outcome.go
@@ -0,0 +1,35 @@
+package model
+
+// Outcome is the final word on a request.
+type Outcome string
+
+// The outcomes. OutcomeNotRun is used only where it is certain that no part of
+// the work started.
+const (
+	OutcomeRan     Outcome = "ran"
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// AttemptEnd says how one attempt ended, as the pool owner knows it.
+type AttemptEnd string
+
+// The ends of an attempt.
+const (
+	// AttemptEnded means that the endpoint reported the end; the answer is whole.
+	AttemptEnded AttemptEnd = "ended"
+	// AttemptNotStarted means that the attempt did not start and can't start any more.
+	AttemptNotStarted AttemptEnd = "not-started"
+	// AttemptUnknown means that the attempt is over and nobody knows how it ended.
+	AttemptUnknown AttemptEnd = "unknown"
+)
+
+// Answer is the whole answer of an endpoint.
+type Answer struct {
+	Status      int    `json:"status"` // HTTP status of the endpoint; 200 for a task that succeeded
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+}
+
+// Failed reports whether the endpoint answered with a server error.
+func (a Answer) Failed() bool { return a.Status >= 500 }
--- /dev/null
+++ b/internal/model/pool.go
@@ -0,0 +1,59 @@
+package model
+
+import (
+	"strings"
+	"time"
+)
+
+// PoolID names a pool: "runner/<service>/<zone>" or "worker/<zone>/<rack>".
+type PoolID string
+
+// RunnerPool returns the pool of the runners of a service in a zone.
+func RunnerPool(service, zone string) PoolID { return PoolID("runner/" + service + "/" + zone) }
+
+// WorkerPool returns the pool of the workers of a rack.
+func WorkerPool(zone, rack string) PoolID { return PoolID("worker/" + zone + "/" + rack) }
+
+// Zone returns the availability zone of the pool.
+func (p PoolID) Zone() string {
+	parts := strings.Split(string(p), "/")
+	if len(parts) != 3 {
+		return ""
+	}
+	if parts[0] == "runner" {
+		return parts[2]
+	}
+	return parts[1]
+}
+
+// Demand is the work of one template and task size that waits at one shard owner.
+type Demand struct {
+	Template  TemplateID
+	Resources Resources // of one task
+	Count     int       // tasks that wait
+	Oldest    time.Time // arrival of the oldest
+}
+
+// Grant allows a shard owner to start one task on one endpoint.
+type Grant struct {
+	ID        uint64 // unique at its pool owner incarnation
+	Pool      PoolID
+	Owner     string // incarnation of the pool owner
+	Endpoint  string
+	Template  TemplateID
+	Resources Resources
+	ExpiresAt time.Time // clock of the pool owner; for information only at the shard owner
+}
+
+// PoolSummary is what gossip tells of a pool.
+type PoolSummary struct {
+	Pool     PoolID
+	Owner    string // incarnation of the pool owner
+	Version  uint64 // grows with each change by the same owner
+	Total    Resources
+	Free     Resources
+	Largest  Resources // greatest free amount on one endpoint, per field
+	Biggest  Resources // greatest total of one endpoint, per field
+	Waiting  int       // tasks in demand that wait for a grant
+	Endpoint int       // endpoints that take work
+}
--- /dev/null
+++ b/internal/model/resources.go
@@ -0,0 +1,71 @@
+package model
+
+// Resources is an amount of worker capacity. Every field is an integer, so
+// that sums are exact.
+type Resources struct {
+	CoresMilli   int64 `json:"cores_milli,omitempty"`  // thousandths of a core
+	MemoryMB     int64 `json:"memory_mb,omitempty"`    // mebibytes
+	Accelerators int64 `json:"accelerators,omitempty"` // whole devices
+	Slots        int64 `json:"slots,omitempty"`        // concurrent requests of a runner
+}
+
+// Add returns r plus o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		CoresMilli:   r.CoresMilli + o.CoresMilli,
+		MemoryMB:     r.MemoryMB + o.MemoryMB,
+		Accelerators: r.Accelerators + o.Accelerators,
+		Slots:        r.Slots + o.Slots,
+	}
+}
+
+// Sub returns r minus o. Fields may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		CoresMilli:   r.CoresMilli - o.CoresMilli,
+		MemoryMB:     r.MemoryMB - o.MemoryMB,
+		Accelerators: r.Accelerators - o.Accelerators,
+		Slots:        r.Slots - o.Slots,
+	}
+}
+
+// Scale returns r times n.
+func (r Resources) Scale(n int64) Resources {
+	return Resources{
+		CoresMilli:   r.CoresMilli * n,
+		MemoryMB:     r.MemoryMB * n,
+		Accelerators: r.Accelerators * n,
+		Slots:        r.Slots * n,
+	}
+}
+
+// Fits reports whether r is at most free in every field.
+func (r Resources) Fits(free Resources) bool {
+	return r.CoresMilli <= free.CoresMilli &&
+		r.MemoryMB <= free.MemoryMB &&
+		r.Accelerators <= free.Accelerators &&
+		r.Slots <= free.Slots
+}
+
+// IsZero reports whether every field is zero.
+func (r Resources) IsZero() bool {
+	return r == Resources{}
+}
+
+// DominantShare returns the largest ratio of r to total over all fields, 0 to 1.
+// Fields of which total has none are ignored.
+func (r Resources) DominantShare(total Resources) float64 {
+	var share float64
+	for _, f := range [...][2]int64{
+		{r.CoresMilli, total.CoresMilli},
+		{r.MemoryMB, total.MemoryMB},
+		{r.Accelerators, total.Accelerators},
+		{r.Slots, total.Slots},
+	} {
+		if f[1] <= 0 {
+			continue
+		}
+		share = max(share, float64(f[0])/float64(f[1]))
+	}
+	return share
+}
--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,12 @@
+package timeline
+
+// Event is one entry of the time line.
+type Event struct {
+	Time    Timestamp `json:"time"`
+	Process string    `json:"process"`
+	Part    string    `json:"part"`              // part of the process, e.g. "shard"
+	Name    string    `json:"name"`              // e.g. "queued"
+	Request string    `json:"request,omitempty"` // identifier of the request
+	Attempt string    `json:"attempt,omitempty"`
+	Detail  string    `json:"detail,omitempty"`
+}
--- /dev/null
+++ b/internal/timeline/merge.go
@@ -0,0 +1,18 @@
+package timeline
+
+import "sort"
+
+// Merge returns the events of several processes in one order that respects cause.
+func Merge(lists ...[]Event) []Event {
+	var out []Event
+	for _, l := range lists {
+		out = append(out, l...)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		if out[i].Time != out[j].Time {
+			return out[i].Time.Less(out[j].Time)
+		}
+		return out[i].Process < out[j].Process
+	})
+	return out
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Runs the test suite, passing over exactly the tests that KNOWN-RED.txt lists.
+# A known-red entry starts with a line "test: <TestName>".
+set -euo pipefail
+cd "$(dirname "$0")/.."
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  names=$(sed -n 's/^test: *//p' KNOWN-RED.txt)
+  if [ -n "$names" ]; then
+    echo "known red, not run:"
+    echo "$names" | sed 's/^/  /'
+    skip=(-skip "^($(echo "$names" | paste -sd'|'))\$")
+  fi
+fi
+exec go test -count=1 -timeout 15m "${skip[@]}" "$@" ./...
