--- a/internal/model/pool.go
+++ b/internal/model/pool.go
@@ -30,19 +30,21 @@
 type Demand struct {
 	Template  TemplateID
 	Resources Resources // of one task
-	Count     int       // tasks that wait
+	Tasks     int       // tasks that one grant must cover: all tasks of a gang, else 1
+	Count     int       // grants wanted
 	Oldest    time.Time // arrival of the oldest
 }
 
-// Grant allows a shard owner to start one task on one endpoint.
+// Grant allows a shard owner to start tasks on endpoints of one pool.
 type Grant struct {
 	ID        uint64 // unique at its pool owner incarnation
 	Pool      PoolID
 	Owner     string // incarnation of the pool owner
-	Endpoint  string
 	Template  TemplateID
-	Resources Resources
-	ExpiresAt time.Time // clock of the pool owner; for information only at the shard owner
+	Resources Resources // of one task
+	Endpoints []string  // endpoint of each task; one entry unless it covers a gang
+	Hold      bool      // part of a gang that spans pools
+	TTL       time.Duration
 }
 
 // PoolSummary is what gossip tells of a pool.
--- /dev/null
+++ b/internal/model/submission.go
@@ -0,0 +1,81 @@
+package model
+
+import "time"
+
+// Submission is a caller's request on its way to the shard owner.
+type Submission struct {
+	Key         RequestKey
+	Async       bool // answered with an acceptance; the answer is fetched later
+	ContentType string
+	Body        []byte
+	MaxWait     time.Duration // how long the work may wait for its start; 0 takes the template's
+	Resent      bool          // sent again by a caller process after the shard moved
+}
+
+// Reason is a machine-readable code of why a request did not run or is unknown.
+type Reason string
+
+// The reasons.
+const (
+	ReasonUnknownTemplate Reason = "unknown-template"
+	ReasonInfeasible      Reason = "infeasible"       // no known endpoint could ever run it
+	ReasonOverload        Reason = "overload"         // predicted wait exceeds what the caller may wait
+	ReasonQueueFull       Reason = "queue-full"       // bound on entries or bytes reached
+	ReasonWaitExceeded    Reason = "wait-exceeded"    // not started within the time the caller may wait
+	ReasonStoreDown       Reason = "store-down"       // needs the journal, which can't be written
+	ReasonNoOwner         Reason = "no-owner"         // the shard has no reachable owner
+	ReasonIDTooOld        Reason = "id-too-old"       // identifier older than the retention
+	ReasonIDInFuture      Reason = "id-in-future"     // identifier minted beyond the allowed clock skew
+	ReasonCancelled       Reason = "cancelled"        // by the caller
+	ReasonAttemptLost     Reason = "attempt-lost"     // started or may have started; end not known
+	ReasonRetriesSpent    Reason = "retries-spent"    // every attempt ended without an answer
+	ReasonRecordConflict  Reason = "id-reused"        // identifier used before with another body
+	ReasonStopping        Reason = "stopping"         // the process is shutting down
+	ReasonStopped         Reason = "stopped"          // by the run limit or for more urgent work
+	ReasonMoved           Reason = "moved"            // the shard has another owner; internal, resubmit
+	ReasonRecovering      Reason = "recovering"       // earlier attempts of the shard are being settled
+	ReasonAnswerTooLarge  Reason = "answer-too-large" // ran; the answer was not kept
+)
+
+// Reply is what a submission comes to.
+type Reply struct {
+	Accepted   bool // asynchronous work is recorded; there is no outcome yet
+	Outcome    Outcome
+	Answer     Answer // only with OutcomeRan
+	Reason     Reason
+	Detail     string
+	RetryAfter time.Duration // 0 where coming back is no use
+	Joined     bool          // a repeat of an earlier request
+}
+
+// JobState is the state of a request at its shard owner.
+type JobState string
+
+// The states of a job.
+const (
+	JobQueued  JobState = "queued"
+	JobRunning JobState = "running"
+	JobDone    JobState = "done" // has an outcome
+)
+
+// JobStatus is what status calls return.
+type JobStatus struct {
+	Key         RequestKey `json:"key"`
+	State       JobState   `json:"state"`
+	Outcome     Outcome    `json:"outcome,omitempty"`
+	Reason      Reason     `json:"reason,omitempty"`
+	SubmittedAt time.Time  `json:"submitted_at"`
+	StartedAt   time.Time  `json:"started_at,omitzero"`
+	EndedAt     time.Time  `json:"ended_at,omitzero"`
+	Running     int        `json:"running_tasks"`
+	Tasks       int        `json:"tasks"`
+	Attempts    int        `json:"attempts"`
+	Answer      *Answer    `json:"-"`
+}
+
+// CancelResult is the result of cancelling one request.
+type CancelResult struct {
+	Key     RequestKey `json:"key"`
+	Found   bool       `json:"found"`
+	Outcome Outcome    `json:"outcome"` // not-run where it never started; unknown or ran otherwise
+}
