--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,155 @@
+// Package balance divides the demand of a shard owner over pools by their
+// summaries, which may be stale. It performs no I/O.
+package balance
+
+import (
+	"math/rand"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// chunks bounds the number of choices for one demand, so that the cost of a
+// division doesn't grow with the number of waiting tasks.
+const chunks = 16
+
+// overask is the number of pools asked for a task that finds no free capacity
+// anywhere. The first grant is used and later ones are returned.
+const overask = 2
+
+// Split returns how many grants of the demand to ask of each pool.
+//
+// Pools of the zone come first, then the others, each by power of two choices
+// on the free capacity. What finds no free capacity is asked of two pools
+// each, chosen by their backlog, since either may become free first.
+func Split(d model.Demand, pools []model.PoolSummary, zone string, rnd *rand.Rand) map[model.PoolID]int {
+	out := make(map[model.PoolID]int)
+	near, far := partition(d, pools, zone)
+	left := fill(d.Count, near, rnd, out)
+	left = fill(left, far, rnd, out)
+	queue(left, near, far, rnd, out)
+	return out
+}
+
+// candidate is a pool that could run the demand.
+type candidate struct {
+	pool  model.PoolID
+	units int     // grants that fit the free capacity and are not yet asked for
+	load  float64 // waiting grants per grant of total capacity
+	total int     // grants that fit the whole pool
+}
+
+func partition(d model.Demand, pools []model.PoolSummary, zone string) (near, far []candidate) {
+	for _, p := range pools {
+		if p.Endpoint == 0 || !d.Resources.Fits(p.Biggest) {
+			continue
+		}
+		c := newCandidate(d, p)
+		if c.total == 0 {
+			continue
+		}
+		if p.Pool.Zone() == zone {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	return near, far
+}
+
+func newCandidate(d model.Demand, p model.PoolSummary) candidate {
+	per := d.Resources.Scale(int64(max(d.Tasks, 1)))
+	c := candidate{pool: p.Pool, units: units(per, p.Free), total: units(per, p.Total)}
+	if !d.Resources.Fits(p.Largest) {
+		c.units = 0
+	}
+	if c.total > 0 {
+		c.load = float64(p.Waiting) / float64(c.total)
+	}
+	return c
+}
+
+// units returns how many times per fits into free.
+func units(per, free model.Resources) int {
+	n := int64(1 << 30)
+	for _, f := range [...][2]int64{
+		{per.CoresMilli, free.CoresMilli},
+		{per.MemoryMB, free.MemoryMB},
+		{per.Accelerators, free.Accelerators},
+		{per.Slots, free.Slots},
+	} {
+		if f[0] > 0 {
+			n = min(n, max(f[1], 0)/f[0])
+		}
+	}
+	return int(n)
+}
+
+// fill asks pools with free capacity and returns how many grants remain.
+func fill(count int, cs []candidate, rnd *rand.Rand, out map[model.PoolID]int) int {
+	var open []int
+	for i := range cs {
+		if cs[i].units > 0 {
+			open = append(open, i)
+		}
+	}
+	chunk := max(1, (count+chunks-1)/chunks)
+	for count > 0 && len(open) > 0 {
+		at := rnd.Intn(len(open))
+		if other := rnd.Intn(len(open)); cs[open[other]].units > cs[open[at]].units {
+			at = other
+		}
+		c := &cs[open[at]]
+		n := min(chunk, count, c.units)
+		out[c.pool] += n
+		c.units -= n
+		count -= n
+		if c.units == 0 {
+			open[at] = open[len(open)-1]
+			open = open[:len(open)-1]
+		}
+	}
+	return count
+}
+
+// queue asks for grants that wait for capacity to become free. Pools of the
+// own zone are preferred while their backlog is no longer than elsewhere.
+func queue(count int, near, far []candidate, rnd *rand.Rand, out map[model.PoolID]int) {
+	all := append(append([]candidate(nil), near...), far...)
+	if count == 0 || len(all) == 0 {
+		return
+	}
+	chunk := max(1, (count+chunks-1)/chunks)
+	for count > 0 {
+		n := min(chunk, count)
+		first := lighter(all, -1, rnd)
+		askMore(&all[first], n, out)
+		if len(all) > 1 {
+			second := lighter(all, first, rnd)
+			for range overask - 1 {
+				askMore(&all[second], n, out)
+			}
+		}
+		count -= n
+	}
+}
+
+func askMore(c *candidate, n int, out map[model.PoolID]int) {
+	out[c.pool] += n
+	c.load += float64(n) / float64(c.total)
+}
+
+// lighter returns the less loaded of two random candidates other than skip.
+func lighter(cs []candidate, skip int, rnd *rand.Rand) int {
+	pick := func() int {
+		i := rnd.Intn(len(cs))
+		if i == skip {
+			i = (i + 1) % len(cs)
+		}
+		return i
+	}
+	a, b := pick(), pick()
+	if cs[b].load < cs[a].load {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,70 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/agateyard/agateyard/internal/model"
+	"pgregory.net/rapid"
+)
+
+func summary(zone string, n, free, total int) model.PoolSummary {
+	return model.PoolSummary{
+		Pool:     model.RunnerPool(fmt.Sprintf("s%d", n), zone),
+		Total:    model.Resources{Slots: int64(total)},
+		Free:     model.Resources{Slots: int64(free)},
+		Largest:  model.Resources{Slots: int64(min(free, 8))},
+		Biggest:  model.Resources{Slots: 8},
+		Endpoint: total / 8,
+	}
+}
+
+// Guards against tasks that no pool is asked for, which would wait for ever,
+// and against asking a pool beyond its free capacity while others have room.
+func TestSplitAsksForEveryTask(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "pools")
+		var pools []model.PoolSummary
+		room := 0
+		for i := range n {
+			free := rapid.IntRange(0, 80).Draw(t, "free")
+			room += free
+			pools = append(pools, summary(fmt.Sprintf("z%d", i%3), i, free, 80))
+		}
+		d := model.Demand{Resources: model.Resources{Slots: 1}, Tasks: 1, Count: rapid.IntRange(1, 500).Draw(t, "count")}
+		out := Split(d, pools, "z0", rand.New(rand.NewSource(1)))
+		asked := 0
+		for _, c := range out {
+			asked += c
+		}
+		if asked < d.Count {
+			t.Fatalf("asked %d of %d", asked, d.Count)
+		}
+		for _, p := range pools {
+			if d.Count <= room && out[p.Pool] > int(p.Free.Slots) {
+				t.Fatalf("asked %d of %s with %d free", out[p.Pool], p.Pool, p.Free.Slots)
+			}
+		}
+	})
+}
+
+// Guards against paying for links between zones while the own zone has room.
+func TestSplitPrefersOwnZone(t *testing.T) {
+	pools := []model.PoolSummary{summary("z0", 0, 10, 80), summary("z1", 1, 80, 80)}
+	d := model.Demand{Resources: model.Resources{Slots: 1}, Tasks: 1, Count: 8}
+	out := Split(d, pools, "z0", rand.New(rand.NewSource(1)))
+	if out[pools[0].Pool] != 8 || out[pools[1].Pool] != 0 {
+		t.Fatalf("got %v", out)
+	}
+}
+
+// Guards against demand for pools whose endpoints are all too small.
+func TestSplitSkipsPoolsThatCanNeverRun(t *testing.T) {
+	small := summary("z0", 0, 80, 80)
+	small.Biggest = model.Resources{Slots: 1}
+	d := model.Demand{Resources: model.Resources{Slots: 2}, Tasks: 1, Count: 3}
+	if out := Split(d, []model.PoolSummary{small}, "z0", rand.New(rand.NewSource(1))); len(out) != 0 {
+		t.Fatalf("got %v", out)
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatches.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/rpc"
+	"slices"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/shard"
+)
+
+const (
+	// resolveInterval is the time between two questions about lost dispatches.
+	resolveInterval = 500 * time.Millisecond
+	resolveTimeout  = time.Second
+	// grantSlack beyond the time limit of a grant, after which a dispatch that
+	// is still on its way can't start anything.
+	grantSlack = time.Second
+	// dispatchSlack is added to the run limit for the time limit of a dispatch.
+	dispatchSlack = 5 * time.Second
+)
+
+// dispatches follows the starts that this process has sent to pool owners.
+type dispatches struct {
+	l       *loop
+	lost    map[model.AttemptID]lostDispatch
+	asking  map[model.PoolID]bool
+	nextAsk time.Time
+}
+
+// lostDispatch is an attempt whose dispatch reply did not arrive.
+type lostDispatch struct {
+	pool     model.PoolID
+	owner    string    // incarnation that the dispatch went to
+	voidFrom time.Time // from here on the owner refuses a dispatch that comes late
+}
+
+func newDispatches(l *loop) *dispatches {
+	return &dispatches{
+		l:      l,
+		lost:   make(map[model.AttemptID]lostDispatch),
+		asking: make(map[model.PoolID]bool),
+	}
+}
+
+// start sends the starts of one grant to its pool owner.
+func (d *dispatches) start(starts []shard.Start) {
+	first := starts[0]
+	t := d.l.templates[first.Grant.Template]
+	args := DispatchArgs{
+		Grant:       GrantRef{Pool: first.Grant.Pool, ID: first.Grant.ID},
+		Shard:       first.Key.Shard(),
+		Template:    first.Grant.Template,
+		Request:     first.Key.ID,
+		Attempts:    inGrantOrder(first.Grant, starts),
+		ContentType: first.ContentType,
+		Body:        first.Body,
+	}
+	limit := first.RunLimit + dispatchSlack
+	go d.l.n.dispatch(first.Grant, args, connClassFor(t), limit)
+}
+
+// inGrantOrder returns the attempts in the order of the grant's endpoints.
+func inGrantOrder(g model.Grant, starts []shard.Start) []model.AttemptID {
+	left := append([]shard.Start(nil), starts...)
+	out := make([]model.AttemptID, 0, len(starts))
+	for _, e := range g.Endpoints {
+		i := slices.IndexFunc(left, func(s shard.Start) bool { return s.Endpoint == e })
+		if i < 0 {
+			continue
+		}
+		out = append(out, left[i].Attempt)
+		left = slices.Delete(left, i, i+1)
+	}
+	return out
+}
+
+// dispatch performs the call and posts its result.
+func (n *Node) dispatch(g model.Grant, args DispatchArgs, class connClass, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(n.ctx, limit)
+	defer cancel()
+	args.Header = n.header()
+	var reply DispatchReply
+	var err error
+	if g.Owner == n.self.Incarnation {
+		reply, err = n.dispatchLocal(ctx, args)
+	} else {
+		err = n.peers.call(ctx, g.Owner, class, "Pool.Dispatch", args, &reply)
+	}
+	if err == nil {
+		n.observe(reply.Header)
+	}
+	n.post(dispatched{grant: g, attempts: args.Attempts, reply: reply, err: err})
+}
+
+// dispatched is the result of a dispatch.
+type dispatched struct {
+	grant    model.Grant
+	attempts []model.AttemptID
+	reply    DispatchReply
+	err      error
+}
+
+func (e dispatched) apply(l *loop) {
+	if e.err == nil {
+		l.settleOrForward(e.reply.Settled)
+		return
+	}
+	var refused rpc.ServerError
+	if errors.Is(e.err, errNotSent) || errors.As(e.err, &refused) {
+		l.settleOrForward(notStarted(e.attempts))
+		return
+	}
+	voidFrom := l.now().Add(e.grant.TTL + grantSlack)
+	for _, a := range e.attempts {
+		l.dispatches.lost[a] = lostDispatch{pool: e.grant.Pool, owner: e.grant.Owner, voidFrom: voidFrom}
+	}
+}
+
+// notStarted returns the ends of attempts that certainly did not start.
+func notStarted(attempts []model.AttemptID) []model.Settled {
+	out := make([]model.Settled, len(attempts))
+	for i, a := range attempts {
+		out[i] = model.Settled{Attempt: a, End: model.AttemptNotStarted}
+	}
+	return out
+}
+
+// resolve asks pool owners about attempts whose dispatch reply was lost.
+func (d *dispatches) resolve(now time.Time) {
+	if len(d.lost) == 0 || now.Before(d.nextAsk) {
+		return
+	}
+	d.nextAsk = now.Add(resolveInterval)
+	byPool := make(map[model.PoolID]map[model.ShardID]bool)
+	for a, lost := range d.lost {
+		shard, ok := a.Shard()
+		if !ok || now.Before(lost.voidFrom) || d.asking[lost.pool] {
+			continue
+		}
+		if byPool[lost.pool] == nil {
+			byPool[lost.pool] = make(map[model.ShardID]bool)
+		}
+		byPool[lost.pool][shard] = true
+	}
+	for pool, shards := range byPool {
+		d.ask(pool, shards)
+	}
+}
+
+func (d *dispatches) ask(pool model.PoolID, shards map[model.ShardID]bool) {
+	d.asking[pool] = true
+	n, view := d.l.n, d.l.view
+	go func() {
+		reply, err := n.askAttempts(view, pool, shards)
+		n.post(attemptsResolved{pool: pool, reply: reply, err: err})
+	}()
+}
+
+// attemptsResolved is a pool owner's answer about lost dispatches.
+type attemptsResolved struct {
+	pool  model.PoolID
+	reply AttemptsReply
+	err   error
+}
+
+func (e attemptsResolved) apply(l *loop) {
+	d := l.dispatches
+	delete(d.asking, e.pool)
+	if e.err != nil {
+		return
+	}
+	known := make(map[model.AttemptID]model.AttemptState, len(e.reply.Attempts))
+	for _, a := range e.reply.Attempts {
+		known[a.Attempt] = a
+	}
+	for a, lost := range d.lost {
+		if lost.pool != e.pool || l.now().Before(lost.voidFrom) {
+			continue
+		}
+		state, listed := known[a]
+		switch {
+		case listed && state.Settled != nil:
+			delete(d.lost, a)
+			l.settleOrForward([]model.Settled{*state.Settled})
+		case listed:
+			// It runs; its end comes by Shard.Ended.
+			delete(d.lost, a)
+		case e.reply.Complete:
+			delete(d.lost, a)
+			l.settleOrForward([]model.Settled{l.missing(a, e.reply)})
+		}
+	}
+}
+
+// missing is the end of an attempt that a complete answer does not list: it
+// never started, unless an endpoint of the pool can't be asked.
+func (l *loop) missing(a model.AttemptID, reply AttemptsReply) model.Settled {
+	if len(reply.Unheard) == 0 {
+		return model.Settled{Attempt: a, End: model.AttemptNotStarted}
+	}
+	return model.Settled{Attempt: a, End: model.AttemptUnknown}
+}
--- /dev/null
+++ b/internal/entry/gossip.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/configstore"
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+const (
+	gossipInterval = 250 * time.Millisecond
+	gossipFanout   = 3
+	gossipTimeout  = time.Second
+	// gossipFullEvery is the number of rounds after which a message carries all
+	// summaries, for receivers that missed a change.
+	gossipFullEvery = 20
+)
+
+// GossipArgs spreads the state that every process may know with a delay.
+type GossipArgs struct {
+	Header
+	Self           model.Member
+	StoreReachable bool
+	Revisions      map[string]uint64 // of configuration documents
+	Summaries      []model.PoolSummary
+	Adopted        []string // predecessors whose state the sender no longer needs
+}
+
+// DocumentsArgs fetches configuration documents.
+type DocumentsArgs struct {
+	Header
+	Names []string
+}
+
+// DocumentsReply answers DocumentsArgs.
+type DocumentsReply struct {
+	Header
+	Documents []configstore.Doc
+}
+
+// ViewReply carries the newest view that a process knows.
+type ViewReply struct {
+	Header
+	View model.View
+}
+
+// runGossip sends gossip until ctx ends.
+func (n *Node) runGossip(ctx context.Context) error {
+	rnd := rand.New(rand.NewSource(time.Now().UnixNano()))
+	ticker := time.NewTicker(gossipInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		result := make(chan gossipRound, 1)
+		n.post(gossipDue{full: round%gossipFullEvery == 0, result: result})
+		var msg gossipRound
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg = <-result:
+		}
+		msg.args.Revisions = n.config.Revisions()
+		for _, to := range pickPeers(msg.others, gossipFanout, rnd) {
+			go n.sendGossip(ctx, to, msg.args)
+		}
+	}
+}
+
+func pickPeers(others []string, count int, rnd *rand.Rand) []string {
+	rnd.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(count, len(others))]
+}
+
+func (n *Node) sendGossip(ctx context.Context, to string, args GossipArgs) {
+	call, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	args.Header = n.header()
+	var reply Empty
+	if err := n.peers.call(call, to, connControl, "Peer.Gossip", args, &reply); err != nil {
+		return
+	}
+	n.observe(reply.Header)
+}
+
+// gossipDue asks the loop for the content of a round.
+type gossipDue struct {
+	full   bool
+	result chan<- gossipRound
+}
+
+// gossipRound is the content of a round and its possible receivers.
+type gossipRound struct {
+	args   GossipArgs
+	others []string
+}
+
+func (e gossipDue) apply(l *loop) {
+	l.refreshSummaries()
+	round := gossipRound{args: GossipArgs{
+		Self:           l.n.self,
+		StoreReachable: l.storeReachable,
+		Adopted:        l.takeover.adoptedList(),
+	}}
+	for id, s := range l.summaries {
+		if e.full || l.freshSummaries[id] {
+			round.args.Summaries = append(round.args.Summaries, s)
+		}
+	}
+	clear(l.freshSummaries)
+	for _, m := range l.view.Members {
+		if m.Incarnation != l.n.self.Incarnation {
+			round.others = append(round.others, m.Incarnation)
+		}
+	}
+	e.result <- round
+}
+
+// gossipReceived is the loop's part of a message from a peer.
+type gossipReceived struct {
+	args GossipArgs
+}
+
+func (e gossipReceived) apply(l *loop) {
+	for _, s := range e.args.Summaries {
+		l.mergeSummary(s)
+	}
+	l.takeover.peerAdopted(e.args.From, e.args.Adopted)
+}
+
+// mergeSummary keeps the summary if it is news, and passes it on with the next round.
+func (l *loop) mergeSummary(s model.PoolSummary) {
+	if s.Owner == l.n.self.Incarnation {
+		return
+	}
+	if _, mine := l.pools[s.Pool]; mine {
+		return
+	}
+	if _, live := l.view.Find(s.Owner); !live {
+		return
+	}
+	known, ok := l.summaries[s.Pool]
+	if ok && known.Owner == s.Owner && known.Version >= s.Version {
+		return
+	}
+	if ok && known.Owner != s.Owner && l.view.PoolOwner(s.Pool) != s.Owner {
+		return
+	}
+	l.summaries[s.Pool] = s
+	l.freshSummaries[s.Pool] = true
+	l.demandDirty = true
+}
+
+// refreshSummaries takes the summaries of the own pools.
+func (l *loop) refreshSummaries() {
+	now := l.now()
+	for id, p := range l.pools {
+		s := p.pool.Summary(now)
+		s.Pool, s.Owner = id, l.n.self.Incarnation
+		if known := l.summaries[id]; known.Owner == s.Owner && known.Version == s.Version {
+			continue
+		}
+		l.summaries[id] = s
+		l.freshSummaries[id] = true
+	}
+}
+
+// fetchDocuments takes newer configuration documents from a peer.
+func (n *Node) fetchDocuments(ctx context.Context, from string, theirs map[string]uint64) {
+	mine := n.config.Revisions()
+	var names []string
+	for name, rev := range theirs {
+		if rev > mine[name] {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	var reply DocumentsReply
+	args := DocumentsArgs{Header: n.header(), Names: names}
+	if err := n.peers.call(call, from, connControl, "Peer.Documents", args, &reply); err != nil {
+		return
+	}
+	n.config.Offer(reply.Documents)
+}
--- /dev/null
+++ b/internal/entry/journalentry.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"encoding/json"
+
+	"github.com/samber/oops"
+
+	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/shard"
+)
+
+// journalEntry is one record of the journal: a record of a shard, or the start
+// of ownership of a shard.
+type journalEntry struct {
+	Own    *ownership    `json:"own,omitempty"`
+	Record *shard.Record `json:"record,omitempty"`
+}
+
+// ownership says that the writer holds a shard from a view on. Of several
+// processes that hold state of a shard, the one with the highest epoch is right.
+type ownership struct {
+	Shard model.ShardID `json:"shard"`
+	Epoch uint64        `json:"epoch"` // number of the view
+}
+
+func (e journalEntry) encode() ([]byte, error) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil, oops.In("entry").Wrapf(err, "encode journal entry")
+	}
+	return data, nil
+}
+
+func decodeJournalEntry(data []byte) (journalEntry, error) {
+	var e journalEntry
+	if err := json.Unmarshal(data, &e); err != nil {
+		return e, oops.In("entry").Wrapf(err, "decode journal entry")
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/entry/loop.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/platform"
+	"github.com/agateyard/agateyard/internal/shard"
+)
+
+const (
+	// loopQueue is the number of events that may wait for the loop.
+	loopQueue = 4096
+	// loopBatch bounds the events handled before grants and demand are computed.
+	loopBatch = 256
+	// tickInterval is the resolution of time limits in the decision packages.
+	tickInterval = 20 * time.Millisecond
+)
+
+// event is a message to the loop. Events are applied one at a time.
+type event interface {
+	apply(l *loop)
+}
+
+// loop owns the control state of the process. Only its goroutine touches it.
+type loop struct {
+	n      *Node
+	events chan event
+	rnd    *rand.Rand
+
+	view           model.View
+	storeReachable bool
+	table          *shard.Table
+	pools          map[model.PoolID]*ownedPool
+	vms            map[string]platform.VM
+	summaries      map[model.PoolID]model.PoolSummary
+	freshSummaries map[model.PoolID]bool
+	templates      map[model.TemplateID]model.Template
+	waiters        map[shard.WaiterID]chan<- model.Reply
+	lastWaiter     shard.WaiterID
+
+	demand      *demandState
+	demandDirty bool
+	takeover    *takeover
+	outbox      *outbox
+	dispatches  *dispatches
+	stopping    bool
+}
+
+func newLoop(n *Node) *loop {
+	rnd := rand.New(rand.NewSource(time.Now().UnixNano()))
+	l := &loop{
+		n:              n,
+		events:         make(chan event, loopQueue),
+		rnd:            rnd,
+		table:          shard.New(n.cfg.shardConfig(), rnd),
+		pools:          make(map[model.PoolID]*ownedPool),
+		vms:            make(map[string]platform.VM),
+		summaries:      make(map[model.PoolID]model.PoolSummary),
+		freshSummaries: make(map[model.PoolID]bool),
+		templates:      make(map[model.TemplateID]model.Template),
+		waiters:        make(map[shard.WaiterID]chan<- model.Reply),
+	}
+	l.demand = newDemandState()
+	l.takeover = newTakeover(l)
+	l.outbox = newOutbox(l)
+	l.dispatches = newDispatches(l)
+	return l
+}
+
+// now returns the time for the decision packages.
+func (l *loop) now() time.Time { return time.Now() }
+
+// run applies events until ctx ends.
+func (l *loop) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-l.events:
+			e.apply(l)
+			l.drain()
+		case <-ticker.C:
+			l.tick()
+		}
+		l.settle()
+	}
+}
+
+// drain applies events that already wait, so that grants are computed for a
+// batch and not for each event.
+func (l *loop) drain() {
+	for range loopBatch {
+		select {
+		case e := <-l.events:
+			e.apply(l)
+		default:
+			return
+		}
+	}
+}
+
+// tick lets time limits take effect.
+func (l *loop) tick() {
+	now := l.now()
+	l.applyShard(l.table.Tick(now))
+	for _, p := range l.pools {
+		l.applyPool(p, p.pool.Tick(now))
+	}
+	l.outbox.retry(now)
+	l.dispatches.resolve(now)
+	l.takeover.tick(now)
+}
+
+// settle sends what the batch of events has changed.
+func (l *loop) settle() {
+	l.demand.flush(l)
+	l.schedulePools()
+	l.demand.flush(l)
+}
+
+// post hands an event to the loop. It blocks while the queue is full and gives
+// up when the process ends.
+func (n *Node) post(e event) {
+	select {
+	case n.loop.events <- e:
+	case <-n.done:
+	}
+}
+
+// ask posts an event and waits for its result.
+func ask[T any](ctx context.Context, n *Node, build func(result chan<- T) event) (T, error) {
+	result := make(chan T, 1)
+	var zero T
+	select {
+	case n.loop.events <- build(result):
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-n.done:
+		return zero, errStopped
+	}
+	select {
+	case r := <-result:
+		return r, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-n.done:
+		return zero, errStopped
+	}
+}
--- /dev/null
+++ b/internal/entry/pools.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/platform"
+	"github.com/agateyard/agateyard/internal/pool"
+)
+
+// refreshPools follows the view, the VM list and the drains: it takes pools
+// that became ours, drops those that moved, and updates their endpoints.
+func (l *loop) refreshPools() {
+	if l.view.Number == 0 {
+		return
+	}
+	wanted := l.ownedVMs()
+	for id, p := range l.pools {
+		if l.view.PoolOwner(id) != l.n.self.Incarnation {
+			p.close()
+			delete(l.pools, id)
+			continue
+		}
+		if _, listed := wanted[id]; !listed {
+			wanted[id] = nil
+		}
+	}
+	for id, vms := range wanted {
+		p, ok := l.pools[id]
+		if !ok {
+			p = newOwnedPool(l, id)
+			l.pools[id] = p
+		}
+		l.refreshEndpoints(p, vms)
+	}
+	l.demandDirty = true
+}
+
+// ownedVMs groups the listed VMs of pools that the view gives to this process.
+func (l *loop) ownedVMs() map[model.PoolID][]platform.VM {
+	out := make(map[model.PoolID][]platform.VM)
+	for _, vm := range l.vms {
+		id := poolOf(vm)
+		if l.view.PoolOwner(id) == l.n.self.Incarnation {
+			out[id] = append(out[id], vm)
+		}
+	}
+	return out
+}
+
+func (l *loop) refreshEndpoints(p *ownedPool, vms []platform.VM) {
+	now := l.now()
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.ID] = true
+		if _, ok := p.sessions[vm.ID]; !ok {
+			p.pool.AddEndpoint(now, vm.ID)
+			p.open(l.n, vm.ID, vm.Address)
+		}
+		leaving := vm.State == platform.VMLeaving || l.n.config.Drained(vm.ID)
+		p.pool.SetLeaving(now, vm.ID, leaving)
+	}
+	for id := range p.sessions {
+		if !listed[id] {
+			p.pool.RemoveEndpoint(now, id)
+		}
+	}
+	l.closeSettledSessions(p, listed)
+	p.pool.EndpointsListed()
+	p.dirty = true
+}
+
+// closeSettledSessions ends the sessions of endpoints that are no longer
+// listed and have no attempt left to settle.
+func (l *loop) closeSettledSessions(p *ownedPool, listed map[string]bool) {
+	keep := make(map[string]bool)
+	for _, id := range p.pool.Endpoints() {
+		keep[id] = true
+	}
+	for id, s := range p.sessions {
+		if !listed[id] && !keep[id] {
+			s.stop()
+			delete(p.sessions, id)
+		}
+	}
+}
+
+// applyPool carries out what a pool decided.
+func (l *loop) applyPool(p *ownedPool, e pool.Effects) {
+	for _, s := range e.Settled {
+		l.outbox.add(p, s.To, s.Settled)
+	}
+	for _, o := range e.Orders {
+		l.sendOrder(p, o)
+	}
+	for _, ev := range e.Events {
+		l.n.recorder.Record(ev)
+	}
+	if e.Superseded {
+		l.n.log.WithField("pool", string(p.id)).Warn("entry: pool has a newer owner")
+		go l.n.refetchView()
+	}
+	p.dirty = true
+}
+
+// schedulePools issues the grants that are possible now.
+func (l *loop) schedulePools() {
+	now := l.now()
+	remote := make(map[string][]model.Grant)
+	for range 2 {
+		var local []model.Grant
+		for _, p := range l.pools {
+			if !p.dirty {
+				continue
+			}
+			p.dirty = false
+			for _, a := range p.pool.Schedule(now) {
+				if a.To == l.n.self.Incarnation {
+					local = append(local, a.Grant)
+				} else {
+					remote[a.To] = append(remote[a.To], a.Grant)
+				}
+			}
+		}
+		if len(local) == 0 {
+			break
+		}
+		// Returned local grants make their pools dirty; one more round gives
+		// the capacity to others.
+		l.bindGrants(local)
+	}
+	for to, grants := range remote {
+		go l.n.sendGrants(to, grants)
+	}
+}
+
+// sendGrants delivers grants. Lost ones become void at the pool by themselves.
+func (n *Node) sendGrants(to string, grants []model.Grant) {
+	ctx, cancel := context.WithTimeout(n.ctx, demandTimeout)
+	defer cancel()
+	var reply Empty
+	args := GrantsArgs{Header: n.header(), Grants: grants}
+	if err := n.peers.call(ctx, to, connControl, "Shard.Grants", args, &reply); err == nil {
+		n.observe(reply.Header)
+	}
+}
+
+// sendOrder sends a command that the pool decided on to an endpoint.
+func (l *loop) sendOrder(p *ownedPool, o pool.Order) {
+	client, ok := p.client(o.Endpoint)
+	if !ok {
+		return
+	}
+	n := l.n
+	if o.Kind == pool.OrderStop {
+		go n.cancelAttempt(p, client, pool.CancelOrder{Endpoint: o.Endpoint, Attempt: o.Attempt, Token: o.Token})
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, sessionTimeout)
+		defer cancel()
+		switch o.Kind {
+		case pool.OrderThrottle:
+			_ = client.Throttle(ctx, o.Token, o.Attempt, true)
+		case pool.OrderUnthrottle:
+			_ = client.Throttle(ctx, o.Token, o.Attempt, false)
+		case pool.OrderCheckpoint:
+			_ = client.Checkpoint(ctx, o.Token, o.Attempt)
+		}
+		n.post(orderSent{pool: p, endpoint: o.Endpoint})
+	}()
+}
--- /dev/null
+++ b/internal/entry/rpcpeer.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/shard"
+	"github.com/agateyard/agateyard/internal/timeline"
+)
+
+// PeerService serves the calls that every process makes to every other.
+type PeerService struct{ n *Node }
+
+// Gossip takes the state that a peer spreads.
+func (s *PeerService) Gossip(args GossipArgs, reply *Empty) error {
+	s.n.observe(args.Header)
+	s.n.post(gossipReceived{args: args})
+	go s.n.fetchDocuments(s.n.ctx, args.From, args.Revisions)
+	reply.Header = s.n.header()
+	return nil
+}
+
+// View returns the newest view known here.
+func (s *PeerService) View(_ Empty, reply *ViewReply) error {
+	reply.Header, reply.View = s.n.header(), s.n.currentView()
+	return nil
+}
+
+// Documents returns configuration documents.
+func (s *PeerService) Documents(args DocumentsArgs, reply *DocumentsReply) error {
+	s.n.observe(args.Header)
+	reply.Header, reply.Documents = s.n.header(), s.n.config.Docs(args.Names)
+	return nil
+}
+
+// OperatorService serves what agateyardctl asks of all processes.
+type OperatorService struct{ n *Node }
+
+// EventsArgs asks for the time line of a request, or of everything.
+type EventsArgs struct {
+	Header
+	Request string
+}
+
+// EventsReply answers EventsArgs.
+type EventsReply struct {
+	Header
+	Events []timeline.Event
+}
+
+// Events returns the kept events.
+func (s *OperatorService) Events(args EventsArgs, reply *EventsReply) error {
+	s.n.observe(args.Header)
+	reply.Events = s.n.recorder.Events(args.Request)
+	reply.Header = s.n.header()
+	return nil
+}
+
+// JobsArgs asks for the requests of the shards of a process.
+type JobsArgs struct {
+	Header
+	Filter shard.Filter
+}
+
+// JobsReply answers JobsArgs.
+type JobsReply struct {
+	Header
+	Jobs []model.JobStatus
+}
+
+// Jobs returns the requests that match the filter.
+func (s *OperatorService) Jobs(args JobsArgs, reply *JobsReply) error {
+	s.n.observe(args.Header)
+	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
+	defer cancel()
+	jobs, err := ask(ctx, s.n, func(r chan<- []model.JobStatus) event { return jobsWanted{filter: args.Filter, result: r} })
+	reply.Header, reply.Jobs = s.n.header(), jobs
+	return err
+}
+
+// StatusReply2 answers Operator.Status.
+type NodeStatusReply struct {
+	Header
+	Status NodeStatus
+}
+
+// Status returns the state of the process.
+func (s *OperatorService) Status(args Empty, reply *NodeStatusReply) error {
+	s.n.observe(args.Header)
+	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
+	defer cancel()
+	status, err := s.n.status(ctx)
+	reply.Header, reply.Status = s.n.header(), status
+	return err
+}
--- /dev/null
+++ b/internal/entry/rpcpool.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// PoolService serves the calls to a pool owner.
+type PoolService struct{ n *Node }
+
+// Demand takes the demand of a shard owner.
+func (s *PoolService) Demand(args DemandArgs, reply *Empty) error {
+	s.n.observe(args.Header)
+	s.n.post(demandStated{args: args})
+	reply.Header = s.n.header()
+	return nil
+}
+
+// demandStated hands demand to the own pools.
+type demandStated struct {
+	args DemandArgs
+}
+
+func (e demandStated) apply(l *loop) {
+	if _, member := l.view.Find(e.args.From); !member {
+		return
+	}
+	l.acceptDemand(e.args.From, e.args.Seq, e.args.Pools)
+}
+
+// Return takes unused grants back.
+func (s *PoolService) Return(args ReturnArgs, reply *Empty) error {
+	s.n.observe(args.Header)
+	s.n.post(grantsReturned{grants: args.Grants})
+	reply.Header = s.n.header()
+	return nil
+}
+
+// grantsReturned hands unused grants to the own pools.
+type grantsReturned struct {
+	grants []GrantRef
+}
+
+func (e grantsReturned) apply(l *loop) {
+	now := l.now()
+	for _, g := range e.grants {
+		if p, ok := l.pools[g.Pool]; ok {
+			p.pool.Return(now, g.ID)
+			p.dirty = true
+		}
+	}
+}
+
+// Dispatch starts the attempts of a grant. An error means that nothing has started.
+func (s *PoolService) Dispatch(args DispatchArgs, reply *DispatchReply) error {
+	s.n.observe(args.Header)
+	r, err := s.n.dispatchLocal(s.n.ctx, args)
+	*reply = r
+	return err
+}
+
+// Stop cancels attempts.
+func (s *PoolService) Stop(args StopAttemptsArgs, reply *Empty) error {
+	s.n.observe(args.Header)
+	s.n.post(stopWanted{args: args})
+	reply.Header = s.n.header()
+	return nil
+}
+
+// stopWanted cancels attempts of an own pool.
+type stopWanted struct {
+	args StopAttemptsArgs
+}
+
+func (e stopWanted) apply(l *loop) { l.stopAttempts(e.args.Pool, e.args.Attempts) }
+
+// Attempts returns what the owner knows of the attempts of shards.
+func (s *PoolService) Attempts(args AttemptsArgs, reply *AttemptsReply) error {
+	s.n.observe(args.Header)
+	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
+	defer cancel()
+	r, err := s.n.attemptsLocal(ctx, args)
+	*reply = r
+	reply.Header = s.n.header()
+	return err
+}
+
+// Hold reserves part of the room for a gang that spans pools.
+func (s *PoolService) Hold(args HoldArgs, reply *HoldReply) error {
+	s.n.observe(args.Header)
+	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
+	defer cancel()
+	r, err := s.n.holdLocal(ctx, args)
+	*reply = r
+	reply.Header = s.n.header()
+	return err
+}
+
+// holdLocal reserves room in an own pool.
+func (n *Node) holdLocal(ctx context.Context, args HoldArgs) (HoldReply, error) {
+	return ask(ctx, n, func(r chan<- HoldReply) event { return holdWanted{args: args, result: r} })
+}
+
+// holdWanted reserves room in an own pool for as many tasks as fit.
+type holdWanted struct {
+	args   HoldArgs
+	result chan<- HoldReply
+}
+
+func (e holdWanted) apply(l *loop) {
+	p, ok := l.pools[e.args.Pool]
+	if !ok {
+		e.result <- HoldReply{}
+		return
+	}
+	grant, held := holdMost(l, p, e.args)
+	e.result <- HoldReply{Held: held, Grant: grant}
+}
+
+// holdMost halves the number of tasks until they fit.
+func holdMost(l *loop, p *ownedPool, args HoldArgs) (model.Grant, bool) {
+	for tasks := args.Tasks; tasks > 0; tasks /= 2 {
+		grant, ok := p.pool.Hold(l.now(), args.From, args.Template, args.Resources, tasks)
+		if ok {
+			return grant, true
+		}
+	}
+	return model.Grant{}, false
+}
--- /dev/null
+++ b/internal/entry/session.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/endpoint"
+)
+
+const (
+	// sessionTimeout bounds one session call. Two of them and an interval stay
+	// well under endpoint.LeaseTTL, so that one lost call never costs a lease.
+	sessionTimeout = 2 * time.Second
+	// sessionBusyInterval replaces endpoint.SessionInterval while work waits
+	// for the pool and the endpoint runs tasks, whose ends only the report tells.
+	sessionBusyInterval = 250 * time.Millisecond
+	// sessionRetryInterval follows a failed call.
+	sessionRetryInterval = 500 * time.Millisecond
+)
+
+// session keeps the lease of one endpoint and fetches its reports.
+type session struct {
+	pool     *ownedPool
+	endpoint string
+	client   endpoint.Client
+	cancel   context.CancelFunc
+	wake     chan struct{}
+}
+
+func newSession(p *ownedPool, id string, client endpoint.Client) *session {
+	return &session{pool: p, endpoint: id, client: client, wake: make(chan struct{}, 1)}
+}
+
+// run calls the endpoint until ctx ends and posts each result to the loop.
+func (s *session) run(ctx context.Context, n *Node) {
+	rnd := rand.New(rand.NewSource(time.Now().UnixNano()))
+	for {
+		wait := s.renew(ctx, n)
+		if ctx.Err() != nil {
+			return
+		}
+		// Jitter keeps the calls of many endpoints from falling into step.
+		wait += time.Duration(rnd.Int63n(int64(wait/8 + 1)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// renew performs one session call and returns the time until the next.
+func (s *session) renew(ctx context.Context, n *Node) time.Duration {
+	next, err := ask(ctx, n, func(result chan<- sessionRequest) event {
+		return sessionDue{session: s, result: result}
+	})
+	if err != nil || !next.send {
+		return sessionRetryInterval
+	}
+	call, cancel := context.WithTimeout(ctx, sessionTimeout)
+	defer cancel()
+	sent := time.Now()
+	reply, err := s.client.Session(call, next.request)
+	n.post(sessionResult{session: s, sent: sent, reply: reply, err: err})
+	if err != nil {
+		return sessionRetryInterval
+	}
+	if next.busy && len(reply.Running) > 0 && reply.Kind == "worker" {
+		return sessionBusyInterval
+	}
+	return endpoint.SessionInterval
+}
+
+// kick makes the next call happen at once.
+func (s *session) kick() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) stop() {
+	s.cancel()
+}
+
+// sessionDue asks the pool for the next session call.
+type sessionDue struct {
+	session *session
+	result  chan<- sessionRequest
+}
+
+// sessionRequest is the answer to sessionDue.
+type sessionRequest struct {
+	request endpoint.SessionRequest
+	send    bool
+	busy    bool // work waits for the pool
+}
+
+func (e sessionDue) apply(l *loop) {
+	p := e.session.pool
+	if l.pools[p.id] != p {
+		e.result <- sessionRequest{}
+		return
+	}
+	request, ok := p.pool.NextSession(l.now(), e.session.endpoint)
+	e.result <- sessionRequest{request: request, send: ok, busy: p.hasDemand()}
+}
+
+// sessionResult is the outcome of one session call.
+type sessionResult struct {
+	session *session
+	sent    time.Time
+	reply   endpoint.SessionReply
+	err     error
+}
+
+func (e sessionResult) apply(l *loop) {
+	p := e.session.pool
+	if l.pools[p.id] != p {
+		return
+	}
+	now := l.now()
+	if e.err != nil {
+		l.applyPool(p, p.pool.SessionFailed(now, e.session.endpoint, e.err))
+		return
+	}
+	l.applyPool(p, p.pool.Report(now, e.session.endpoint, e.sent, e.reply))
+}
--- /dev/null
+++ b/internal/entry/submit.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/shard"
+	"github.com/agateyard/agateyard/internal/timeline"
+)
+
+const (
+	// movedRetryInterval is the time between two tries while a shard moves.
+	// A new view ends the pause early.
+	movedRetryInterval = 50 * time.Millisecond
+	// answerSlack is added to wait and run limit for the whole time of a submission.
+	answerSlack = 5 * time.Second
+	// noOwnerRetry is the Retry-After while a shard has no owner: a takeover
+	// takes about this long.
+	noOwnerRetry = 2 * time.Second
+)
+
+// Submit takes a submission to its shard owner and returns the final reply, or
+// the acceptance of asynchronous work. While the shard moves, it tries again
+// within the time that the caller may wait.
+func (n *Node) Submit(ctx context.Context, s model.Submission) model.Reply {
+	t, ok := n.config.Template(s.Key.Template)
+	if !ok {
+		return model.Reply{Outcome: model.OutcomeNotRun, Reason: model.ReasonUnknownTemplate}
+	}
+	n.recorder.Record(timeline.Event{Part: "entry", Name: "received", Request: s.Key.ID, Detail: s.Key.Template.String()})
+	wait := t.MaxWait
+	if s.MaxWait > 0 && s.MaxWait < wait {
+		wait = s.MaxWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+t.RunLimit+answerSlack)
+	defer cancel()
+	reply := n.submitUntil(ctx, s, t, time.Now().Add(wait))
+	n.recorder.Record(timeline.Event{Part: "entry", Name: "answered", Request: s.Key.ID, Detail: string(reply.Outcome) + " " + string(reply.Reason)})
+	return reply
+}
+
+// submitUntil tries until there is a reply or the deadline for the start passes.
+func (n *Node) submitUntil(ctx context.Context, s model.Submission, t model.Template, deadline time.Time) model.Reply {
+	sent := false // an earlier try may have reached an owner
+	for {
+		changed := n.viewNews.wait()
+		reply, err := n.submitOnce(ctx, s, connClassFor(t))
+		if err == nil && reply.Reason != model.ReasonMoved {
+			return reply
+		}
+		if err != nil && !errors.Is(err, errNotSent) {
+			sent = true
+		}
+		if ctx.Err() != nil || errors.Is(err, errStopped) {
+			return giveUp(sent || s.Resent)
+		}
+		if time.Now().After(deadline) {
+			return giveUp(sent || s.Resent)
+		}
+		s.Resent = s.Resent || sent
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(movedRetryInterval):
+		}
+	}
+}
+
+// giveUp is the reply when no owner could be reached. Once a try may have
+// arrived, the work may run.
+func giveUp(mayRun bool) model.Reply {
+	r := model.Reply{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoOwner, RetryAfter: noOwnerRetry}
+	if mayRun {
+		r.Outcome = model.OutcomeUnknown
+	}
+	return r
+}
+
+// submitOnce submits to the owner in the present view. An error other than
+// errNotSent leaves open whether the owner has the submission.
+func (n *Node) submitOnce(ctx context.Context, s model.Submission, class connClass) (model.Reply, error) {
+	owner := n.currentView().ShardOwner(s.Key.Shard())
+	if owner == n.self.Incarnation {
+		return n.submitLocal(ctx, s)
+	}
+	var reply SubmitReply
+	err := n.peers.call(ctx, owner, class, "Shard.Submit", SubmitArgs{Header: n.header(), Submission: s}, &reply)
+	if err != nil {
+		return model.Reply{}, err
+	}
+	n.observe(reply.Header)
+	return reply.Reply, nil
+}
+
+// submitLocal submits to the own shard table and waits for the reply.
+func (n *Node) submitLocal(ctx context.Context, s model.Submission) (model.Reply, error) {
+	waiter := make(chan model.Reply, 1)
+	n.post(submitted{submission: s, waiter: waiter})
+	select {
+	case r := <-waiter:
+		return r, nil
+	case <-ctx.Done():
+		n.post(waiterGone{key: s.Key, waiter: waiter})
+		return model.Reply{}, ctx.Err()
+	case <-n.done:
+		return model.Reply{}, errStopped
+	}
+}
+
+// submitted hands a submission to the shard table.
+type submitted struct {
+	submission model.Submission
+	waiter     chan model.Reply
+}
+
+func (e submitted) apply(l *loop) {
+	if !l.takeover.open(e.submission.Key.Shard()) {
+		e.waiter <- model.Reply{Reason: model.ReasonMoved}
+		return
+	}
+	l.lastWaiter++
+	id := l.lastWaiter
+	l.waiters[id] = e.waiter
+	l.waiterIDs[e.waiter] = id
+	l.applyShard(l.table.Submit(l.now(), e.submission, id))
+}
+
+// waiterGone removes a waiter whose caller has given up. The request stays.
+type waiterGone struct {
+	key    model.RequestKey
+	waiter chan model.Reply
+}
+
+func (e waiterGone) apply(l *loop) {
+	id, ok := l.waiterIDs[e.waiter]
+	if !ok {
+		return
+	}
+	delete(l.waiterIDs, e.waiter)
+	delete(l.waiters, id)
+	l.table.Forget(e.key, id)
+}
+
+// MintID returns a new identifier whose shard this process owns, so that the
+// request needs no other process.
+func (n *Node) MintID(t model.TemplateID, orderingKey string) string {
+	v := n.currentView()
+	for range mintTries {
+		id := newRequestID()
+		key := model.RequestKey{Template: t, OrderingKey: orderingKey, ID: id}
+		if orderingKey != "" || v.ShardOwner(key.Shard()) == n.self.Incarnation {
+			return id
+		}
+	}
+	return newRequestID()
+}
+
+// Cancel cancels requests at their shard owners.
+func (n *Node) Cancel(ctx context.Context, keys []model.RequestKey) ([]model.CancelResult, error) {
+	v := n.currentView()
+	byOwner := make(map[string][]model.RequestKey)
+	for _, k := range keys {
+		owner := v.ShardOwner(k.Shard())
+		byOwner[owner] = append(byOwner[owner], k)
+	}
+	found := make(map[model.RequestKey]model.CancelResult, len(keys))
+	for owner, part := range byOwner {
+		results, err := n.cancelAt(ctx, owner, part)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range results {
+			found[r.Key] = r
+		}
+	}
+	out := make([]model.CancelResult, len(keys))
+	for i, k := range keys {
+		out[i] = found[k]
+	}
+	return out, nil
+}
+
+func (n *Node) cancelAt(ctx context.Context, owner string, keys []model.RequestKey) ([]model.CancelResult, error) {
+	if owner == n.self.Incarnation {
+		return ask(ctx, n, func(r chan<- []model.CancelResult) event { return cancelWanted{keys: keys, result: r} })
+	}
+	var reply CancelReply
+	err := n.peers.call(ctx, owner, connControl, "Shard.Cancel", CancelArgs{Header: n.header(), Keys: keys}, &reply)
+	if err != nil {
+		return nil, err
+	}
+	n.observe(reply.Header)
+	return reply.Results, nil
+}
+
+// cancelWanted cancels requests in the shard table.
+type cancelWanted struct {
+	keys   []model.RequestKey
+	result chan<- []model.CancelResult
+}
+
+func (e cancelWanted) apply(l *loop) {
+	results, effects := l.table.Cancel(l.now(), e.keys)
+	l.applyShard(effects)
+	e.result <- results
+}
+
+// Status returns the state of a request at its shard owner.
+func (n *Node) Status(ctx context.Context, key model.RequestKey) (model.JobStatus, bool, error) {
+	owner := n.currentView().ShardOwner(key.Shard())
+	if owner == n.self.Incarnation {
+		r, err := ask(ctx, n, func(r chan<- StatusReply) event { return statusWanted{key: key, result: r} })
+		return r.Status, r.Found, err
+	}
+	var reply StatusReply
+	err := n.peers.call(ctx, owner, connControl, "Shard.Status", StatusArgs{Header: n.header(), Key: key}, &reply)
+	if err != nil {
+		return model.JobStatus{}, false, err
+	}
+	n.observe(reply.Header)
+	return reply.Status, reply.Found, nil
+}
+
+// statusWanted asks the shard table for the state of a request.
+type statusWanted struct {
+	key    model.RequestKey
+	result chan<- StatusReply
+}
+
+func (e statusWanted) apply(l *loop) {
+	status, found := l.table.Status(e.key)
+	e.result <- StatusReply{Status: status, Found: found}
+}
+
+// jobsWanted asks the shard table for its requests.
+type jobsWanted struct {
+	filter shard.Filter
+	result chan<- []model.JobStatus
+}
+
+func (e jobsWanted) apply(l *loop) { e.result <- l.table.Jobs(e.filter) }
