--- /dev/null
+++ b/internal/membership/edit.go
@@ -0,0 +1,165 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/google/uuid"
+
+	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/platform"
+)
+
+// Leave takes this process out of the view, before it hands over. The lease goes on
+// until Release, and the view lists the process as leaving: if it dies meanwhile,
+// it becomes a predecessor. Leave retries until it succeeds, ctx ends or the
+// process was replaced.
+func (m *Manager) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	if err := m.persist(ctx, m.markLeaving); err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	self := m.cfg.Self.Incarnation
+	return m.editView(ctx, func(v *model.View) bool {
+		i := slices.IndexFunc(v.Members, func(o model.Member) bool { return o.Incarnation == self })
+		if i < 0 {
+			return false
+		}
+		v.Members = slices.Delete(v.Members, i, i+1)
+		v.Leaving = append(v.Leaving, self)
+		return true
+	})
+}
+
+// markLeaving sets the mark in the member key, so that nobody adds this process again.
+func (m *Manager) markLeaving(ctx context.Context) error {
+	m.mu.Lock()
+	lease, version := m.lease, m.version
+	m.mu.Unlock()
+	if lease == "" {
+		return ErrNotJoined
+	}
+	r := memberRecord{Member: m.cfg.Self, Leaving: true, Change: uuid.NewString()}
+	written, err := platform.PutSettled(ctx, m.cfg.Store, memberPrefix+m.cfg.Self.Incarnation, encode(r),
+		platform.PutOptions{IfVersion: version, Lease: lease}, r.Change, memberChange)
+	switch {
+	case errors.Is(err, platform.ErrLeaseGone):
+		return ErrReplaced
+	case errors.Is(err, platform.ErrConflict):
+		return m.rereadMember(ctx)
+	case err != nil:
+		return err
+	}
+	m.setVersion(written)
+	return nil
+}
+
+// rereadMember takes over the version of the own member key after a conflict. Only
+// this process writes the key: a missing one was deleted with the lease, and a new
+// version comes from an earlier Leave that ended before its outcome was known.
+func (m *Manager) rereadMember(ctx context.Context) error {
+	e, err := m.cfg.Store.Get(ctx, memberPrefix+m.cfg.Self.Incarnation)
+	if errors.Is(err, platform.ErrNotFound) {
+		return ErrReplaced
+	}
+	if err != nil {
+		return err
+	}
+	m.setVersion(e.Version)
+	return errStaleVersion
+}
+
+func (m *Manager) setVersion(version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version = version
+}
+
+// errStaleVersion makes persist repeat a write with the version just read.
+var errStaleVersion = errors.New("version of the member key was stale")
+
+// Release ends the membership after the handover: the view forgets the process, the
+// lease is revoked and Run returns nil. It is called after Leave.
+func (m *Manager) Release(ctx context.Context) error {
+	self := m.cfg.Self.Incarnation
+	err := m.editView(ctx, func(v *model.View) bool {
+		i := slices.Index(v.Leaving, self)
+		if i < 0 {
+			return false
+		}
+		v.Leaving = slices.Delete(v.Leaving, i, i+1)
+		return true
+	})
+	if err != nil {
+		return fmt.Errorf("release: %w", err)
+	}
+	m.mu.Lock()
+	lease, first := m.lease, !m.releasing
+	m.releasing = true
+	m.mu.Unlock()
+	if lease != "" {
+		err = m.persist(ctx, func(ctx context.Context) error { return m.cfg.Store.Revoke(ctx, lease) })
+	}
+	if first {
+		close(m.released)
+	}
+	return err
+}
+
+// DropPredecessor removes a dead incarnation from the view, after all successors
+// have adopted its journal. Dropping one that is not in the view is no error.
+func (m *Manager) DropPredecessor(ctx context.Context, incarnation string) error {
+	return m.editView(ctx, func(v *model.View) bool {
+		i := slices.Index(v.Predecessors, incarnation)
+		if i < 0 {
+			return false
+		}
+		v.Predecessors = slices.Delete(v.Predecessors, i, i+1)
+		return true
+	})
+}
+
+// editView writes the next view with the change that edit makes to the present one;
+// edit returns false if there is nothing to change. It retries until ctx ends.
+func (m *Manager) editView(ctx context.Context, edit func(*model.View) bool) error {
+	return m.persist(ctx, func(ctx context.Context) error {
+		e, err := m.cfg.Store.Get(ctx, viewKey)
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil // no view, nothing to edit
+		}
+		if err != nil {
+			return err
+		}
+		var v model.View
+		if err = json.Unmarshal(e.Value, &v); err != nil {
+			return fmt.Errorf("value of %s: %w", viewKey, err)
+		}
+		if !edit(&v) {
+			return nil
+		}
+		v.Number++
+		v.Change = uuid.NewString()
+		normalize(&v)
+		return m.writeView(ctx, v, e.Version)
+	})
+}
+
+// persist repeats the operation with growing delays until it succeeds, finds the
+// process replaced or not joined, or ctx ends.
+func (m *Manager) persist(ctx context.Context, op func(context.Context) error) error {
+	delay := platform.NewBackOff(firstRetry/4, maxRetry)
+	for {
+		err := op(ctx)
+		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, ErrNotJoined) {
+			return err
+		}
+		if platform.Sleep(ctx, delay.NextBackOff()) != nil {
+			return err
+		}
+	}
+}
--- a/internal/model/view.go
+++ b/internal/model/view.go
@@ -15,6 +15,7 @@
 	Number       uint64   `json:"number"`
 	Members      []Member `json:"members"`                // ordered by incarnation
 	Predecessors []string `json:"predecessors,omitempty"` // dead incarnations whose journals are not yet adopted
+	Leaving      []string `json:"leaving,omitempty"`      // incarnations that left in order and still hand over
 	Change       string   `json:"change"`                 // unique identifier of the write
 }
 
