--- /dev/null
+++ b/internal/configstore/store.go
@@ -0,0 +1,267 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateyard/agateyard/internal/platform"
+)
+
+const (
+	// maxHistory is the number of revisions that History returns, the one in force included.
+	maxHistory = 20
+	// pruneBatch is the number of the oldest history keys that one change looks at.
+	pruneBatch = 8
+	// maxDocumentBytes leaves room below the store's limit for one value.
+	maxDocumentBytes = platform.MaxValueBytes - 64<<10
+
+	retryFirst = 50 * time.Millisecond
+	retryMax   = 2 * time.Second
+	// retryJitter spreads the retries of several processes after an outage.
+	retryJitter = 0.5
+)
+
+// ErrTooLarge means that the document would exceed the store's value limit.
+var ErrTooLarge = errors.New("document is too large for the store")
+
+// ErrNoDocument means that the document does not exist.
+var ErrNoDocument = errors.New("document does not exist")
+
+// Store reads and changes documents in the key-value service.
+type Store struct {
+	kv    platform.Store
+	cache *Cache // told of applied changes; may be nil
+	log   *logrus.Entry
+}
+
+// NewStore returns a Store. A change that it applies is offered to the cache,
+// unless cache is nil.
+func NewStore(kv platform.Store, cache *Cache, log *logrus.Entry) *Store {
+	return &Store{kv: kv, cache: cache, log: log}
+}
+
+// Apply applies the change once and returns the revision that it made, also when
+// the change was applied by an earlier call. It retries until the context ends.
+// Errors: *ConflictError, *InvalidError, settings.Findings and ErrTooLarge mean
+// that the change was not applied; *UncertainError that it may have been; any
+// other error that this call wrote nothing.
+func (s *Store) Apply(ctx context.Context, c Change) (uint64, error) {
+	if err := c.check(); err != nil {
+		return 0, err
+	}
+	wait := newBackOff()
+	uncertain := false
+	for {
+		revision, err := s.attempt(ctx, c)
+		if err == nil || final(err) {
+			return revision, err
+		}
+		var lost *lostReply
+		uncertain = uncertain || errors.As(err, &lost)
+		s.log.WithError(err).WithField("change", c.ID).Warn("config: change not settled, trying again")
+		if !sleep(ctx, wait.NextBackOff()) {
+			return 0, unsettled(c, uncertain, err)
+		}
+	}
+}
+
+func unsettled(c Change, uncertain bool, err error) error {
+	if uncertain {
+		return &UncertainError{Change: c.ID, Last: err}
+	}
+	return oops.In("configstore").Wrapf(err, "change was not applied")
+}
+
+// lostReply marks a write whose outcome is not known.
+type lostReply struct{ error }
+
+func (l *lostReply) Unwrap() error { return l.error }
+
+// attempt reads the document and writes the change once.
+func (s *Store) attempt(ctx context.Context, c Change) (uint64, error) {
+	current, version, raw, err := s.read(ctx, c.Name)
+	if err != nil {
+		return 0, err
+	}
+	if revision, ok := current.RevisionOf(c.ID); ok {
+		s.offer(c.Name, current.Revision, raw)
+		return revision, nil
+	}
+	if current.Revision != c.IfRevision {
+		s.offer(c.Name, current.Revision, raw)
+		return 0, conflict(current, c)
+	}
+	return s.write(ctx, c, current, version, raw)
+}
+
+func (s *Store) write(ctx context.Context, c Change, current Document, version uint64, raw []byte) (uint64, error) {
+	next := current.next(c)
+	value, err := next.encode()
+	if err != nil {
+		return 0, err
+	}
+	if len(value) > maxDocumentBytes {
+		return 0, ErrTooLarge
+	}
+	if err := s.archive(ctx, c.Name, current.Revision, raw); err != nil {
+		return 0, err
+	}
+	_, err = s.kv.Put(ctx, documentKey(c.Name), value, platform.PutOptions{IfVersion: version})
+	if err != nil {
+		return 0, writeError(err)
+	}
+	s.offer(c.Name, next.Revision, value)
+	s.prune(ctx, c.Name, next.Revision)
+	return next.Revision, nil
+}
+
+// writeError tells a write that certainly did not happen from one that may have.
+func writeError(err error) error {
+	switch {
+	case errors.Is(err, platform.ErrTooLarge):
+		return ErrTooLarge
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrThrottled), errors.Is(err, platform.ErrUnavailable):
+		return err // ErrConflict: the next attempt reads what is in force now
+	default:
+		return &lostReply{err}
+	}
+}
+
+func final(err error) bool {
+	var conflict *ConflictError
+	return errors.As(err, &conflict) || errors.Is(err, ErrTooLarge)
+}
+
+func conflict(current Document, c Change) error {
+	e := &ConflictError{
+		Name:       c.Name,
+		IfRevision: c.IfRevision,
+		InForce:    current.Revision,
+		Author:     current.Author,
+		At:         current.At,
+		Unsettled:  !current.reaches(c.IfRevision),
+	}
+	if c.Cell == nil {
+		e.Diff = Diff(current.text(), c.Source)
+	} else {
+		e.Diff = Diff(current.text(), current.next(c).text())
+	}
+	return e
+}
+
+// read returns the document, its version in the store and its raw value. A
+// missing document has revision 0 and the version CreateOnly.
+func (s *Store) read(ctx context.Context, name string) (Document, uint64, []byte, error) {
+	entry, err := s.kv.Get(ctx, documentKey(name))
+	if errors.Is(err, platform.ErrNotFound) {
+		return Document{}, platform.CreateOnly, nil, nil
+	}
+	if err != nil {
+		return Document{}, 0, nil, err
+	}
+	d, err := decodeDocument(entry.Value)
+	return d, entry.Version, entry.Value, err
+}
+
+func (s *Store) offer(name string, revision uint64, value []byte) {
+	if s.cache != nil && revision > 0 {
+		s.cache.Offer([]Doc{{Name: name, Revision: revision, JSON: value}})
+	}
+}
+
+// archive keeps a revision before another one takes its place. The content of a
+// revision never changes, so that an existing copy is as good.
+func (s *Store) archive(ctx context.Context, name string, revision uint64, raw []byte) error {
+	if revision == 0 {
+		return nil
+	}
+	_, err := s.kv.Put(ctx, historyKey(name, revision), raw, platform.PutOptions{IfVersion: platform.CreateOnly})
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+// prune deletes the oldest history. What it misses falls to the next change.
+func (s *Store) prune(ctx context.Context, name string, inForce uint64) {
+	if inForce < maxHistory {
+		return
+	}
+	page, err := s.kv.List(ctx, historyKeyPrefix(name), "", pruneBatch)
+	if err != nil {
+		s.log.WithError(err).Debug("config: history not pruned")
+		return
+	}
+	keep := historyKey(name, inForce-maxHistory+1)
+	for _, e := range page.Entries {
+		if e.Key >= keep {
+			return
+		}
+		if err := s.kv.Delete(ctx, e.Key, e.Version); err != nil {
+			s.log.WithError(err).Debug("config: history not pruned")
+			return
+		}
+	}
+}
+
+// Get returns the document in force, or ErrNoDocument.
+func (s *Store) Get(ctx context.Context, name string) (Document, error) {
+	d, _, raw, err := s.read(ctx, name)
+	if err != nil {
+		return Document{}, oops.In("configstore").Wrapf(err, "read %s", name)
+	}
+	if d.Revision == 0 {
+		return Document{}, ErrNoDocument
+	}
+	s.offer(name, d.Revision, raw)
+	return d, nil
+}
+
+// History returns the revisions of the document, the one in force first, up to 20.
+func (s *Store) History(ctx context.Context, name string) ([]Document, error) {
+	current, err := s.Get(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	page, err := s.kv.List(ctx, historyKeyPrefix(name), "", maxHistory+pruneBatch)
+	if err != nil {
+		return nil, oops.In("configstore").Wrapf(err, "list history of %s", name)
+	}
+	out := []Document{current}
+	for i := len(page.Entries) - 1; i >= 0 && len(out) < maxHistory; i-- {
+		d, err := decodeDocument(page.Entries[i].Value)
+		if err != nil {
+			return nil, err
+		}
+		if d.Revision < current.Revision {
+			out = append(out, d)
+		}
+	}
+	return out, nil
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = retryFirst
+	b.MaxInterval = retryMax
+	b.RandomizationFactor = retryJitter
+	b.Reset()
+	return b
+}
+
+// sleep returns false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
