--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -12,6 +12,7 @@
 	ErrNotSent    = errors.New("command was not sent") // no connection; nothing reached the endpoint
 	ErrBadRequest = errors.New("endpoint refused the command as malformed")
 	ErrCancelled  = errors.New("attempt was cancelled before it started")
+	ErrNoLease    = errors.New("owner holds no lease on the endpoint") // open or renew the session first
 )
 
 // ErrLost means that the command was sent and its end is not known.
--- a/internal/endpoint/protocol.go
+++ b/internal/endpoint/protocol.go
@@ -14,6 +14,10 @@
 	HeaderTemplate    = "Agateyard-Template"
 	HeaderResources   = "Agateyard-Resources" // JSON of model.Resources
 	HeaderRunLimit    = "Agateyard-Run-Limit" // ms
+	HeaderInstance    = "Agateyard-Instance"  // instance whose clock the start limit is in
+	HeaderExchange    = "Agateyard-Exchange"  // unique per command; the reply repeats it
+	HeaderRefusal     = "Agateyard-Refusal"   // code of a definite refusal, only on replies
+	HeaderRunMS       = "Agateyard-Run-Ms"    // duration of the run, only on answers of a runner
 )
 
 // SessionInterval is the time between two session calls of the pool owner to one endpoint.
@@ -27,6 +31,10 @@
 	Token uint64 `json:"token"`
 	Owner string `json:"owner"` // incarnation of the pool owner
 	Ack   uint64 `json:"ack"`   // highest sequence number of an ended attempt that the owner has handled
+
+	// Instance is the instance that Ack refers to. Sequence numbers start anew
+	// with each instance, so another instance ignores the Ack.
+	Instance string `json:"instance,omitempty"`
 }
 
 // SessionReply is the endpoint's report.
@@ -66,7 +74,8 @@
 type StartRequest struct {
 	Attempt       model.AttemptID
 	Token         uint64
-	StartBeforeMS int64 // endpoint's clock
+	StartBeforeMS int64  // endpoint's clock
+	Instance      string // instance whose clock StartBeforeMS is in; another instance refuses with ErrExpired; empty is not checked
 	Template      string
 	Resources     model.Resources
 	RunLimit      time.Duration
@@ -81,3 +90,14 @@
 	Answer   model.Answer
 	RunMS    int64
 }
+
+// CancelReply is the reply to a cancel.
+type CancelReply struct {
+	Started bool `json:"started"` // the attempt had started before the cancel
+}
+
+// RefusalBody is the body of a refused command.
+type RefusalBody struct {
+	Code   RefusalCode `json:"code"`
+	Detail string      `json:"detail,omitempty"`
+}
