--- a/cmd/agateyard-standin/main.go
+++ b/cmd/agateyard-standin/main.go
@@ -1,4 +1,38 @@
 // Command agateyard-standin runs the stand-ins of outside systems for tests and the demo.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		logrus.Errorf("standin: %v", err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "agateyard-standin",
+		Short:         "Stand-ins of the platform, endpoints, load balancer and links",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		runnerCommand(),
+		workerCommand(),
+		balancerCommand(),
+		proxyCommand(),
+		// MERGE: add the platform stand-in here, platformstandin.Command() of internal/platform/standin.
+	)
+	return root
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,239 @@
+// Package balancer is a stand-in for the platform's load balancer: it spreads
+// TCP connections over the entry processes that are ready.
+package balancer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Options are the settings of a balancer.
+type Options struct {
+	Backends      []string      // ip:port of entry processes
+	CheckInterval time.Duration // of GET /readyz
+	CheckTimeout  time.Duration
+	DialTimeout   time.Duration
+}
+
+// DefaultOptions returns the options for the backends.
+func DefaultOptions(backends []string) Options {
+	return Options{
+		Backends:      backends,
+		CheckInterval: 250 * time.Millisecond,
+		CheckTimeout:  time.Second,
+		DialTimeout:   time.Second,
+	}
+}
+
+// Validate returns all invalid options, joined.
+func (o Options) Validate() error {
+	var errs []error
+	if len(o.Backends) == 0 {
+		errs = append(errs, errors.New("no backends"))
+	}
+	if o.CheckInterval <= 0 || o.CheckTimeout <= 0 || o.DialTimeout <= 0 {
+		errs = append(errs, errors.New("check interval, check timeout and dial timeout must be positive"))
+	}
+	return errors.Join(errs...)
+}
+
+// Balancer accepts connections and gives each to the next ready backend. A
+// backend that becomes not ready keeps the connections it has. It is safe for
+// concurrent use.
+type Balancer struct {
+	opts     Options
+	listener net.Listener
+	client   *http.Client
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu     sync.Mutex
+	ready  map[string]bool
+	next   int
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// Listen starts a balancer on the address. It returns after the first round of
+// readiness checks.
+func Listen(address string, opts Options) (*Balancer, error) {
+	if err := opts.Validate(); err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Balancer{
+		opts: opts, listener: ln, cancel: cancel,
+		// Without idle connections a check also tells that new ones are accepted.
+		client: &http.Client{Timeout: opts.CheckTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		ready:  map[string]bool{}, conns: map[net.Conn]struct{}{},
+	}
+	b.checkAll(ctx)
+	b.wg.Add(2)
+	go func() { defer b.wg.Done(); b.checkLoop(ctx) }()
+	go func() { defer b.wg.Done(); b.accept() }()
+	return b, nil
+}
+
+// Address returns ip:port of the balancer.
+func (b *Balancer) Address() string { return b.listener.Addr().String() }
+
+// Ready returns the backends that are ready, in the order of the options.
+func (b *Balancer) Ready() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, a := range b.opts.Backends {
+		if b.ready[a] {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Close stops the balancer and closes all connections.
+func (b *Balancer) Close() {
+	b.cancel()
+	_ = b.listener.Close()
+	b.mu.Lock()
+	b.closed = true
+	for c := range b.conns {
+		_ = c.Close()
+	}
+	b.mu.Unlock()
+	b.wg.Wait()
+}
+
+func (b *Balancer) checkLoop(ctx context.Context) {
+	tick := time.NewTicker(b.opts.CheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			b.checkAll(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Balancer) checkAll(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, a := range b.opts.Backends {
+		wg.Go(func() {
+			ok := b.check(ctx, a)
+			b.mu.Lock()
+			b.ready[a] = ok
+			b.mu.Unlock()
+		})
+	}
+	wg.Wait()
+}
+
+func (b *Balancer) check(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (b *Balancer) accept() {
+	for {
+		c, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		b.wg.Add(1)
+		go func() {
+			defer b.wg.Done()
+			b.handle(c)
+		}()
+	}
+}
+
+func (b *Balancer) handle(client net.Conn) {
+	defer client.Close()
+	server := b.dial()
+	if server == nil {
+		return
+	}
+	defer server.Close()
+	if !b.track(client, server) {
+		return
+	}
+	defer b.untrack(client, server)
+	var wg sync.WaitGroup
+	wg.Go(func() { forward(server, client) })
+	wg.Go(func() { forward(client, server) })
+	wg.Wait()
+}
+
+// dial connects to the next ready backend that accepts.
+func (b *Balancer) dial() net.Conn {
+	for _, a := range b.order() {
+		c, err := net.DialTimeout("tcp", a, b.opts.DialTimeout)
+		if err == nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// order returns the ready backends, the one whose turn it is first.
+func (b *Balancer) order() []string {
+	ready := b.Ready()
+	if len(ready) == 0 {
+		return nil
+	}
+	b.mu.Lock()
+	first := b.next % len(ready)
+	b.next++
+	b.mu.Unlock()
+	return append(append([]string{}, ready[first:]...), ready[:first]...)
+}
+
+func (b *Balancer) track(cs ...net.Conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range cs {
+		b.conns[c] = struct{}{}
+	}
+	return !b.closed
+}
+
+func (b *Balancer) untrack(cs ...net.Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range cs {
+		delete(b.conns, c)
+	}
+}
+
+// forward copies until the source ends, then ends the destination's stream. An
+// error closes both, so that the other direction ends too.
+func forward(dst, src net.Conn) {
+	_, err := io.Copy(dst, src)
+	if err != nil {
+		_ = dst.Close()
+		_ = src.Close()
+		return
+	}
+	if tcp, ok := dst.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
--- a/internal/endpoint/httpclient.go
+++ b/internal/endpoint/httpclient.go
@@ -93,10 +93,11 @@
 	if err != nil {
 		return StartReply{}, err
 	}
-	if r.status == http.StatusAccepted {
+	mark := r.header.Get(HeaderRunMS)
+	if mark == "" && r.status == http.StatusAccepted {
 		return StartReply{Accepted: true}, nil
 	}
-	runMS, err := strconv.ParseInt(r.header.Get(HeaderRunMS), 10, 64)
+	runMS, err := strconv.ParseInt(mark, 10, 64)
 	if err != nil {
 		return StartReply{}, c.fail(cmd.name, ErrLost, fmt.Errorf("status %d without a run time is no answer", r.status))
 	}
--- /dev/null
+++ b/internal/endpoint/standin/register.go
@@ -0,0 +1,56 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/agateyard/agateyard/internal/platform"
+)
+
+// registerTimeout bounds one call to the platform.
+const registerTimeout = 2 * time.Second
+
+// maxRegisterInterval bounds the pause between two calls.
+const maxRegisterInterval = 2 * time.Second
+
+// register posts the VM to the platform until it answers or the context ends.
+func register(ctx context.Context, platformURL string, vm platform.VM) error {
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return err
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 50 * time.Millisecond
+	pause.MaxInterval = maxRegisterInterval
+	_, err = backoff.Retry(ctx, func() (struct{}, error) {
+		return struct{}{}, postVM(ctx, platformURL+"/admin/vms", body)
+	}, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(0))
+	return err
+}
+
+func postVM(ctx context.Context, url string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return backoff.Permanent(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("platform answered %s", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/endpoint/standin/report.go
@@ -0,0 +1,68 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/agateyard/agateyard/internal/endpoint"
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// report returns the reply to a session call. Usage is as of lag ago.
+func (l *ledger) report(now, lag time.Duration, kind string) endpoint.SessionReply {
+	r := endpoint.SessionReply{
+		Instance: l.instance,
+		ClockMS:  now.Milliseconds(),
+		Kind:     kind,
+		Capacity: l.capacity,
+		Leaving:  l.leaving,
+	}
+	for _, a := range l.running() {
+		r.Running = append(r.Running, a.report(now, lag))
+	}
+	for _, a := range l.ended {
+		r.Ended = append(r.Ended, a.endReport())
+	}
+	return r
+}
+
+func (a *attempt) report(now, lag time.Duration) endpoint.RunningAttempt {
+	return endpoint.RunningAttempt{
+		Attempt:   a.id,
+		Template:  a.template,
+		Resources: a.resources,
+		RunMS:     (now - a.started).Milliseconds(),
+		Usage:     a.usage(now - lag),
+		Throttled: a.throttled,
+	}
+}
+
+func (a *attempt) endReport() endpoint.EndedAttempt {
+	e := endpoint.EndedAttempt{
+		Seq:      a.seq,
+		Attempt:  a.id,
+		Template: a.template,
+		RunMS:    (a.ended - a.started).Milliseconds(),
+		MaxUsage: a.usage(a.started),
+		Stopped:  a.reason != EndDone && a.reason != EndFailed,
+	}
+	if e.Stopped || len(a.answer.Body) > maxKeptAnswerBytes {
+		return e
+	}
+	e.Answer, e.HasAnswer = a.answer, true
+	return e
+}
+
+// usage returns the measured usage at the time; none before the start.
+func (a *attempt) usage(at time.Duration) model.Resources {
+	if at < a.started {
+		return model.Resources{}
+	}
+	u := a.work.Usage
+	if u.IsZero() {
+		u = a.resources
+	}
+	if a.throttled {
+		u.CoresMilli /= throttleFactor
+	}
+	return u
+}
--- /dev/null
+++ b/internal/endpoint/standin/taskkey.go
@@ -0,0 +1,16 @@
+package standin
+
+import (
+	"strings"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// taskKey returns the part of an attempt identifier that names the task of the
+// request: all of it but the nonce. See model.NewAttemptID.
+func taskKey(id model.AttemptID) string {
+	if i := strings.LastIndexByte(string(id), '.'); i >= 0 {
+		return string(id)[:i]
+	}
+	return string(id)
+}
