--- /dev/null
+++ b/internal/pool/effects.go
@@ -0,0 +1,11 @@
+package pool
+
+import "github.com/agateyard/agateyard/internal/timeline"
+
+// Effects is what the event loop has to do after a call.
+type Effects struct {
+	Settled    []SettledTo      // to be delivered; confirm with Pool.Delivered
+	Orders     []Order          // to be sent to endpoints
+	Events     []timeline.Event // for the time line
+	Superseded bool             // an endpoint has seen a higher token: this owner has lost the pool
+}
--- /dev/null
+++ b/internal/pool/prediction.go
@@ -0,0 +1,17 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// Prediction is what the pool expects of one task of a template.
+type Prediction struct {
+	Template model.TemplateID
+	Mean     time.Duration   // moving average of measured run times
+	High     time.Duration   // 95th percentile of measured run times
+	Measured int             // number of measured runs; below minMeasured the declared run limit is returned
+	Usage    model.Resources // moving average of the greatest measured use
+	Running  int             // tasks charged in the pool
+}
--- /dev/null
+++ b/internal/pool/start_order.go
@@ -0,0 +1,19 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// StartOrder is a start command to send to an endpoint at once. Its result
+// goes to Pool.Finished.
+type StartOrder struct {
+	Attempt       model.AttemptID
+	Endpoint      string
+	StartBeforeMS int64 // endpoint's clock
+	Token         uint64
+	Template      model.TemplateID
+	Resources     model.Resources
+	RunLimit      time.Duration
+}
