--- /dev/null
+++ b/internal/journal/replay.go
@@ -0,0 +1,49 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/agateyard/agateyard/internal/platform"
+)
+
+// Replay passes the records of a sealed journal to fn: those of the last snapshot,
+// then those of the later segments in order. A record that its owner never had
+// acknowledged may be among them. It returns ErrNotSealed, ErrRemoved, ErrGap or
+// ErrCorrupt before the first call of fn, or the first error of fn.
+func Replay(ctx context.Context, s platform.Store, incarnation string, fn func(record []byte) error) error {
+	j, err := read(ctx, s, incarnation)
+	if err != nil {
+		return fmt.Errorf("replay %s: %w", incarnation, err)
+	}
+	records, err := j.records()
+	if err != nil {
+		return fmt.Errorf("replay %s: %w", incarnation, err)
+	}
+	for _, r := range records {
+		if err = fn(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// records returns all records of a sealed journal in order.
+func (j *stored) records() ([][]byte, error) {
+	seal, sealed := j.seal()
+	if !sealed {
+		return nil, ErrNotSealed
+	}
+	if j.segments[seal].kind == kindTombstone {
+		return nil, ErrRemoved
+	}
+	records := j.snapshot
+	for n := j.covered + 1; n < seal; n++ {
+		v, ok := j.segments[n]
+		if !ok || v.kind != kindSegment {
+			return nil, fmt.Errorf("segment %d: %w", n, ErrGap)
+		}
+		records = append(records, v.records...)
+	}
+	return records, nil
+}
