--- a/cmd/agateyard-standin/main.go
+++ b/cmd/agateyard-standin/main.go
@@ -9,6 +9,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
+
+	platformstandin "github.com/agateyard/agateyard/internal/platform/standin"
 )
 
 func main() {
@@ -32,7 +34,7 @@
 		workerCommand(),
 		balancerCommand(),
 		proxyCommand(),
-		// MERGE: add the platform stand-in here, platformstandin.Command() of internal/platform/standin.
+		platformstandin.Command(),
 	)
 	return root
 }
--- a/internal/entry/acquisition.go
+++ b/internal/entry/acquisition.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/gob"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/agateyard/agateyard/internal/journal"
@@ -40,8 +39,7 @@
 type sourceKind int
 
 const (
-	sourceLive    sourceKind = iota // a member: it must answer
-	sourceLeaver                    // left the view: it answers while it lives
+	sourceLive    sourceKind = iota // a member, or one that leaves: it must answer
 	sourceJournal                   // dead: its journal tells
 )
 
@@ -66,13 +64,10 @@
 			a.pending[m.Incarnation] = sourceLive
 		}
 	}
-	for id := range t.leavers {
-		a.pending[id] = sourceLeaver
+	for _, id := range v.Leaving {
+		a.pending[id] = sourceLive
 	}
 	for _, id := range v.Predecessors {
-		if t.leavers[id] {
-			continue // asked first; its journal is read when it does not answer
-		}
 		a.pending[id] = sourceJournal
 	}
 	return a
@@ -107,6 +102,10 @@
 	n := a.t.l.n
 	ctx, cancel := context.WithTimeout(a.ctx, claimTimeout)
 	defer cancel()
+	if err := n.locate(ctx, id); err != nil {
+		n.post(claimAnswered{acquisition: a, from: id, err: err})
+		return
+	}
 	args := ClaimArgs{Header: n.header(), Latest: a.view, Shards: a.shards}
 	var reply ClaimReply
 	err := n.peers.call(ctx, id, connControl, "Shard.Claim", args, &reply)
@@ -153,9 +152,6 @@
 	}
 	delete(a.asking, e.from)
 	if e.err != nil {
-		if a.pending[e.from] == sourceLeaver {
-			a.leaverGone(e.from, e.err)
-		}
 		return
 	}
 	delete(a.pending, e.from)
@@ -170,18 +166,6 @@
 	a.completeIfDone()
 }
 
-// leaverGone reads the journal of a process that left the view and does not
-// answer, or passes over it when its journal has been adopted already.
-func (a *acquisition) leaverGone(id string, _ error) {
-	if slices.Contains(a.view.Predecessors, id) {
-		a.pending[id] = sourceJournal
-		return
-	}
-	delete(a.pending, id)
-	delete(a.t.leavers, id)
-	a.completeIfDone()
-}
-
 // journalRead is the content of the journal of a dead process.
 type journalRead struct {
 	acquisition *acquisition
@@ -290,14 +274,14 @@
 		return
 	}
 	n, holders := a.t.l.n, a.holders
-	n.journal.Append(nil, time.Time{}, func(err error) {
-		if err != nil {
+	go func() {
+		if n.journal.Flush(n.ctx) != nil {
 			return
 		}
 		for id, shards := range holders {
 			go n.sendReleased(id, shards)
 		}
-	})
+	}()
 }
 
 // sendReleased tells a holder to drop shards, until it has heard it or is gone.
--- a/internal/entry/compaction.go
+++ b/internal/entry/compaction.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/agateyard/agateyard/internal/journal"
 )
 
 const (
@@ -30,23 +29,38 @@
 	if c.running || c.bytes < compactBytes || now.Sub(c.last) < compactInterval {
 		return
 	}
-	entries := l.snapshotEntries(now)
-	if entries == nil {
+	if l.takeover.moving() {
 		return
 	}
 	c.running = true
 	c.last = now
 	c.bytes = 0
 	n := l.n
-	cut := n.journal.Cut()
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, compactTimeout)
 		defer cancel()
-		err := n.journal.Compact(ctx, cut, entries)
+		err := n.journal.Compact(ctx, func() ([][]byte, error) { return n.collectSnapshot(ctx) })
 		n.post(compacted{err: err})
 	}()
 }
 
+// collectSnapshot asks the loop for the entries that replace the journal. The
+// question passes through the queue behind the results of all earlier writes.
+func (n *Node) collectSnapshot(ctx context.Context) ([][]byte, error) {
+	entries, err := ask(ctx, n, func(r chan<- [][]byte) event { return snapshotWanted{result: r} })
+	if err == nil && entries == nil {
+		err = errTakingOver
+	}
+	return entries, err
+}
+
+// snapshotWanted asks the loop for a snapshot.
+type snapshotWanted struct {
+	result chan<- [][]byte
+}
+
+func (e snapshotWanted) apply(l *loop) { e.result <- l.snapshotEntries(l.now()) }
+
 // snapshotEntries returns entries that replace the journal, or nil while
 // shards are on the move, whose state the snapshot would lack.
 func (l *loop) snapshotEntries(now time.Time) [][]byte {
@@ -87,7 +101,5 @@
 		return
 	}
 	l.compaction.bytes += compactBytes
-	if e.err != journal.ErrSealed {
-		l.n.log.WithError(e.err).Warn("journal: compaction failed")
-	}
+	l.n.log.WithError(e.err).Warn("journal: compaction failed")
 }
--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateyard/agateyard/internal/configstore"
+	"github.com/agateyard/agateyard/internal/endpoint"
+	"github.com/agateyard/agateyard/internal/platform"
+	"github.com/agateyard/agateyard/internal/settings"
+	"github.com/agateyard/agateyard/internal/shard"
+	"github.com/agateyard/agateyard/internal/timeline"
+)
+
+// Config holds what a process is made of.
+type Config struct {
+	Settings  settings.Entry
+	Store     platform.Store
+	VMs       platform.VMList
+	Cache     *configstore.Cache
+	Recorder  *timeline.Recorder
+	Log       *logrus.Entry
+	NewClient func(address string) endpoint.Client
+}
+
+func (c Config) shardConfig() shard.Config {
+	return shard.Config{
+		QueueEntries: c.Settings.Limits.QueueEntries,
+		QueueBytes:   c.Settings.Limits.QueueBytes,
+		AcceptBytes:  c.Settings.Limits.JournalBodyBytes,
+		Retention:    c.Settings.Retention.Record,
+	}
+}
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -118,6 +118,11 @@
 			continue
 		}
 		p.pool.SetDemand(now, from, seq, pd.Demands)
+		if len(pd.Demands) > 0 {
+			p.demand[from] = true
+		} else {
+			delete(p.demand, from)
+		}
 		p.dirty = true
 	}
 }
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/agateyard/agateyard/internal/model"
@@ -40,6 +42,7 @@
 }
 
 func (e vmList) apply(l *loop) {
+	l.vmsKnown = true
 	l.vms = make(map[string]platform.VM, len(e.vms))
 	for _, vm := range e.vms {
 		if vm.Kind == platform.VMEntry {
@@ -57,3 +60,12 @@
 	}
 	return model.WorkerPool(vm.Zone, vm.Rack)
 }
+
+// knownPools returns the pools of all listed endpoints.
+func (l *loop) knownPools() []model.PoolID {
+	seen := make(map[model.PoolID]bool)
+	for _, vm := range l.vms {
+		seen[poolOf(vm)] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
--- a/internal/entry/dispatches.go
+++ b/internal/entry/dispatches.go
@@ -79,6 +79,8 @@
 
 // dispatch performs the call and posts its result.
 func (n *Node) dispatch(g model.Grant, args DispatchArgs, class connClass, limit time.Duration) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
 	ctx, cancel := context.WithTimeout(n.ctx, limit)
 	defer cancel()
 	args.Header = n.header()
--- a/internal/entry/dispatchlocal.go
+++ b/internal/entry/dispatchlocal.go
@@ -69,6 +69,8 @@
 // startAttempt sends one start command. The call has its own time limit and
 // goes on when the shard owner is gone, so that the end is known here.
 func (n *Node) startAttempt(p *ownedPool, o clientOrder, args DispatchArgs) startEnd {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
 	ctx, cancel := context.WithTimeout(n.ctx, o.RunLimit+dispatchSlack)
 	defer cancel()
 	n.recorder.Record(timeline.Event{Part: "pool", Name: "start-sent", Request: args.Request, Attempt: string(o.Attempt), Detail: o.Endpoint})
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -27,6 +27,7 @@
 		return
 	}
 	delete(l.waiters, a.Waiter)
+	delete(l.waiterIDs, w)
 	w <- a.Reply
 }
 
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -127,6 +127,7 @@
 }
 
 func (e gossipReceived) apply(l *loop) {
+	l.peerHeard = l.now()
 	for _, s := range e.args.Summaries {
 		l.mergeSummary(s)
 	}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -38,15 +38,19 @@
 	summaries      map[model.PoolID]model.PoolSummary
 	freshSummaries map[model.PoolID]bool
 	templates      map[model.TemplateID]model.Template
-	waiters        map[shard.WaiterID]chan<- model.Reply
+	waiters        map[shard.WaiterID]chan model.Reply
+	waiterIDs      map[chan model.Reply]shard.WaiterID
 	lastWaiter     shard.WaiterID
+	vmsKnown       bool // the VM list has been read
 
 	demand      *demandState
 	demandDirty bool
 	takeover    *takeover
 	outbox      *outbox
 	dispatches  *dispatches
-	stopping    bool
+	compaction  compaction
+	capacityAt  time.Time
+	peerHeard   time.Time // last message from a peer
 }
 
 func newLoop(n *Node) *loop {
@@ -61,7 +65,8 @@
 		summaries:      make(map[model.PoolID]model.PoolSummary),
 		freshSummaries: make(map[model.PoolID]bool),
 		templates:      make(map[model.TemplateID]model.Template),
-		waiters:        make(map[shard.WaiterID]chan<- model.Reply),
+		waiters:        make(map[shard.WaiterID]chan model.Reply),
+		waiterIDs:      make(map[chan model.Reply]shard.WaiterID),
 	}
 	l.demand = newDemandState()
 	l.takeover = newTakeover(l)
@@ -114,6 +119,9 @@
 	l.outbox.retry(now)
 	l.dispatches.resolve(now)
 	l.takeover.tick(now)
+	l.compaction.due(l)
+	l.refreshCapacity(now)
+	l.updateReady(now)
 }
 
 // settle sends what the batch of events has changed.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// add makes a process known that is no member of the view.
+func (ps *peers) add(incarnation, address string) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if _, ok := ps.byID[incarnation]; !ok {
+		ps.byID[incarnation] = newPeer(address)
+	}
+}
+
 func (ps *peers) get(incarnation string) (*peer, bool) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// restartPause is the time between two incarnations, so that a process that is
+// replaced at once does not use up the writes of the store.
+const restartPause = 200 * time.Millisecond
+
+// Process runs one incarnation after another and serves the RPC of the present
+// one. A process that was replaced while it was paused drops its state and
+// joins again as a new incarnation.
+type Process struct {
+	cfg      Config
+	listener net.Listener
+	node     atomic.Pointer[Node]
+	leaving  atomic.Bool
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	conns map[net.Conn]*Node
+}
+
+// NewProcess listens for other entry processes at the RPC address of the settings.
+func NewProcess(cfg Config) (*Process, error) {
+	l, err := net.Listen("tcp", cfg.Settings.RPCAddress)
+	if err != nil {
+		return nil, oops.In("entry").Wrapf(err, "listen for entry processes")
+	}
+	return &Process{cfg: cfg, listener: l, conns: make(map[net.Conn]*Node)}, nil
+}
+
+// Run works until ctx ends or Leave has finished.
+func (p *Process) Run(ctx context.Context) error {
+	defer p.listener.Close()
+	for ctx.Err() == nil {
+		n := NewNode(ctx, p.cfg)
+		p.node.Store(n)
+		go p.accept(n)
+		n.log.WithField("incarnation", n.self.Incarnation).Info("entry: incarnation started")
+		err := n.Run()
+		p.closeConns(n)
+		if p.leaving.Load() || !errors.Is(err, ErrReplaced) {
+			return err
+		}
+		n.log.Warn("entry: incarnation was replaced, joining anew")
+		select {
+		case <-ctx.Done():
+		case <-time.After(restartPause):
+		}
+	}
+	return nil
+}
+
+// accept serves connections while n is the present incarnation.
+func (p *Process) accept(n *Node) {
+	server := rpc.NewServer()
+	for name, service := range map[string]any{
+		"Shard":    &ShardService{n},
+		"Pool":     &PoolService{n},
+		"Peer":     &PeerService{n},
+		"Operator": &OperatorService{n},
+	} {
+		if err := server.RegisterName(name, service); err != nil {
+			n.log.WithError(err).Error("entry: RPC service can't be registered")
+		}
+	}
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.node.Load() != n {
+			// The accept loop of the present incarnation serves the next one.
+			_ = conn.Close()
+			return
+		}
+		p.track(conn, n)
+		go func() {
+			server.ServeConn(conn)
+			p.untrack(conn)
+		}()
+	}
+}
+
+func (p *Process) track(conn net.Conn, n *Node) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[conn] = n
+}
+
+func (p *Process) untrack(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, conn)
+}
+
+// closeConns closes the connections of an incarnation that has ended.
+func (p *Process) closeConns(n *Node) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn, owner := range p.conns {
+		if owner == n {
+			_ = conn.Close()
+			delete(p.conns, conn)
+		}
+	}
+}
+
+// Leave hands over and ends Run. Callers of this process are served meanwhile.
+func (p *Process) Leave(ctx context.Context) error {
+	p.leaving.Store(true)
+	n := p.node.Load()
+	if n == nil {
+		return nil
+	}
+	return n.Leave(ctx)
+}
+
+// Node returns the present incarnation, or nil before Run.
+func (p *Process) Node() *Node { return p.node.Load() }
--- a/internal/entry/rpcpeer.go
+++ b/internal/entry/rpcpeer.go
@@ -26,10 +26,55 @@
 	return nil
 }
 
+// FindArgs asks for the address of a process that may have left the view.
+type FindArgs struct {
+	Header
+	Incarnation string
+}
+
+// FindReply answers FindArgs. The address is empty when it is not known.
+type FindReply struct {
+	Header
+	Address string
+}
+
+// Find returns the address of a process.
+func (s *PeerService) Find(args FindArgs, reply *FindReply) error {
+	s.n.observe(args.Header)
+	if p, ok := s.n.peers.get(args.Incarnation); ok {
+		reply.Address = p.address
+	}
+	reply.Header = s.n.header()
+	return nil
+}
+
+// locate makes sure that the address of a process is known. One that left
+// before this process joined is known to older members only.
+func (n *Node) locate(ctx context.Context, incarnation string) error {
+	if _, ok := n.peers.get(incarnation); ok {
+		return nil
+	}
+	for _, m := range n.currentView().Members {
+		if m.Incarnation == n.self.Incarnation {
+			continue
+		}
+		var reply FindReply
+		args := FindArgs{Header: n.header(), Incarnation: incarnation}
+		if err := n.peers.call(ctx, m.Incarnation, connControl, "Peer.Find", args, &reply); err != nil {
+			continue
+		}
+		if reply.Address != "" {
+			n.peers.add(incarnation, reply.Address)
+			return nil
+		}
+	}
+	return errNotSent
+}
+
 // Documents returns configuration documents.
 func (s *PeerService) Documents(args DocumentsArgs, reply *DocumentsReply) error {
 	s.n.observe(args.Header)
-	reply.Header, reply.Documents = s.n.header(), s.n.config.Docs(args.Names)
+	reply.Header, reply.Documents = s.n.header(), s.n.config.Docs(args.Names...)
 	return nil
 }
 
@@ -78,7 +123,7 @@
 	return err
 }
 
-// StatusReply2 answers Operator.Status.
+// NodeStatusReply carries the state of a process.
 type NodeStatusReply struct {
 	Header
 	Status NodeStatus
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -23,7 +23,6 @@
 	held     map[model.ShardID]uint64 // epoch of each shard with state here
 	frozen   map[model.ShardID]bool   // held, and given away by the view
 	acquire  *acquisition             // nil when nothing is to be acquired
-	leavers  map[string]bool          // members of the last view that are not in this one
 	adopted  map[string]bool          // predecessors whose state is recorded here
 	peers    map[string][]string      // what members report as adopted
 	dropping map[string]bool
@@ -35,7 +34,6 @@
 		l:        l,
 		held:     make(map[model.ShardID]uint64),
 		frozen:   make(map[model.ShardID]bool),
-		leavers:  make(map[string]bool),
 		adopted:  make(map[string]bool),
 		peers:    make(map[string][]string),
 		dropping: make(map[string]bool),
@@ -44,8 +42,7 @@
 }
 
 // install follows a new view.
-func (t *takeover) install(old, v model.View) {
-	t.noteLeavers(old, v)
+func (t *takeover) install(v model.View) {
 	now := t.l.now()
 	var missing []model.ShardID
 	for s := range model.ShardID(model.ShardCount) {
@@ -69,14 +66,6 @@
 	t.adoptAll(v)
 }
 
-func (t *takeover) noteLeavers(old, v model.View) {
-	for _, m := range old.Members {
-		if _, still := v.Find(m.Incarnation); !still {
-			t.leavers[m.Incarnation] = true
-		}
-	}
-}
-
 // abort drops an acquisition for an older view. The holders keep their state.
 func (t *takeover) abort() {
 	if t.acquire != nil {
--- a/internal/entry/viewchange.go
+++ b/internal/entry/viewchange.go
@@ -41,7 +41,7 @@
 	l.demand.forget(v)
 	l.dropMembers(old, v)
 	l.refreshPools()
-	l.takeover.install(old, v)
+	l.takeover.install(v)
 	l.n.viewNews.notify()
 }
 
