--- /dev/null
+++ b/cmd/agateyardctl/main.go
@@ -0,0 +1,19 @@
+// Command agateyardctl is the operator's tool: templates, drains, status, jobs
+// and the timeline.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/agateyard/agateyard/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(code))
+}
