--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -107,11 +109,12 @@
 
 // change sends a change until its outcome is known or the context ends. The same
 // identifier is sent each time, so that it is applied once.
-func (c *client) change(ctx context.Context, request call, id string) (gateway.Applied, error) {
+func (c *client) change(ctx context.Context, request call, id string, revision uint64) (gateway.Applied, error) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval, wait.MaxInterval = retryFirst, retryMax
 	wait.Reset()
 	request.headers[gateway.HeaderIdempotencyKey] = id
+	request.headers["If-Match"] = `"` + strconv.FormatUint(revision, 10) + `"`
 	uncertain := false
 	for {
 		var applied gateway.Applied
@@ -124,7 +127,7 @@
 		select {
 		case <-ctx.Done():
 			if uncertain {
-				err = &uncertainError{change: id, last: err}
+				err = &uncertainError{change: id, revision: revision, last: err}
 			}
 			return applied, err
 		case <-time.After(wait.NextBackOff()):
@@ -137,7 +140,8 @@
 func retryable(err error) (again, lost bool) {
 	switch e := err.(type) {
 	case *unreachableError:
-		return true, true
+		var op *net.OpError
+		return true, !errors.As(err, &op) || op.Op != "dial" // without a connection nothing was sent
 	case *gateway.Problem:
 		switch e.Status {
 		case http.StatusServiceUnavailable:
@@ -148,7 +152,3 @@
 	}
 	return false, false
 }
-
-func ifMatch(revision uint64) string {
-	return `"` + strconv.FormatUint(revision, 10) + `"`
-}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -30,12 +30,14 @@
 		Short: "Give VMs no new work; running work continues",
 		Args:  usageArgs(cobra.MinimumNArgs(1)),
 		RunE: func(cmd *cobra.Command, vms []string) error {
+			if reason == "" {
+				return &usageError{errors.New("--reason is required")}
+			}
 			return a.editCell(cmd.Context(), configstore.CellEdit{Drain: vms, Reason: reason})
 		},
 	}
 	a.changeFlags(cmd)
 	cmd.Flags().StringVar(&reason, "reason", "", "why (required)")
-	_ = cmd.MarkFlagRequired("reason")
 	return cmd
 }
 
@@ -112,15 +114,20 @@
 	if err != nil {
 		return err
 	}
-	id := a.changeID()
+	id, err := a.changeID()
+	if err != nil {
+		return err
+	}
+	revision := a.base
 	for try := 1; ; try++ {
-		applied, err := a.editOnce(limited, c, body, id)
+		applied, err := a.editOnce(limited, c, body, id, revision)
 		if err == nil {
 			return a.finish(ctx, c, applied)
 		}
 		if try == cellTries || !settledConflict(err) {
 			return err
 		}
+		revision = -1
 	}
 }
 
@@ -129,18 +136,21 @@
 	return errors.As(err, &p) && p.Conflict != nil && !p.Conflict.Unsettled
 }
 
-func (a *app) editOnce(ctx context.Context, c *client, body []byte, id string) (gateway.Applied, error) {
-	var current gateway.CellDocument
-	if err := c.do(ctx, call{method: "GET", path: drainsPath}, &current); err != nil {
-		return gateway.Applied{}, err
+// editOnce bases the edit on the revision, or on the one in force where it is
+// negative.
+func (a *app) editOnce(ctx context.Context, c *client, body []byte, id string, revision int64) (gateway.Applied, error) {
+	base := uint64(max(revision, 0))
+	if revision < 0 {
+		var current gateway.CellDocument
+		if err := c.do(ctx, call{method: "GET", path: drainsPath}, &current); err != nil {
+			return gateway.Applied{}, err
+		}
+		base = current.Revision
 	}
 	return c.change(ctx, call{
 		method: "POST", path: drainsPath, body: body, media: "application/json",
-		headers: map[string]string{
-			"If-Match":           ifMatch(current.Revision),
-			gateway.HeaderAuthor: a.author,
-		},
-	}, id)
+		headers: map[string]string{gateway.HeaderAuthor: a.author},
+	}, id, base)
 }
 
 func (a *app) drainsCommand() *cobra.Command {
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -34,13 +34,15 @@
 
 // uncertainError means that a change may have been applied.
 type uncertainError struct {
-	change string
-	last   error
+	change   string
+	revision uint64 // that it is based on
+	last     error
 }
 
 // Error tells how to settle the change.
 func (e *uncertainError) Error() string {
-	return fmt.Sprintf("outcome of change %s is not known, repeat the command with --change %s to settle it: %v", e.change, e.change, e.last)
+	return fmt.Sprintf("outcome of the change is not known, repeat the command with --change %s --if-revision %d to settle it: %v",
+		e.change, e.revision, e.last)
 }
 
 // waitError means that a change is applied, but not yet in force everywhere.
@@ -89,6 +91,8 @@
 
 func problemCode(p *gateway.Problem) ExitCode {
 	switch {
+	case p.Conflict != nil && p.Conflict.Unsettled:
+		return ExitUncertain
 	case p.Conflict != nil:
 		return ExitConflict
 	case len(p.Findings) > 0:
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/agateyard/agateyard/internal/gateway"
+	"github.com/agateyard/agateyard/internal/settings"
 )
 
 // Environment variables that set defaults of flags.
@@ -43,6 +44,7 @@
 	author   string
 	timeout  time.Duration
 	change   string
+	base     int64 // value of --if-revision; negative where not given
 	wait     bool
 	waitFor  time.Duration
 }
@@ -92,17 +94,24 @@
 func (a *app) changeFlags(cmd *cobra.Command) {
 	flags := cmd.Flags()
 	flags.StringVar(&a.author, "author", defaultAuthor(), "who makes the change")
-	flags.StringVar(&a.change, "change", "", "identifier of the change, to settle one whose outcome was not known")
+	flags.Int64Var(&a.base, "if-revision", -1, "revision that the change is based on, 0 for a new document; the one in force where not given")
+	flags.StringVar(&a.change, "change", "", "identifier of an earlier change whose outcome was not known; requires --if-revision")
 	flags.BoolVar(&a.wait, "wait", false, "wait until every member of the cell has the revision in force")
 	flags.DurationVar(&a.waitFor, "wait-timeout", defaultWaitTimeout, "time limit of --wait")
 }
 
-// changeID returns the identifier for a change of this run.
-func (a *app) changeID() string {
-	if a.change != "" {
-		return a.change
+// changeID returns the identifier for a change of this run. An identifier from
+// an earlier run needs the revision of that run as well: on a newer revision, a
+// change that the document no longer lists would be applied a second time.
+func (a *app) changeID() (string, error) {
+	switch {
+	case a.change == "":
+		return uuid.NewString(), nil
+	case a.base < 0:
+		return "", &usageError{errors.New("--change requires --if-revision")}
+	default:
+		return a.change, nil
 	}
-	return uuid.NewString()
 }
 
 // client returns the client and a context with the time limit of the command.
@@ -161,6 +170,11 @@
 
 // printError prints an error with what belongs to it.
 func (a *app) printError(err error) {
+	var findings settings.Findings
+	if errors.As(err, &findings) {
+		_, _ = fmt.Fprintf(a.err, "%v\nagateyardctl: %d faults\n", findings, len(findings))
+		return
+	}
 	var p *gateway.Problem
 	if !errors.As(err, &p) {
 		_, _ = fmt.Fprintf(a.err, "agateyardctl: %v\n", err)
--- a/internal/ctl/template.go
+++ b/internal/ctl/template.go
@@ -83,7 +83,6 @@
 }
 
 func (a *app) applyCommand() *cobra.Command {
-	var ifRevision int64
 	var note string
 	cmd := &cobra.Command{
 		Use:   "apply FILE",
@@ -93,40 +92,39 @@
 			"the revision that is in force when the command starts counts.",
 		Args: usageArgs(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return a.apply(cmd.Context(), args[0], ifRevision, note)
+			return a.apply(cmd.Context(), args[0], note)
 		},
 	}
 	a.changeFlags(cmd)
-	cmd.Flags().Int64Var(&ifRevision, "if-revision", -1, "revision that the change is based on; 0 for a new workspace")
 	cmd.Flags().StringVar(&note, "note", "", "remark for the history")
 	return cmd
 }
 
-func (a *app) apply(ctx context.Context, file string, ifRevision int64, note string) error {
+func (a *app) apply(ctx context.Context, file, note string) error {
 	doc, err := a.parse(file)
 	if err != nil {
 		return err
 	}
+	id, err := a.changeID()
+	if err != nil {
+		return err
+	}
 	c, limited, cancel, err := a.client(ctx)
 	defer cancel()
 	if err != nil {
 		return err
 	}
 	path := workspacePath(doc.Workspace)
-	revision := uint64(max(ifRevision, 0))
-	if ifRevision < 0 {
+	revision := uint64(max(a.base, 0))
+	if a.base < 0 {
 		if revision, err = c.revision(limited, path); err != nil {
 			return err
 		}
 	}
 	applied, err := c.change(limited, call{
 		method: "PUT", path: path, body: doc.Source, media: "application/toml",
-		headers: map[string]string{
-			"If-Match":           ifMatch(revision),
-			gateway.HeaderAuthor: a.author,
-			gateway.HeaderNote:   note,
-		},
-	}, a.changeID())
+		headers: map[string]string{gateway.HeaderAuthor: a.author, gateway.HeaderNote: note},
+	}, id, revision)
 	if err != nil {
 		return err
 	}
