--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -18,6 +18,7 @@
 type Document struct {
 	file     string
 	ix       index
+	partial  bool // parts that are not TOML were left out
 	findings Findings
 }
 
@@ -27,16 +28,21 @@
 func Decode(file string, src []byte, into any) *Document {
 	d := &Document{file: file}
 	work := bytes.Clone(src)
-	if !d.dropSyntaxErrors(work) {
-		return d
-	}
+	d.dropSyntaxErrors(work)
 	for len(d.findings) < maxFindings {
 		dec := toml.NewDecoder(bytes.NewReader(work))
 		dec.DisallowUnknownFields()
 		err := dec.Decode(into)
+		var unknown *toml.StrictMissingError // wraps decode errors, so it is looked for first
 		var fault *toml.DecodeError
-		if !errors.As(err, &fault) {
-			d.addUnknown(err)
+		switch {
+		case err == nil:
+			return d
+		case errors.As(err, &unknown):
+			d.addUnknown(unknown)
+			return d
+		case !errors.As(err, &fault):
+			d.addPlain(err)
 			return d
 		}
 		if !d.dropValue(work, fault) {
@@ -54,7 +60,7 @@
 
 // Complete reports whether the whole file could be read, so that a missing key
 // is a fault of its own.
-func (d *Document) Complete() bool { return d.ix.err == nil }
+func (d *Document) Complete() bool { return !d.partial }
 
 // Report adds a finding at the key, or at the nearest table around it where the
 // file does not set the key. A key that already has a finding gets no second one.
@@ -93,42 +99,50 @@
 	}
 }
 
-// dropSyntaxErrors blanks the lines that are not TOML, so that the rest can be
-// checked. It returns false where a table header is broken: the keys below it
-// would count for another table.
-func (d *Document) dropSyntaxErrors(work []byte) bool {
+// dropSyntaxErrors blanks the parts that are not TOML, so that the rest can be
+// checked: the line of the error, or the whole table of a broken table header,
+// since its keys would count for another table.
+func (d *Document) dropSyntaxErrors(work []byte) {
 	for {
 		d.ix = newIndex(work)
 		if d.ix.err == nil {
-			return true
+			return
 		}
+		d.partial = true
 		var fault *toml.DecodeError
 		if !errors.As(toml.Unmarshal(work, &map[string]any{}), &fault) || len(d.findings) >= maxFindings {
 			d.addPlain(d.ix.err)
-			return false
+			blank(work)
+			continue
 		}
 		line, column := fault.Position()
 		d.findings = append(d.findings, Finding{File: d.file, Line: line, Column: column, Message: plain(fault.Error())})
-		start := lineStart(work, offsetOf(work, place{line, 1}))
-		if !blankLine(work, start) {
-			return false
-		}
+		blankFault(work, lineStart(work, offsetOf(work, place{line, 1})))
 	}
 }
 
-// blankLine overwrites the line with spaces, unless it is a table header or
-// blank already.
-func blankLine(work []byte, start int) bool {
-	end := start
-	for end < len(work) && work[end] != '\n' {
-		end++
-	}
+// blankFault blanks the line that starts at the offset, up to the next table
+// where it is a table header, and up to the end where it is blank already.
+func blankFault(work []byte, start int) {
+	end := nextLine(work, start)
 	line := bytes.TrimSpace(work[start:end])
-	if len(line) == 0 || line[0] == '[' {
-		return false
+	switch {
+	case len(line) == 0:
+		end = len(work)
+	case line[0] == '[':
+		for end < len(work) && work[end] != '[' {
+			end = nextLine(work, end)
+		}
 	}
 	blank(work[start:end])
-	return true
+}
+
+// nextLine returns the offset after the line of the offset.
+func nextLine(work []byte, offset int) int {
+	if i := bytes.IndexByte(work[offset:], '\n'); i >= 0 {
+		return offset + i + 1
+	}
+	return len(work)
 }
 
 func blank(b []byte) {
@@ -143,8 +157,10 @@
 func (d *Document) dropValue(work []byte, fault *toml.DecodeError) bool {
 	line, column := fault.Position()
 	s, ok := d.ix.find(offsetOf(work, place{line, column}))
-	f := Finding{File: d.file, Line: line, Column: column, Key: s.key, Message: plain(fault.Error())}
-	d.findings = append(d.findings, f)
+	key := d.ix.keyAt(place{line, column}, s.key)
+	d.findings = append(d.findings, Finding{
+		File: d.file, Line: line, Column: column, Key: key, Message: plain(fault.Error()),
+	})
 	if !ok {
 		return false
 	}
@@ -152,16 +168,9 @@
 	return true
 }
 
-func (d *Document) addUnknown(err error) {
-	var strict *toml.StrictMissingError
-	if !errors.As(err, &strict) {
-		if err != nil {
-			d.addPlain(err)
-		}
-		return
-	}
-	for i := range strict.Errors {
-		e := &strict.Errors[i]
+func (d *Document) addUnknown(err *toml.StrictMissingError) {
+	for i := range err.Errors {
+		e := &err.Errors[i]
 		line, column := e.Position()
 		d.findings = append(d.findings, Finding{
 			File: d.file, Line: line, Column: column, Key: join(e.Key()), Message: "unknown key",
--- a/internal/settings/index.go
+++ b/internal/settings/index.go
@@ -96,6 +96,17 @@
 	return found, ok
 }
 
+// keyAt returns the key whose value is at the place, or the fallback. It finds
+// the keys of inline tables, which have no span of their own.
+func (ix *index) keyAt(at place, fallback string) string {
+	for key, p := range ix.places {
+		if p == at && strings.HasPrefix(key, fallback+".") {
+			return key
+		}
+	}
+	return fallback
+}
+
 // keyPath returns the parts of the key of an expression and the range of the last part.
 func keyPath(p *unstable.Parser, e *unstable.Node) ([]string, unstable.Range) {
 	var path []string
