--- a/internal/model/ids.go
+++ b/internal/model/ids.go
@@ -88,3 +88,14 @@
 	ms := int64(u[0])<<40 | int64(u[1])<<32 | int64(u[2])<<24 | int64(u[3])<<16 | int64(u[4])<<8 | int64(u[5])
 	return time.UnixMilli(ms), true
 }
+
+// Task returns the number of the task of the attempt, or false for an
+// identifier that is not of the form of NewAttemptID.
+func (a AttemptID) Task() (int, bool) {
+	parts := strings.Split(string(a), ".")
+	if len(parts) != 4 {
+		return 0, false
+	}
+	n, err := strconv.Atoi(parts[2])
+	return n, err == nil && n >= 0
+}
--- /dev/null
+++ b/internal/shard/cancel.go
@@ -0,0 +1,77 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// Cancel cancels requests. Queued ones are not-run at once; running ones are
+// stopped, and their result here is unknown until Settle. Of an asynchronous request, not-run may be
+// shown to callers when the records in the effects are durable.
+func (t *Table) Cancel(now time.Time, keys []model.RequestKey) ([]model.CancelResult, Effects) {
+	var fx Effects
+	results := make([]model.CancelResult, 0, len(keys))
+	for _, key := range keys {
+		results = append(results, t.cancelOne(now, key, &fx))
+	}
+	return results, fx
+}
+
+// cancelOne cancels one request.
+func (t *Table) cancelOne(now time.Time, key model.RequestKey, fx *Effects) model.CancelResult {
+	j := t.find(key)
+	if j == nil || j.shard.frozen {
+		return model.CancelResult{Key: key}
+	}
+	result := model.CancelResult{Key: key, Found: true, Outcome: model.OutcomeUnknown}
+	if j.phase == phaseDone {
+		result.Outcome = j.reply.Outcome
+		return result
+	}
+	if !j.cancelled {
+		j.cancelled = true
+		fx.event("cancel", j.key, "", "")
+	}
+	if j.phase == phaseHeld || j.phase == phaseAccepting {
+		// Whether it starts depends on records or reports that have not come.
+		t.recordCancel(now, j, fx)
+		return result
+	}
+	if t.stopLive(now, j, fx) {
+		t.recordCancel(now, j, fx)
+		return result
+	}
+	t.finishWithLast(now, j, fx)
+	result.Outcome = j.reply.Outcome
+	return result
+}
+
+// stopLive stops the released attempts of a request and everything that has not
+// started, and reports whether there were released attempts. A repeated cancel asks again.
+func (t *Table) stopLive(now time.Time, j *job, fx *Effects) bool {
+	if !j.released() {
+		return false
+	}
+	for i := range j.units {
+		u := &j.units[i]
+		if len(u.live) > 0 && u.state != unitIntent {
+			u.stopping = false
+			t.stopUnit(u, fx)
+			continue
+		}
+		t.withdraw(now, u, fx)
+		u.state = unitOver
+	}
+	return true
+}
+
+// recordCancel keeps the cancel across a takeover.
+func (t *Table) recordCancel(now time.Time, j *job, fx *Effects) {
+	if !j.journaled() {
+		return
+	}
+	fx.Records = append(fx.Records, Record{
+		Kind: RecordCancel, Shard: j.shard.id, Key: j.key, Time: now, BodyHash: j.bodyHash, Async: j.async,
+	})
+}
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -17,6 +17,8 @@
 	RecordAcceptance RecordKind = "acceptance" // an asynchronous request, with its body
 	RecordIntent     RecordKind = "intent"     // attempts of a non-idempotent request that may be dispatched
 	RecordOutcome    RecordKind = "outcome"    // the end of a request
+	RecordEnd        RecordKind = "end"        // the end of one task of a gang whose other tasks still run
+	RecordCancel     RecordKind = "cancel"     // the caller cancelled a request that has live attempts
 	RecordRelease    RecordKind = "release"    // the shard was handed to another owner; drop its state
 )
 
@@ -41,6 +43,14 @@
 	Acceptance *Acceptance      `json:"acceptance,omitempty"`
 	Intent     *Intent          `json:"intent,omitempty"`
 	Outcome    *Outcome         `json:"outcome,omitempty"`
+	End        *TaskEnd         `json:"end,omitempty"`
+}
+
+// TaskEnd is the content of a RecordEnd.
+type TaskEnd struct {
+	Task    int           `json:"task"`
+	Round   int           `json:"round"` // of starts of the gang; a later round voids earlier ends
+	Settled model.Settled `json:"settled"`
 }
 
 // Acceptance is the content of a RecordAcceptance.
@@ -53,7 +63,6 @@
 	MaxWait     time.Duration   `json:"max_wait,omitempty"`
 	ContentType string          `json:"content_type,omitempty"`
 	Body        []byte          `json:"body,omitempty"`
-	Cancelled   bool            `json:"cancelled,omitempty"` // by the caller; live attempts are being stopped
 }
 
 // Intent is the content of a RecordIntent.
@@ -79,6 +88,7 @@
 	Started     time.Time       `json:"started,omitzero"`
 	Tasks       int             `json:"tasks"`
 	Attempts    int             `json:"attempts"`
+	Cancelled   bool            `json:"cancelled,omitempty"`
 	LastAttempt model.AttemptID `json:"last_attempt,omitempty"`
 }
 
@@ -133,7 +143,9 @@
 		return r.Attempt() != ""
 	case RecordOutcome:
 		return r.Outcome != nil
-	case RecordRelease:
+	case RecordEnd:
+		return r.End != nil
+	case RecordCancel, RecordRelease:
 		return r.Shard < model.ShardCount
 	default:
 		return false
--- /dev/null
+++ b/internal/shard/records_of.go
@@ -0,0 +1,142 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// newRecord returns a record of a request without its content.
+func newRecord(k RecordKind, j *job) Record {
+	return Record{Kind: k, Shard: j.shard.id, Key: j.key, Time: j.submitted, BodyHash: j.bodyHash, Async: j.async}
+}
+
+// acceptanceRecord returns the record of an asynchronous request. Its time is
+// that of the submission, from which the wait counts.
+func acceptanceRecord(j *job) Record {
+	r := newRecord(RecordAcceptance, j)
+	r.Acceptance = workOf(j)
+	return r
+}
+
+// workOf returns what is needed to run the request elsewhere.
+func workOf(j *job) *Acceptance {
+	return &Acceptance{
+		Kind:        j.kind,
+		Idempotent:  j.idempotent,
+		Tasks:       j.total,
+		Resources:   j.class.resources,
+		RunLimit:    j.runLimit,
+		MaxWait:     j.maxWait,
+		ContentType: j.contentType,
+		Body:        j.body,
+	}
+}
+
+// intentRecord returns the record of the attempts of a unit.
+func intentRecord(u *unit) Record {
+	r := newRecord(RecordIntent, u.job)
+	r.Intent = &Intent{Attempts: liveAttempts(u)}
+	return r
+}
+
+// liveAttempts returns the live attempts of the unit.
+func liveAttempts(u *unit) []IntentAttempt {
+	attempts := make([]IntentAttempt, 0, len(u.live))
+	for _, a := range u.live {
+		attempts = append(attempts, IntentAttempt{Attempt: a.id, Task: a.task, Pool: a.pool, Endpoint: a.endpoint})
+	}
+	return attempts
+}
+
+// endRecord returns the record of the end of one task, without an answer that
+// is too large to be kept.
+func endRecord(u *unit, task int, s model.Settled, keptBytes int) Record {
+	if len(s.Answer.Body) > keptBytes {
+		s.Answer.Body, s.HasAnswer = nil, false
+	}
+	r := newRecord(RecordEnd, u.job)
+	r.End = &TaskEnd{Task: task, Round: u.round, Settled: s}
+	return r
+}
+
+// outcomeRecord returns the record of a finished request.
+func outcomeRecord(j *job) Record {
+	r := newRecord(RecordOutcome, j)
+	r.Time = j.endedAt
+	r.Outcome = &Outcome{
+		Outcome:     j.reply.Outcome,
+		Reason:      j.reply.Reason,
+		Detail:      j.reply.Detail,
+		Submitted:   j.submitted,
+		Started:     j.startedAt,
+		Tasks:       j.total,
+		Attempts:    j.attempts,
+		LastAttempt: j.lastAttempt,
+		Cancelled:   j.cancelled,
+	}
+	if j.keptAnswer {
+		answer := j.reply.Answer
+		r.Outcome.Answer = &answer
+	}
+	return r
+}
+
+// recordsOf returns the records from which Replay restores the request.
+// Records that are not durable yet are left out: they follow in the journal.
+func (t *Table) recordsOf(now time.Time, j *job) []Record {
+	if !j.journaled() {
+		return nil
+	}
+	if j.phase == phaseDone {
+		return []Record{outcomeRecord(j)}
+	}
+	var records []Record
+	if j.accepted {
+		records = append(records, acceptanceRecord(j))
+	}
+	if len(j.intent) > 0 {
+		r := newRecord(RecordIntent, j)
+		r.Intent = &Intent{Attempts: j.intent}
+		records = append(records, r)
+	}
+	for i := range j.units {
+		records = append(records, t.unitRecords(now, &j.units[i])...)
+	}
+	if j.cancelled && len(records) > 0 {
+		records = append(records, newRecord(RecordCancel, j))
+	}
+	return records
+}
+
+// unitRecords returns the records of the live and ended attempts of a unit.
+func (t *Table) unitRecords(now time.Time, u *unit) []Record {
+	var records []Record
+	if u.job.needsIntent() && u.state == unitRunning && len(u.live) > 0 {
+		r := intentRecord(u)
+		r.Time = now
+		records = append(records, r)
+	}
+	for _, end := range u.ends {
+		if task, ok := end.Attempt.Task(); ok {
+			records = append(records, endRecord(u, task, end, t.cfg.KeptAnswerBytes))
+		}
+	}
+	return records
+}
+
+// Snapshot returns records that replace all earlier ones of the owned shards.
+// The callbacks of all records that it replaces must have been made before;
+// records that are not durable yet are not in it.
+func (t *Table) Snapshot(now time.Time) []Record {
+	var records []Record
+	for _, s := range t.shards {
+		if s == nil {
+			continue
+		}
+		for _, j := range s.sorted() {
+			records = append(records, t.recordsOf(now, j)...)
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/internal/shard/replay.go
@@ -0,0 +1,185 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// Replay applies a record from a journal. Records of shards that are not owned
+// or whose records have all been replayed are ignored.
+func (t *Table) Replay(now time.Time, r Record) {
+	s := t.shard(r.Shard)
+	if s == nil || s.replayed || !r.complete() {
+		return
+	}
+	if r.Kind == RecordRelease {
+		t.replayRelease(now, s)
+		return
+	}
+	j := t.replayedJob(now, s, r)
+	if j == nil {
+		return
+	}
+	switch r.Kind {
+	case RecordAcceptance:
+		t.replayAcceptance(now, j, r)
+	case RecordIntent:
+		t.replayIntent(j, r)
+	case RecordEnd:
+		replayEnd(j, r)
+	case RecordCancel:
+		j.cancelled = true
+	case RecordOutcome:
+		t.replayOutcome(now, j, r)
+	}
+	t.updateWake(j)
+}
+
+// replayedJob returns the request of the record, or nil when the record has no
+// effect on the request in its present phase.
+func (t *Table) replayedJob(now time.Time, s *shardState, r Record) *job {
+	j := s.jobs[r.Key.Hash()]
+	switch {
+	case j == nil:
+		return t.newReplayedJob(s, r)
+	case j.phase == phaseDone && r.Kind == RecordAcceptance:
+		// The identifier was used again after the retention.
+		s.conflicts = append(s.conflicts, j.waiters...)
+		j.waiters = nil
+		t.remove(now, j, &Effects{})
+		return t.newReplayedJob(s, r)
+	case j.phase == phaseDone && r.Kind != RecordOutcome:
+		return nil
+	case j.phase != phaseDone && j.phase != phaseHeld:
+		return nil
+	case !j.replayed && j.bodyHash != r.BodyHash:
+		s.conflicts = append(s.conflicts, j.waiters...)
+		j.waiters = nil
+		t.remove(now, j, &Effects{})
+		return t.newReplayedJob(s, r)
+	default:
+		j.replayed = true
+		return j
+	}
+}
+
+// newReplayedJob registers a request that is known from its records.
+func (t *Table) newReplayedJob(s *shardState, r Record) *job {
+	template := t.ensureTemplate(r.Key.Template)
+	j := &job{
+		key:       r.Key,
+		hash:      r.Key.Hash(),
+		shard:     s,
+		template:  template,
+		kind:      template.Kind,
+		async:     r.Async,
+		replayed:  true,
+		phase:     phaseQueued,
+		class:     template.classOf(),
+		runLimit:  template.RunLimit,
+		bodyHash:  r.BodyHash,
+		submitted: r.Time,
+		arrived:   r.Time,
+		seq:       t.nextSeq(),
+	}
+	if j.kind == "" {
+		j.kind = model.KindJob
+	}
+	j.makeUnits(template.taskCount())
+	t.register(j)
+	t.setPhase(j, phaseHeld)
+	s.join(j)
+	return j
+}
+
+// replayAcceptance restores an accepted request.
+func (t *Table) replayAcceptance(now time.Time, j *job, r Record) {
+	t.describe(j, r.Acceptance)
+	j.async, j.accepted = true, true
+	j.submitted = r.Time
+	j.limitWait(r.Time)
+	t.count(j)
+	t.moveInLine(now, j, r.Time)
+}
+
+// describe sets what the request runs.
+func (t *Table) describe(j *job, a *Acceptance) {
+	t.uncount(j)
+	j.kind, j.idempotent = a.Kind, a.Idempotent
+	j.class = class{resources: a.Resources, tasks: 1}
+	if a.Kind == model.KindGang {
+		j.class.tasks = max(1, a.Tasks)
+	}
+	j.makeUnits(max(1, a.Tasks))
+	j.runLimit, j.maxWait = a.RunLimit, a.MaxWait
+	j.contentType, j.body, j.hasBody = a.ContentType, a.Body, true
+	if j.template.Kind == "" {
+		// The template is not known yet; its pools follow from the kind.
+		j.template.Kind = a.Kind
+	}
+}
+
+// moveInLine gives the request the place of another arrival.
+func (t *Table) moveInLine(now time.Time, j *job, arrived time.Time) {
+	j.arrived = arrived
+	if j.line == nil {
+		return
+	}
+	if next := j.shard.leave(j); next != nil {
+		t.activate(now, next)
+	}
+	j.shard.join(j)
+}
+
+// replayIntent restores the attempts of the last intent. An earlier intent of the same request
+// was voided, because there is a later one only when its attempts did not start.
+func (t *Table) replayIntent(j *job, r Record) {
+	j.intent = r.Intent.Attempts
+	for i := range j.units {
+		j.units[i].ends = nil
+	}
+}
+
+// replayEnd restores the end of one task of a gang.
+func replayEnd(j *job, r Record) {
+	u := j.unitOf(r.End.Task)
+	if u == nil || r.End.Round < u.round {
+		return
+	}
+	if r.End.Round > u.round {
+		u.round, u.ends = r.End.Round, nil
+	}
+	u.ends = append(u.ends, r.End.Settled)
+}
+
+// replayOutcome restores a finished request. Its waiters are answered by Replayed.
+func (t *Table) replayOutcome(now time.Time, j *job, r Record) {
+	if j.phase != phaseDone {
+		t.detach(now, j, &Effects{})
+		t.setPhase(j, phaseDone)
+	}
+	o := r.Outcome
+	j.reply = model.Reply{Outcome: o.Outcome, Reason: o.Reason, Detail: o.Detail}
+	j.keptAnswer = o.Answer != nil
+	if o.Answer != nil {
+		j.reply.Answer = *o.Answer
+	}
+	j.async, j.cancelled = r.Async, o.Cancelled
+	j.submitted, j.startedAt, j.endedAt = o.Submitted, o.Started, r.Time
+	j.total, j.attempts, j.lastAttempt = o.Tasks, o.Attempts, o.LastAttempt
+	j.body, j.units, j.intent = nil, nil, nil
+}
+
+// replayRelease forgets what was replayed, because the shard had another owner
+// after that. Waiters that joined are sent away to submit again.
+func (t *Table) replayRelease(now time.Time, s *shardState) {
+	for _, j := range s.sorted() {
+		if !j.replayed {
+			continue
+		}
+		s.moved = append(s.moved, j.waiters...)
+		j.waiters = nil
+		t.remove(now, j, &Effects{})
+	}
+}
--- /dev/null
+++ b/internal/shard/workspace_state.go
@@ -0,0 +1,6 @@
+package shard
+
+// workspaceState counts the recent starts of a workspace for fair sharing.
+type workspaceState struct {
+	usage decaying // started tasks
+}
