--- a/internal/pool/effects.go
+++ b/internal/pool/effects.go
@@ -7,5 +7,6 @@
 	Settled    []SettledTo      // to be delivered; confirm with Pool.Delivered
 	Orders     []Order          // to be sent to endpoints
 	Events     []timeline.Event // for the time line
+	Poll       []string         // endpoints whose session call should be sent at once
 	Superseded bool             // an endpoint has seen a higher token: this owner has lost the pool
 }
--- /dev/null
+++ b/internal/pool/workspace_state.go
@@ -0,0 +1,9 @@
+package pool
+
+import "github.com/agateyard/agateyard/internal/model"
+
+// workspaceState is what the tasks of a workspace hold in the pool.
+type workspaceState struct {
+	name    string
+	charged model.Resources
+}
