--- /dev/null
+++ b/internal/e2e/cell_test.go
@@ -0,0 +1,359 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/endpoint/standin"
+	"github.com/agateyard/agateyard/internal/gateway"
+	platformstandin "github.com/agateyard/agateyard/internal/platform/standin"
+)
+
+// cellOptions say how large a cell is.
+type cellOptions struct {
+	entries   int
+	zones     int
+	runners   int // of service orders, spread over the zones
+	workers   int
+	templates string // TOML of workspace kalnins
+}
+
+// cell is a running cell of separate processes.
+type cell struct {
+	t        *testing.T
+	dir      string
+	opts     cellOptions
+	platform string // base URL
+	admins   []string
+	entries  []*entryProc
+}
+
+// entryProc is one entry process of a cell.
+type entryProc struct {
+	*proc
+	http string // ip:port
+	rpc  string
+	conf string
+}
+
+// testTemplates has one template of each kind that the tests need.
+const testTemplates = `workspace = "kalnins"
+weight = 1.0
+
+[template.cut-list]
+kind = "request"
+service = "orders"
+urgency = 8
+max_wait = "10s"
+idempotent = true
+flood_share = 0.5
+reserve = 0.1
+run_limit = "5s"
+retry_limit = 5
+
+[template.cutting-run]
+kind = "request"
+service = "orders"
+urgency = 7
+max_wait = "10s"
+idempotent = false
+flood_share = 0.5
+run_limit = "5s"
+
+[template.quote-render]
+kind = "request"
+service = "orders"
+urgency = 2
+max_wait = "10s"
+idempotent = true
+flood_share = 0.5
+run_limit = "5s"
+retry_limit = 2
+
+[template.nesting]
+kind = "job"
+urgency = 3
+max_wait = "1m"
+idempotent = true
+flood_share = 0.9
+cores_milli = 1000
+memory_mb = 1024
+run_limit = "30s"
+retry_limit = 2
+`
+
+var client = &http.Client{
+	Timeout:   30 * time.Second,
+	Transport: &http.Transport{MaxIdleConnsPerHost: 256},
+}
+
+func newCell(t *testing.T, o cellOptions) *cell {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	if o.templates == "" {
+		o.templates = testTemplates
+	}
+	c := &cell{t: t, dir: t.TempDir(), opts: o}
+	c.startPlatform()
+	c.startEndpoints()
+	for i := range o.entries {
+		c.entries = append(c.entries, c.startEntry(i))
+	}
+	c.waitReady(c.entries...)
+	c.apply(o.templates)
+	c.waitCapacity()
+	t.Cleanup(func() {
+		if t.Failed() {
+			c.dumpLogs()
+		}
+	})
+	return c
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cell) startPlatform() {
+	address := freeAddress(c.t)
+	start(c.t, c.dir, "platform", "agateyard-standin", "platform", "--listen", address, "--vm-lag", "500ms")
+	c.platform = "http://" + address
+	c.eventually(5*time.Second, "platform answers", func() bool {
+		resp, err := client.Get(c.platform + "/admin/counters")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func (c *cell) startEndpoints() {
+	zones := make([]string, c.opts.zones)
+	for i := range zones {
+		zones[i] = zoneName(i)
+	}
+	run := func(kind string, count int, extra ...string) {
+		if count == 0 {
+			return
+		}
+		admin := freeAddress(c.t)
+		args := append([]string{kind, "--count", fmt.Sprint(count), "--platform", c.platform, "--admin", admin}, extra...)
+		for _, z := range zones {
+			args = append(args, "--zone", z)
+		}
+		start(c.t, c.dir, kind, "agateyard-standin", args...)
+		c.admins = append(c.admins, admin)
+	}
+	run("runner", c.opts.runners, "--service", "orders")
+	run("worker", c.opts.workers)
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i+1) }
+
+// startEntry starts the i-th entry process at new addresses.
+func (c *cell) startEntry(i int) *entryProc {
+	c.t.Helper()
+	e := &entryProc{http: freeAddress(c.t), rpc: freeAddress(c.t)}
+	name := fmt.Sprintf("entry-%d-%d", i, time.Now().UnixNano()%1_000_000)
+	e.conf = filepath.Join(c.dir, name+".toml")
+	settings := fmt.Sprintf("name = %q\nzone = %q\nhttp_address = %q\nrpc_address = %q\nplatform_url = %q\n\n[stop]\ndrain_delay = \"300ms\"\ntimeout = \"30s\"\n",
+		name, zoneName(i%c.opts.zones), e.http, e.rpc, c.platform)
+	if err := os.WriteFile(e.conf, []byte(settings), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	e.proc = start(c.t, c.dir, name, "agateyard-entry", "--config", e.conf)
+	return e
+}
+
+// waitReady waits until the processes take requests.
+func (c *cell) waitReady(entries ...*entryProc) {
+	c.t.Helper()
+	for _, e := range entries {
+		c.eventually(20*time.Second, e.name+" ready", func() bool {
+			resp, err := client.Get("http://" + e.http + "/readyz")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+	c.eventually(20*time.Second, "one view of all", func() bool {
+		for _, e := range entries {
+			s, err := c.status(e)
+			if err != nil || len(s.Members) != c.running() || !sameView(s) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func sameView(s gateway.CellStatus) bool {
+	shards := 0
+	for _, m := range s.Members {
+		if !m.Reachable || m.View != s.View {
+			return false
+		}
+		shards += m.Shards
+	}
+	return shards == 256
+}
+
+// running counts the entry processes that have not ended.
+func (c *cell) running() int {
+	n := 0
+	for _, e := range c.entries {
+		select {
+		case <-e.done:
+		default:
+			n++
+		}
+	}
+	return n
+}
+
+// waitCapacity waits until every endpoint takes work.
+func (c *cell) waitCapacity() {
+	c.t.Helper()
+	c.eventually(20*time.Second, "all endpoints take work", func() bool {
+		s, err := c.status(c.entries[0])
+		if err != nil {
+			return false
+		}
+		n := 0
+		for _, p := range s.Pools {
+			n += p.Endpoints
+		}
+		return n == c.opts.runners+c.opts.workers
+	})
+	// Summaries reach every shard owner within a few rounds of gossip.
+	time.Sleep(time.Second)
+}
+
+func (c *cell) status(e *entryProc) (gateway.CellStatus, error) {
+	var s gateway.CellStatus
+	return s, getJSON("http://"+e.http+"/v1/status", &s)
+}
+
+// apply puts the templates in force everywhere.
+func (c *cell) apply(source string) {
+	c.t.Helper()
+	req, _ := http.NewRequest(http.MethodPut, "http://"+c.entries[0].http+"/v1/config/workspaces/kalnins", bytes.NewBufferString(source))
+	req.Header.Set("Content-Type", "application/toml")
+	req.Header.Set("Agateyard-Author", "e2e")
+	req.Header.Set("If-None-Match", "*")
+	resp, err := client.Do(req)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode >= 300 {
+		c.t.Fatalf("apply: %s: %s", resp.Status, body)
+	}
+	var applied gateway.Applied
+	if err := json.Unmarshal(body, &applied); err != nil {
+		c.t.Fatal(err)
+	}
+	c.eventually(7*time.Second, "configuration in force everywhere", func() bool {
+		s, err := c.status(c.entries[0])
+		if err != nil {
+			return false
+		}
+		all, _ := s.InForce(applied.Document, applied.Revision)
+		return all
+	})
+}
+
+// setPlatformFaults replaces the faults of the platform stand-in.
+func (c *cell) setPlatformFaults(f platformstandin.Faults) {
+	c.t.Helper()
+	body, _ := json.Marshal(f)
+	req, _ := http.NewRequest(http.MethodPut, c.platform+"/admin/faults", bytes.NewReader(body))
+	resp, err := client.Do(req)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	resp.Body.Close()
+}
+
+func (c *cell) counters() platformstandin.Counters {
+	c.t.Helper()
+	var out platformstandin.Counters
+	if err := getJSON(c.platform+"/admin/counters", &out); err != nil {
+		c.t.Fatal(err)
+	}
+	return out
+}
+
+// effects returns the effect logs of all endpoints.
+func (c *cell) effects() []standin.Effect {
+	c.t.Helper()
+	var all []standin.Effect
+	for _, a := range c.admins {
+		var log standin.EffectLog
+		if err := getJSON("http://"+a+"/admin/effects", &log); err != nil {
+			c.t.Fatal(err)
+		}
+		if log.Dropped > 0 {
+			c.t.Fatalf("effect log lost %d entries", log.Dropped)
+		}
+		all = append(all, log.Effects...)
+	}
+	return all
+}
+
+func getJSON(url string, into any) error {
+	resp, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// eventually polls until the condition holds.
+func (c *cell) eventually(limit time.Duration, what string, cond func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(limit)
+	for !cond() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// dumpLogs prints the end of each log of a failed test.
+func (c *cell) dumpLogs() {
+	const tail = 4000
+	files, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	for _, f := range files {
+		data, _ := os.ReadFile(f)
+		if len(data) > tail {
+			data = data[len(data)-tail:]
+		}
+		c.t.Logf("%s:\n%s", filepath.Base(f), data)
+	}
+}
--- /dev/null
+++ b/internal/e2e/doc.go
@@ -0,0 +1,3 @@
+// Package e2e tests whole cells of separate processes under failure. It has
+// tests only.
+package e2e
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -82,7 +82,7 @@
 // thaw takes a frozen shard back that a later view gives to this process again
 // before another one has claimed it.
 func (t *takeover) thaw(now time.Time, s model.ShardID, epoch uint64) {
-	snapshot := t.l.table.Export(s)
+	snapshot := t.l.table.Export(now, s)
 	t.l.table.Drop(now, s)
 	delete(t.frozen, s)
 	t.hold(now, s, epoch, func() shard.Effects { return t.l.table.Import(now, snapshot) })
@@ -141,7 +141,7 @@
 		if !t.frozen[s] {
 			t.freeze(now, s)
 		}
-		out = append(out, shardExport{Shard: s, Epoch: epoch, Snapshot: t.l.table.Export(s)})
+		out = append(out, shardExport{Shard: s, Epoch: epoch, Snapshot: t.l.table.Export(now, s)})
 	}
 	return out
 }
