entry: send submissions again when their shard gets another owner

Cause: a caller process waited for a reply of a frozen shard owner until its time limit, and answered unknown; after an incarnation ended it answered not-run although a local submission might have been dispatched. Ruled out: the recovery of the successor, which answered every repeated identifier. Change: a call ends when the view names another owner, and a submission outlives the incarnation of its process. Conclusion: repeating to the new owner is safe because the identifier is recorded.

--- /dev/null
+++ b/internal/e2e/kill_test.go
@@ -0,0 +1,73 @@
+package e2e
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// takeoverLimit is the aim for shards and pools of a dead process to serve again.
+const takeoverLimit = 5 * time.Second
+
+// Guards against doubled or lost work when an entry process dies between
+// journal, send and answer, and against a takeover that does not end.
+func TestKilledEntryProcessUnderLoad(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, runners: 6})
+	h := &history{}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		h.load(loadOptions{
+			rate: 100, length: 10 * time.Second, runMS: 30, seed: 1, addresses: c.live,
+			templates: []string{"cut-list", "cutting-run", "quote-render"},
+		})
+	})
+	time.Sleep(3 * time.Second)
+	killed := time.Now()
+	c.entries[1].kill()
+	c.eventually(takeoverLimit, "all shards have owners again", func() bool {
+		s, err := c.status(c.entries[0])
+		return err == nil && len(s.Members) == 2 && sameView(s)
+	})
+	t.Logf("shards owned again after %v", time.Since(killed).Round(10*time.Millisecond))
+	wg.Wait()
+	h.report(t)
+	h.check(t, c.effects(), nonIdempotentTemplates)
+	h.checkServedAgain(t, killed.Add(takeoverLimit))
+}
+
+// checkServedAgain verifies that every request after the time limit ran.
+func (h *history) checkServedAgain(t *testing.T, from time.Time) {
+	t.Helper()
+	for _, c := range h.calls {
+		if c.began.After(from) && c.outcome != model.OutcomeRan {
+			t.Errorf("%s after the takeover: outcome %q reason %q err %v", c.template, c.outcome, c.reason, c.err)
+		}
+	}
+}
+
+// Guards against a process that was paused past its lease, was replaced, and
+// goes on as if it still owned its shards and pools.
+func TestFrozenEntryProcessResumes(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, runners: 6})
+	h := &history{}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		h.load(loadOptions{
+			rate: 60, length: 14 * time.Second, runMS: 30, seed: 2, addresses: c.live,
+			templates: []string{"cut-list", "cutting-run"},
+		})
+	})
+	time.Sleep(2 * time.Second)
+	c.entries[2].freeze()
+	time.Sleep(7 * time.Second)
+	c.entries[2].thaw()
+	wg.Wait()
+	h.report(t)
+	h.check(t, c.effects(), nonIdempotentTemplates)
+	c.eventually(10*time.Second, "the process joins again", func() bool {
+		s, err := c.status(c.entries[0])
+		return err == nil && len(s.Members) == 3 && sameView(s)
+	})
+}
--- a/internal/entry/compaction.go
+++ b/internal/entry/compaction.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"time"
-
 )
 
 const (
--- a/internal/entry/outbox.go
+++ b/internal/entry/outbox.go
@@ -18,7 +18,7 @@
 // settlement is the end of an attempt on its way to a shard owner.
 type settlement struct {
 	pool    *ownedPool // nil for an end that is passed on
-	to      string // shard owner that dispatched; for identifiers without a shard
+	to      string     // shard owner that dispatched; for identifiers without a shard
 	settled model.Settled
 	since   time.Time
 }
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/agateyard/agateyard/internal/gateway"
 	"github.com/agateyard/agateyard/internal/model"
@@ -24,13 +25,43 @@
 	return newRequestID()
 }
 
-// Submit takes a submission to its shard owner; see Node.Submit.
+// Submit takes a submission to its shard owner and returns the final reply, or
+// the acceptance of asynchronous work. While the shard moves, or this process
+// joins anew, it tries again within the time that the caller may wait.
 func (p *Process) Submit(ctx context.Context, s model.Submission) model.Reply {
-	n := p.Node()
-	if n == nil {
-		return giveUp(false)
+	t, ok := p.Template(s.Key.Template)
+	if !ok {
+		return model.Reply{Outcome: model.OutcomeNotRun, Reason: model.ReasonUnknownTemplate}
 	}
-	return n.Submit(ctx, s)
+	p.record("received", s.Key.ID, s.Key.Template.String())
+	sub, ctx, cancel := newSubmission(ctx, s, t)
+	defer cancel()
+	reply := p.submitAnyIncarnation(ctx, sub)
+	p.record("answered", s.Key.ID, string(reply.Outcome)+" "+string(reply.Reason))
+	return reply
+}
+
+func (p *Process) submitAnyIncarnation(ctx context.Context, s *submission) model.Reply {
+	for {
+		n := p.Node()
+		if n != nil {
+			reply, err := n.submit(ctx, s)
+			if err == nil {
+				return reply
+			}
+		}
+		if ctx.Err() != nil || time.Now().After(s.deadline) {
+			return giveUp(s.mayRun)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(movedRetryInterval):
+		}
+	}
+}
+
+func (p *Process) record(name, request, detail string) {
+	p.cfg.Recorder.Record(timeline.Event{Part: "entry", Name: name, Request: request, Detail: detail})
 }
 
 // Status returns the state of a request.
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -7,7 +7,6 @@
 
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/shard"
-	"github.com/agateyard/agateyard/internal/timeline"
 )
 
 const (
@@ -21,47 +20,48 @@
 	noOwnerRetry = 2 * time.Second
 )
 
-// Submit takes a submission to its shard owner and returns the final reply, or
-// the acceptance of asynchronous work. While the shard moves, it tries again
-// within the time that the caller may wait.
-func (n *Node) Submit(ctx context.Context, s model.Submission) model.Reply {
-	t, ok := n.config.Template(s.Key.Template)
-	if !ok {
-		return model.Reply{Outcome: model.OutcomeNotRun, Reason: model.ReasonUnknownTemplate}
-	}
-	n.recorder.Record(timeline.Event{Part: "entry", Name: "received", Request: s.Key.ID, Detail: s.Key.Template.String()})
+// submission is a caller's request on its way through this process.
+type submission struct {
+	model.Submission
+	template model.Template
+	deadline time.Time // of the start of the work
+	mayRun   bool      // an earlier try may have reached an owner
+}
+
+// newSubmission returns the submission with its time limits, and a context that
+// ends when wait, runs and retries must be over.
+func newSubmission(ctx context.Context, s model.Submission, t model.Template) (*submission, context.Context, context.CancelFunc) {
 	wait := t.MaxWait
 	if s.MaxWait > 0 && s.MaxWait < wait {
 		wait = s.MaxWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+t.RunLimit+answerSlack)
-	defer cancel()
-	reply := n.submitUntil(ctx, s, t, time.Now().Add(wait))
-	n.recorder.Record(timeline.Event{Part: "entry", Name: "answered", Request: s.Key.ID, Detail: string(reply.Outcome) + " " + string(reply.Reason)})
-	return reply
+	limit := wait + time.Duration(1+t.RetryLimit)*t.RunLimit + answerSlack
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	return &submission{Submission: s, template: t, deadline: time.Now().Add(wait)}, ctx, cancel
 }
 
-// submitUntil tries until there is a reply or the deadline for the start passes.
-func (n *Node) submitUntil(ctx context.Context, s model.Submission, t model.Template, deadline time.Time) model.Reply {
-	sent := false // an earlier try may have reached an owner
+// submit tries until there is a reply or the deadline for the start passes. It
+// returns errStopped when this incarnation ends first.
+func (n *Node) submit(ctx context.Context, s *submission) (model.Reply, error) {
 	for {
 		changed := n.viewNews.wait()
-		reply, err := n.submitOnce(ctx, s, connClassFor(t))
+		reply, err := n.submitOnce(ctx, s)
 		if err == nil && reply.Reason != model.ReasonMoved {
-			return reply
+			return reply, nil
 		}
 		if err != nil && !errors.Is(err, errNotSent) {
-			sent = true
+			s.mayRun = true
+			s.Resent = true
 		}
-		if ctx.Err() != nil || errors.Is(err, errStopped) {
-			return giveUp(sent || s.Resent)
+		if n.ctx.Err() != nil {
+			return model.Reply{}, errStopped
 		}
-		if time.Now().After(deadline) {
-			return giveUp(sent || s.Resent)
+		if ctx.Err() != nil || time.Now().After(s.deadline) {
+			return giveUp(s.mayRun), nil
 		}
-		s.Resent = s.Resent || sent
 		select {
 		case <-ctx.Done():
+		case <-n.done:
 		case <-changed:
 		case <-time.After(movedRetryInterval):
 		}
@@ -80,13 +80,17 @@
 
 // submitOnce submits to the owner in the present view. An error other than
 // errNotSent leaves open whether the owner has the submission.
-func (n *Node) submitOnce(ctx context.Context, s model.Submission, class connClass) (model.Reply, error) {
-	owner := n.currentView().ShardOwner(s.Key.Shard())
+func (n *Node) submitOnce(ctx context.Context, s *submission) (model.Reply, error) {
+	shard := s.Key.Shard()
+	owner := n.currentView().ShardOwner(shard)
 	if owner == n.self.Incarnation {
-		return n.submitLocal(ctx, s)
+		return n.submitLocal(ctx, s.Submission)
 	}
+	ctx, cancel := n.whileOwner(ctx, shard, owner)
+	defer cancel()
 	var reply SubmitReply
-	err := n.peers.call(ctx, owner, class, "Shard.Submit", SubmitArgs{Header: n.header(), Submission: s}, &reply)
+	args := SubmitArgs{Header: n.header(), Submission: s.Submission}
+	err := n.peers.call(ctx, owner, connClassFor(s.template), "Shard.Submit", args, &reply)
 	if err != nil {
 		return model.Reply{}, err
 	}
@@ -94,6 +98,27 @@
 	return reply.Reply, nil
 }
 
+// whileOwner returns a context that ends when the shard gets another owner. A
+// call to a process that is frozen or cut off would not end by itself.
+func (n *Node) whileOwner(ctx context.Context, s model.ShardID, owner string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			changed := n.viewNews.wait()
+			if n.currentView().ShardOwner(s) != owner {
+				cancel()
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // submitLocal submits to the own shard table and waits for the reply.
 func (n *Node) submitLocal(ctx context.Context, s model.Submission) (model.Reply, error) {
 	waiter := make(chan model.Reply, 1)
