--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -114,7 +114,7 @@
 		return err
 	}
 	for i, records := range groups {
-		if err = w.limiter.Wait(ctx); err != nil {
+		if err = w.waitTurn(ctx); err != nil {
 			return err
 		}
 		v := value{
--- a/internal/journal/run.go
+++ b/internal/journal/run.go
@@ -32,8 +32,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			w.fail(fmt.Errorf("%w: writer has stopped", ErrNotWritten))
-			return ctx.Err()
+			return w.stop(ctx)
 		case <-renew.C:
 			w.renewLeases(ctx)
 		case r := <-w.turns:
@@ -46,11 +45,17 @@
 	}
 }
 
+// stop fails what is queued when ctx has ended.
+func (w *Writer) stop(ctx context.Context) error {
+	w.fail(fmt.Errorf("%w: writer has stopped", ErrNotWritten))
+	return ctx.Err()
+}
+
 // drain writes segments until nothing is queued, and takes turns with compactions.
 func (w *Writer) drain(ctx context.Context) error {
 	for w.hasQueued() {
-		if w.limiter.Wait(ctx) != nil {
-			return nil // Run reports the end of ctx
+		if w.waitTurn(ctx) != nil {
+			return w.stop(ctx)
 		}
 		if b := w.take(); b != nil {
 			if err := w.write(ctx, b); err != nil {
@@ -158,7 +163,8 @@
 			if b.uncertain {
 				w.finish(b.records, fmt.Errorf("%w: writer has stopped", ErrUncertain))
 			}
-			return nil // Run reports the end of ctx
+			// No compaction may follow: the segment can be in the store without being counted.
+			return w.stop(ctx)
 		}
 		if !b.uncertain {
 			if b = w.take(); b == nil {
@@ -173,7 +179,17 @@
 	if err := platform.Sleep(ctx, d); err != nil {
 		return err
 	}
-	return w.limiter.Wait(ctx)
+	return w.waitTurn(ctx)
+}
+
+// waitTurn waits for the write rate, or returns the error of ctx when it ends first.
+func (w *Writer) waitTurn(ctx context.Context) error {
+	r := w.limiter.Reserve()
+	err := platform.Sleep(ctx, r.Delay())
+	if err != nil {
+		r.Cancel()
+	}
+	return err
 }
 
 // attemptOnce makes one attempt to write a segment, or to learn the fate of earlier
