--- a/internal/endpoint/standin/endpoint_test.go
+++ b/internal/endpoint/standin/endpoint_test.go
@@ -338,6 +338,9 @@
 			if reply.Answer.Status != c.status {
 				t.Errorf("status %d, want %d", reply.Answer.Status, c.status)
 			}
+			if c.faults.Hang {
+				r.waitFor("client's leaving to be noticed", func() bool { return r.e.Stats().Connections == 0 })
+			}
 			r.e.SetFaults(Faults{})
 			s := r.session(1)
 			r.wantEvents(r.request(1, 1, 0).Attempt, c.events)
