--- a/internal/shard/finish.go
+++ b/internal/shard/finish.go
@@ -10,6 +10,7 @@
 // ordering key run. No attempt may be live. The answer in r is whole even
 // when it is too large to be kept; end is the attempt that it comes from, or nil.
 func (t *Table) finish(now time.Time, j *job, r model.Reply, end *model.Settled, fx *Effects) {
+	r = t.certain(now, j, r)
 	t.detach(now, j, fx)
 	t.setPhase(j, phaseDone)
 	j.endedAt = now
@@ -37,11 +38,25 @@
 	t.jobTimers.update(j)
 }
 
+// certain returns the reply with an unknown outcome where not-run can't be
+// known: an idempotent request has no record, so it may have run and ended
+// under an owner that died.
+func (t *Table) certain(now time.Time, j *job, r model.Reply) model.Reply {
+	taken := j.shard.takenAt
+	if r.Outcome != model.OutcomeNotRun || j.journaled() || taken.IsZero() {
+		return r
+	}
+	if now.Sub(taken) <= t.cfg.Retention && j.shard.mintedBefore(j.key.ID, t.cfg.ClockSkew) {
+		r.Outcome = model.OutcomeUnknown
+	}
+	return r
+}
+
 // kept reports whether repeats get the recorded reply of the finished request.
-// An idempotent request that did not run is run when it is sent again, unless
-// it was cancelled.
+// An idempotent request that was not started here is run when it is sent
+// again, unless it was cancelled.
 func (j *job) kept() bool {
-	return j.journaled() || j.cancelled || j.reply.Outcome != model.OutcomeNotRun
+	return j.journaled() || j.cancelled || j.started
 }
 
 // keepReply records the reply without an answer that is too large.
--- a/internal/shard/replay.go
+++ b/internal/shard/replay.go
@@ -41,6 +41,9 @@
 func (t *Table) replayedJob(now time.Time, s *shardState, r Record) *job {
 	j := s.jobs[r.Key.Hash()]
 	switch {
+	case j == nil && (r.Kind == RecordCancel || r.Kind == RecordEnd):
+		// They follow the record of the request itself, which was not written.
+		return nil
 	case j == nil:
 		return t.newReplayedJob(s, r)
 	case j.phase == phaseDone && r.Kind == RecordAcceptance:
--- a/internal/shard/submit.go
+++ b/internal/shard/submit.go
@@ -92,7 +92,7 @@
 	}
 	if refused != nil {
 		fx.event("refused", j.key, "", string(refused.reason))
-		fx.answer(w.id, refused.reply())
+		fx.answer(w.id, t.certain(now, j, refused.reply()))
 		return
 	}
 	if hold && t.full(j) {
