--- a/internal/pool/endpoint_state.go
+++ b/internal/pool/endpoint_state.go
@@ -28,6 +28,7 @@
 	calledAt    time.Time // when the last session call was sent
 	failures    int       // session calls without a reply, in a row
 	lostReplies int       // those of them that may have arrived
+	stale       bool      // no report within the lease
 
 	attempts map[model.AttemptID]*attemptState
 	grants   map[uint64]*issuedGrant
@@ -63,7 +64,7 @@
 
 // startable reports whether a start may be sent to the endpoint.
 func (e *endpointState) startable(cfg *Config) bool {
-	return e.reported && !e.fenced && !e.removed && !e.leaving() && e.failures < cfg.SuspectAfter
+	return e.reported && !e.fenced && !e.removed && !e.leaving() && !e.stale && e.failures < cfg.SuspectAfter
 }
 
 // takesWork reports whether the endpoint gets ordinary grants.
--- /dev/null
+++ b/internal/pool/fake_endpoint_test.go
@@ -0,0 +1,134 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/endpoint"
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// fakeEndpoint is an endpoint after the protocol page, and the truth that the
+// pool is checked against.
+type fakeEndpoint struct {
+	id         string
+	generation int
+	startedAt  time.Time
+	capacity   model.Resources
+	leaving    bool
+	token      uint64
+	lease      time.Time
+	running    map[model.AttemptID]StartOrder
+	blocked    map[model.AttemptID]bool
+	ended      []endpoint.EndedAttempt
+	seq        uint64
+	history    map[model.AttemptID]string // "" while running, else the answer; over all instances
+	seen       map[model.AttemptID]bool   // of this instance
+}
+
+func newFakeEndpoint(id string, now time.Time, capacity model.Resources) *fakeEndpoint {
+	f := &fakeEndpoint{id: id, capacity: capacity, history: map[model.AttemptID]string{}}
+	f.restart(now)
+	return f
+}
+
+func (f *fakeEndpoint) restart(now time.Time) {
+	f.generation++
+	f.startedAt = now
+	f.token, f.seq, f.ended = 0, 0, nil
+	f.running = map[model.AttemptID]StartOrder{}
+	f.blocked = map[model.AttemptID]bool{}
+	f.seen = map[model.AttemptID]bool{}
+}
+
+func (f *fakeEndpoint) clock(now time.Time) int64 { return now.Sub(f.startedAt).Milliseconds() }
+
+// expire stops work whose lease has run out.
+func (f *fakeEndpoint) expire(now time.Time) {
+	if now.Before(f.lease) {
+		return
+	}
+	for _, a := range sortedKeys(f.running) {
+		f.end(a, "", true)
+	}
+}
+
+func (f *fakeEndpoint) end(a model.AttemptID, answer string, stopped bool) {
+	order := f.running[a]
+	delete(f.running, a)
+	f.seq++
+	f.history[a] = "answer " + answer
+	f.ended = append(f.ended, endpoint.EndedAttempt{
+		Seq: f.seq, Attempt: a, Template: order.Template.String(), Stopped: stopped, HasAnswer: true, RunMS: 5,
+		Answer: model.Answer{Status: 200, Body: []byte(f.history[a])},
+	})
+}
+
+func (f *fakeEndpoint) session(now time.Time, r endpoint.SessionRequest) (endpoint.SessionReply, error) {
+	f.expire(now)
+	if r.Token < f.token {
+		return endpoint.SessionReply{}, endpoint.ErrStaleToken
+	}
+	f.token = r.Token
+	f.lease = now.Add(endpoint.LeaseTTL)
+	for len(f.ended) > 0 && f.ended[0].Seq <= r.Ack {
+		f.ended = f.ended[1:]
+	}
+	reply := endpoint.SessionReply{
+		Instance: fmt.Sprint(f.generation), ClockMS: f.clock(now), Capacity: f.capacity, Leaving: f.leaving,
+	}
+	reply.Ended = append(reply.Ended, f.ended...)
+	for _, a := range sortedKeys(f.running) {
+		o := f.running[a]
+		reply.Running = append(reply.Running, endpoint.RunningAttempt{
+			Attempt: a, Template: o.Template.String(), Resources: o.Resources,
+		})
+	}
+	return reply, nil
+}
+
+func (f *fakeEndpoint) start(now time.Time, o StartOrder) error {
+	f.expire(now)
+	switch {
+	case o.Token < f.token:
+		return endpoint.ErrStaleToken
+	case f.seen[o.Attempt]:
+		return endpoint.ErrRepeated
+	case f.blocked[o.Attempt]:
+		return endpoint.ErrCancelled
+	case f.clock(now) > o.StartBeforeMS:
+		return endpoint.ErrExpired
+	case f.leaving:
+		return endpoint.ErrLeaving
+	case !f.used().Add(o.Resources).Fits(f.capacity):
+		return endpoint.ErrNoRoom
+	}
+	f.seen[o.Attempt] = true
+	f.running[o.Attempt] = o
+	f.history[o.Attempt] = ""
+	return nil
+}
+
+func (f *fakeEndpoint) cancel(a model.AttemptID) bool {
+	if _, ok := f.running[a]; ok {
+		f.end(a, "cancelled", true)
+		return true
+	}
+	f.blocked[a] = true
+	return f.seen[a]
+}
+
+func (f *fakeEndpoint) used() model.Resources {
+	var sum model.Resources
+	for _, o := range f.running {
+		sum = sum.Add(o.Resources)
+	}
+	return sum
+}
+
+// blindTo reports whether the start limit of the order means nothing to the
+// endpoint: it is in the clock of another instance. The protocol does not carry
+// the instance, so such a start may happen after its limit.
+func (f *fakeEndpoint) blindTo(o StartOrder) bool {
+	return o.Instance != fmt.Sprint(f.generation)
+}
--- a/internal/pool/grants.go
+++ b/internal/pool/grants.go
@@ -101,7 +101,7 @@
 	if g == nil {
 		return nil, ErrGrantVoid
 	}
-	if !p.usable(g) {
+	if !p.usable(now, g) {
 		p.void(now, g, false)
 		return nil, ErrGrantVoid
 	}
@@ -138,9 +138,9 @@
 
 // usable reports whether every endpoint of the grant still takes the start.
 // A probe goes to a quarantined endpoint by intent.
-func (p *Pool) usable(g *issuedGrant) bool {
+func (p *Pool) usable(now time.Time, g *issuedGrant) bool {
 	for _, e := range g.endpoints {
-		if !e.startable(&p.cfg) || (e.health.quarantined && !g.probe) {
+		if !e.startable(&p.cfg) || now.After(e.leaseUntil) || (e.health.quarantined && !g.probe) {
 			return false
 		}
 		if !e.charged.Fits(e.capacity) {
@@ -160,7 +160,7 @@
 	p.attempts[id] = a
 	e.attempts[id] = a
 	return StartOrder{
-		Attempt: id, Endpoint: e.id, Token: p.token,
+		Attempt: id, Endpoint: e.id, Instance: e.instance, Token: p.token,
 		StartBeforeMS: e.clock(now) + p.cfg.StartWindow.Milliseconds(),
 		Template:      g.grant.Template, Resources: a.resources, RunLimit: g.template.RunLimit,
 	}
--- /dev/null
+++ b/internal/pool/main_test.go
@@ -0,0 +1,116 @@
+package pool
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/endpoint"
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// testSeed makes every run the same; pass -rapid.seed for another.
+const testSeed = 20261203
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set(fmt.Sprint(testSeed))
+	}
+	_ = flag.Set("rapid.nofailfile", "true") // the seed is enough
+	fmt.Println("seed of rapid:", flag.Lookup("rapid.seed").Value, "seed of tables:", testSeed)
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func newTestPool(id model.PoolID) *Pool {
+	return New(id, "owner", 1, DefaultConfig(), rand.New(rand.NewSource(testSeed)))
+}
+
+func id(name string) model.TemplateID { return model.TemplateID{Workspace: "kalnins", Name: name} }
+
+// job returns an idempotent job template of one core and 1 GB.
+func job(name string, urgency int) model.Template {
+	return model.Template{
+		ID: id(name), Kind: model.KindJob, Urgency: urgency, Idempotent: true, FloodShare: 1, Weight: 1,
+		Resources: model.Resources{CoresMilli: 1000, MemoryMB: 1024},
+	}
+}
+
+func request(name string, urgency int, share, reserve float64) model.Template {
+	return model.Template{
+		ID: id(name), Kind: model.KindRequest, Service: "orders", Urgency: urgency, Idempotent: true,
+		FloodShare: share, Reserve: reserve, Weight: 1, Resources: model.Resources{Slots: 1},
+	}
+}
+
+func setTemplates(p *Pool, list ...model.Template) {
+	m := map[model.TemplateID]model.Template{}
+	for _, t := range list {
+		m[t.ID] = t
+	}
+	p.SetTemplates(epoch, m)
+}
+
+func worker(cores, gb, accelerators int64) model.Resources {
+	return model.Resources{CoresMilli: cores * 1000, MemoryMB: gb * 1024, Accelerators: accelerators}
+}
+
+// addWorkers adds endpoints that have reported at epoch.
+func addWorkers(p *Pool, n int, capacity model.Resources) {
+	for i := range n {
+		name := fmt.Sprintf("e%04d", i)
+		p.AddEndpoint(epoch, name)
+		p.Report(epoch, name, epoch, report(capacity))
+	}
+}
+
+func report(capacity model.Resources) endpoint.SessionReply {
+	return endpoint.SessionReply{Instance: "i1", ClockMS: 1000, Capacity: capacity}
+}
+
+func demand(t model.Template, count int, oldest time.Time) model.Demand {
+	return model.Demand{Template: t.ID, Resources: t.Resources, Tasks: 1, Count: count, Oldest: oldest}
+}
+
+func attemptID(n uint64) model.AttemptID {
+	key := model.RequestKey{Template: id("t"), ID: fmt.Sprint(n)}
+	return model.NewAttemptID(key, 0, n)
+}
+
+// runAll begins every grant and has the endpoint accept or, for a runner, hold it.
+func runAll(t testing.TB, p *Pool, now time.Time, list []Assigned, next *uint64) []model.AttemptID {
+	t.Helper()
+	var out []model.AttemptID
+	for _, a := range list {
+		var ids []model.AttemptID
+		for range a.Grant.Endpoints {
+			*next++
+			ids = append(ids, attemptID(*next))
+		}
+		if _, err := p.Begin(now, a.Grant.ID, ids); err != nil {
+			t.Fatalf("Begin: %v", err)
+		}
+		for _, a := range ids {
+			if !isRunnerPool(p.id) {
+				p.Finished(now, a, StartResult{Kind: StartAccepted})
+			}
+		}
+		out = append(out, ids...)
+	}
+	return out
+}
+
+func byTemplate(list []Assigned) map[string]int {
+	m := map[string]int{}
+	for _, a := range list {
+		m[a.Grant.Template.Name]++
+	}
+	return m
+}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -41,7 +41,7 @@
 	e.reported = true
 	e.lastSent = sent
 	e.clockMS, e.clockAt = r.ClockMS, now
-	e.failures, e.lostReplies = 0, 0
+	e.failures, e.lostReplies, e.stale = 0, 0, false
 	e.leaseUntil = now.Add(p.cfg.LeaseTTL)
 }
 
--- a/internal/pool/start_order.go
+++ b/internal/pool/start_order.go
@@ -11,7 +11,8 @@
 type StartOrder struct {
 	Attempt       model.AttemptID
 	Endpoint      string
-	StartBeforeMS int64 // endpoint's clock
+	StartBeforeMS int64  // endpoint's clock
+	Instance      string // of the endpoint; StartBeforeMS means nothing to another
 	Token         uint64
 	Template      model.TemplateID
 	Resources     model.Resources
--- a/internal/pool/tick.go
+++ b/internal/pool/tick.go
@@ -7,6 +7,7 @@
 func (p *Pool) Tick(now time.Time) Effects {
 	p.expireGrants(now)
 	p.forgetSettled(now)
+	p.noteStale(now)
 	for _, e := range p.endpointsWithWork() {
 		p.settleGrace(now, e)
 		p.settleLapsed(now, e)
@@ -46,3 +47,13 @@
 		p.dropRemoved(p.ordered[i])
 	}
 }
+
+// noteStale takes endpoints out of use that have not reported within their lease.
+func (p *Pool) noteStale(now time.Time) {
+	for _, e := range p.ordered {
+		if e.reported && !e.stale && now.After(e.leaseUntil) {
+			e.stale = true
+			p.refresh(e)
+		}
+	}
+}
