--- /dev/null
+++ b/internal/e2e/jobs_test.go
@@ -0,0 +1,204 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/endpoint/standin"
+	"github.com/agateyard/agateyard/internal/gateway"
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// submitJob submits an asynchronous job and returns the HTTP status.
+func (c *cell) submitJob(e *entryProc, template, id string, work standin.Work) int {
+	c.t.Helper()
+	work.Echo = id
+	body, _ := json.Marshal(work)
+	req, _ := http.NewRequest(http.MethodPost, jobsURL(e, template), bytes.NewReader(body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(gateway.HeaderIdempotencyKey, id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusAccepted {
+		c.t.Logf("submit %s: %s %s", id, resp.Status, text)
+	}
+	return resp.StatusCode
+}
+
+func jobsURL(e *entryProc, template string) string {
+	return "http://" + e.http + "/v1/workspaces/kalnins/templates/" + template + "/jobs"
+}
+
+// jobStatus returns the state of a job, or a zero status when it can't be had.
+func (c *cell) jobStatus(e *entryProc, template, id string) model.JobStatus {
+	var s model.JobStatus
+	_ = getJSON(jobsURL(e, template)+"/"+id, &s)
+	return s
+}
+
+// waitDone waits for the outcome of jobs.
+func (c *cell) waitDone(e *entryProc, template string, ids []string, limit time.Duration) {
+	c.t.Helper()
+	c.eventually(limit, "jobs done", func() bool {
+		for _, id := range ids {
+			if c.jobStatus(e, template, id).State != model.JobDone {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against the loss of accepted jobs when the process that accepted them
+// dies while they are queued and running.
+func TestAcceptedJobsSurviveAKill(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, workers: 3})
+	var ids []string
+	for i := range 150 {
+		id := newID()
+		if c.submitJob(c.entries[i%3], "nesting", id, standin.Work{RunMS: 1500}) == http.StatusAccepted {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) < 140 {
+		t.Fatalf("only %d jobs accepted", len(ids))
+	}
+	time.Sleep(500 * time.Millisecond)
+	c.entries[0].kill()
+	c.waitDone(c.entries[1], "nesting", ids, 60*time.Second)
+	runs := groupEffects(c.effects())
+	for _, id := range ids {
+		s := c.jobStatus(c.entries[1], "nesting", id)
+		if s.Outcome != model.OutcomeRan {
+			t.Errorf("%s: %q %q after %d attempts", id, s.Outcome, s.Reason, s.Attempts)
+		}
+		performed := 0
+		for _, r := range runs[id] {
+			if r.performed {
+				performed++
+			}
+		}
+		if performed != 1 {
+			t.Errorf("%s: performed %d times", id, performed)
+		}
+		checkOverlap(t, id, runs[id])
+	}
+}
+
+// Guards against a wave of cancellations that stops other work or leaves jobs
+// that run although they were answered as not-run.
+func TestWaveOfCancellations(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, workers: 3})
+	var ids []string
+	for i := range 300 {
+		id := newID()
+		if c.submitJob(c.entries[i%3], "nesting", id, standin.Work{RunMS: 60_000}) == http.StatusAccepted {
+			ids = append(ids, id)
+		}
+	}
+	began := time.Now()
+	c.cancelMany("nesting", ids)
+	t.Logf("%d cancelled in %v", len(ids), time.Since(began).Round(time.Millisecond))
+	c.waitDone(c.entries[2], "nesting", ids, 20*time.Second)
+	runs := groupEffects(c.effects())
+	for _, id := range ids {
+		s := c.jobStatus(c.entries[2], "nesting", id)
+		if s.Outcome == model.OutcomeNotRun && len(runs[id]) > 0 {
+			t.Errorf("%s: told not-run, and it started", id)
+		}
+		if s.Outcome == model.OutcomeRan && s.Reason != model.ReasonCancelled {
+			t.Errorf("%s: started, and its end does not name the cancellation: %q", id, s.Reason)
+		}
+		for _, r := range runs[id] {
+			if r.performed {
+				t.Errorf("%s: performed its effect after the cancellation", id)
+			}
+		}
+	}
+	// The workers are free again.
+	id := newID()
+	c.submitJob(c.entries[0], "nesting", id, standin.Work{RunMS: 10})
+	c.waitDone(c.entries[0], "nesting", []string{id}, 15*time.Second)
+}
+
+func (c *cell) cancelMany(template string, ids []string) {
+	c.t.Helper()
+	type item struct {
+		Template string `json:"template"`
+		ID       string `json:"id"`
+	}
+	var req struct {
+		Requests []item `json:"requests"`
+	}
+	for _, id := range ids {
+		req.Requests = append(req.Requests, item{Template: template, ID: id})
+	}
+	body, _ := json.Marshal(req)
+	resp, err := client.Post("http://"+c.entries[0].http+"/v1/workspaces/kalnins/cancel", "application/json", bytes.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		c.t.Fatalf("cancel: %s %s", resp.Status, text)
+	}
+}
+
+// Guards against gangs of which only some tasks start, and services that are
+// not kept running or not stopped.
+func TestGangAndService(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, workers: 6, templates: gangTemplates})
+	gang, service := newID(), newID()
+	if code := c.submitJob(c.entries[0], "panel-set", gang, standin.Work{RunMS: 500}); code != http.StatusAccepted {
+		t.Fatalf("gang: status %d", code)
+	}
+	if code := c.submitJob(c.entries[1], "price-feed", service, standin.Work{RunMS: -1}); code != http.StatusAccepted {
+		t.Fatalf("service: status %d", code)
+	}
+	c.waitDone(c.entries[2], "panel-set", []string{gang}, 20*time.Second)
+	if s := c.jobStatus(c.entries[2], "panel-set", gang); s.Outcome != model.OutcomeRan {
+		t.Errorf("gang: %+v", s)
+	}
+	if runs := groupEffects(c.effects())[gang]; len(runs) != 4 {
+		t.Errorf("gang started %d tasks", len(runs))
+	}
+	c.eventually(15*time.Second, "all replicas run", func() bool {
+		return c.jobStatus(c.entries[0], "price-feed", service).Running == 3
+	})
+	c.cancelMany("price-feed", []string{service})
+	c.waitDone(c.entries[0], "price-feed", []string{service}, 20*time.Second)
+}
+
+const gangTemplates = `workspace = "kalnins"
+weight = 1.0
+
+[template.panel-set]
+kind = "gang"
+tasks = 4
+urgency = 5
+max_wait = "1m"
+idempotent = true
+flood_share = 0.9
+cores_milli = 8000
+memory_mb = 8192
+run_limit = "30s"
+
+[template.price-feed]
+kind = "service"
+tasks = 3
+urgency = 6
+max_wait = "1m"
+idempotent = true
+flood_share = 0.5
+cores_milli = 2000
+memory_mb = 1024
+`
