--- a/internal/endpoint/standin/effectlog.go
+++ b/internal/endpoint/standin/effectlog.go
@@ -45,14 +45,14 @@
 func (p *progress) save(id model.AttemptID, done time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.saved[taskKey(id)] = done
+	p.saved[TaskKey(id)] = done
 }
 
 // take returns and removes the progress of the task.
 func (p *progress) take(id model.AttemptID) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := taskKey(id)
+	key := TaskKey(id)
 	done := p.saved[key]
 	delete(p.saved, key)
 	return done
--- a/internal/endpoint/standin/endpoint_test.go
+++ b/internal/endpoint/standin/endpoint_test.go
@@ -286,7 +286,7 @@
 	r.wantEvents(task.Attempt, "start end:checkpointed")
 
 	resumed, from := task, time.Now()
-	resumed.Attempt = model.AttemptID(taskKey(task.Attempt) + ".00000000000000ff")
+	resumed.Attempt = model.AttemptID(TaskKey(task.Attempt) + ".00000000000000ff")
 	_, err = r.c.Start(r.ctx, resumed)
 	r.want(err, nil)
 	r.waitFor("end", func() bool { return len(r.session(1).Ended) == 2 })
--- a/internal/endpoint/standin/ledger_test.go
+++ b/internal/endpoint/standin/ledger_test.go
@@ -203,11 +203,13 @@
 					return
 				}
 				a := o.attempts[rapid.SampledFrom(started).Draw(rt, "id")]
-				want := !a.ended && !a.effect && o.now < o.leaseUntil
-				if got := l.perform(o.now, a.handle); got != want {
-					rt.Fatalf("at %v: effect allowed=%v, want %v (lease until %v)", o.now, got, want, o.leaseUntil)
+				if rapid.Bool().Draw(rt, "with effect") {
+					want := !a.ended && !a.effect && o.now < o.leaseUntil
+					if got := l.perform(o.now, a.handle); got != want {
+						rt.Fatalf("at %v: effect allowed=%v, want %v (lease until %v)", o.now, got, want, o.leaseUntil)
+					}
+					a.effect = a.effect || want
 				}
-				a.effect = a.effect || want
 				if got := l.finish(o.now, a.handle, model.Answer{Status: 200}); got != !a.ended {
 					rt.Fatalf("at %v: finish=%v for %+v", o.now, got, a)
 				}
--- a/internal/endpoint/standin/taskkey.go
+++ b/internal/endpoint/standin/taskkey.go
@@ -6,9 +6,9 @@
 	"github.com/agateyard/agateyard/internal/model"
 )
 
-// taskKey returns the part of an attempt identifier that names the task of the
+// TaskKey returns the part of an attempt identifier that names the task of the
 // request: all of it but the nonce. See model.NewAttemptID.
-func taskKey(id model.AttemptID) string {
+func TaskKey(id model.AttemptID) string {
 	if i := strings.LastIndexByte(string(id), '.'); i >= 0 {
 		return string(id)[:i]
 	}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,74 @@
+package load
+
+import (
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Scenario string         `json:"scenario"`
+	Seed     uint64         `json:"seed"`
+	Started  time.Time      `json:"started"`
+	Phases   []PhaseReport  `json:"phases"`
+	Total    []StreamReport `json:"total"`
+	// SendLag is how much later than intended this generator sent; a large lag
+	// means that the generator was overloaded, not the system.
+	SendLag Latency       `json:"send_lag"`
+	Faults  []FaultReport `json:"faults,omitempty"`
+	Effects *EffectReport `json:"effects,omitempty"`
+}
+
+// PhaseReport holds the results of requests that were due in the phase.
+type PhaseReport struct {
+	Name     string         `json:"name"`
+	Duration Duration       `json:"duration"`
+	Streams  []StreamReport `json:"streams"`
+}
+
+// StreamReport holds the results of one stream.
+type StreamReport struct {
+	Stream     string               `json:"stream"`
+	Workspace  string               `json:"workspace"`
+	Template   string               `json:"template"`
+	Counts     Counts               `json:"counts"`
+	Throughput float64              `json:"ran_per_second"`
+	Reasons    map[model.Reason]int `json:"reasons,omitempty"` // of all submissions
+	Latency    Latency              `json:"latency"`           // ran, from the intended send time
+	Refusal    Latency              `json:"refusal"`           // not-run answers, from the actual send time
+	Wait       Latency              `json:"wait"`              // before the work ran
+	Accept     Latency              `json:"accept"`            // of jobs
+	Errors     []string             `json:"errors,omitempty"`  // samples
+	Wrong      []string             `json:"wrong,omitempty"`   // samples
+}
+
+// FaultReport says how a call of an admin switch went.
+type FaultReport struct {
+	At     Duration `json:"at"`
+	URL    string   `json:"url"`
+	Status int      `json:"status"`
+	Error  string   `json:"error,omitempty"`
+}
+
+// Broken returns what the system, or the run itself, got wrong. An empty list
+// is a pass.
+func (r Report) Broken() []string {
+	var out []string
+	for _, s := range r.Total {
+		for _, w := range s.Wrong {
+			out = append(out, s.Stream+": wrong answer: "+w)
+		}
+	}
+	for _, f := range r.Faults {
+		if f.Error != "" {
+			out = append(out, "fault at "+f.At.String()+" not applied: "+f.Error)
+		}
+	}
+	if r.Effects != nil {
+		for _, v := range r.Effects.Violations {
+			out = append(out, v.String())
+		}
+	}
+	return out
+}
