--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -131,7 +131,9 @@
 // deliver writes the chunk when it is due and its direction is not stalled.
 func (l *link) deliver(d direction, dst net.Conn, c chunk) bool {
 	s, _ := l.proxy.current()
-	if !l.sleep(time.Until(c.due)+s.transfer(len(c.data))) || !l.waitUnstalled(d) {
+	// The time of the transfer is not counted against the delay: chunks that
+	// queue up must not pass faster than the byte rate.
+	if !l.sleep(time.Until(c.due)) || !l.sleep(s.transfer(len(c.data))) || !l.waitUnstalled(d) {
 		return false
 	}
 	if c.data == nil {
--- /dev/null
+++ b/internal/load/run_test.go
@@ -0,0 +1,232 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/agateyard/agateyard/internal/endpoint/standin"
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a check that passes although a promise is broken, and one
+// that fails although all are kept.
+func TestFindsBrokenPromises(t *testing.T) {
+	for _, c := range []struct {
+		bug    bug
+		change func(*Stream)
+		broken []string // each must occur, and nothing else
+	}{
+		{bugNone, nil, nil},
+		{bugNone, func(s *Stream) { s.Repeat = 0.5 }, nil},
+		{bugNone, func(s *Stream) { s.Mode, s.Identifier = ModeJob, IdentifierNone }, nil},
+		{bugNone, func(s *Stream) { s.Mode, s.Identifier = ModeService, IdentifierServer }, nil},
+		{bugNone, func(s *Stream) { s.FailRate = 0.5 }, nil},
+		{bugRefuses, nil, nil},
+		{bugRefuses, func(s *Stream) { s.Repeat, s.RepeatAfter = 1, Duration(20*time.Millisecond) }, nil},
+		{bugCuts, func(s *Stream) { s.Resends = 1 }, nil},
+		{bugNotRun, nil, []string{string(PromiseNotRun)}},
+		{bugTwice, nil, []string{string(PromiseAtMostOnce)}},
+		{bugTwice, func(s *Stream) { s.Idempotent = true }, nil},
+		{bugConcurrent, func(s *Stream) { s.Idempotent = true }, []string{string(PromiseNoOverlap)}},
+		{bugSwapped, nil, []string{"wrong answer: answer to", string(PromiseRan)}},
+		{bugTruncated, nil, []string{"wrong answer: answer is not whole"}},
+	} {
+		t.Run(string(c.bug), func(t *testing.T) {
+			f := newFakeEntry(t, c.bug)
+			broken := f.load(f.scenario(c.change)).Broken()
+			for _, want := range c.broken {
+				if !slices.ContainsFunc(broken, func(b string) bool { return strings.Contains(b, want) }) {
+					t.Errorf("not found: %s", want)
+				}
+			}
+			for _, b := range broken {
+				if !slices.ContainsFunc(c.broken, func(want string) bool { return strings.Contains(b, want) }) {
+					t.Errorf("unexpected: %s", b)
+				}
+			}
+		})
+	}
+}
+
+// Guards against counts that lose requests or count a retry as success of the first.
+func TestCountsAddUp(t *testing.T) {
+	f := newFakeEntry(t, bugRefuses)
+	rep := f.load(f.scenario(func(s *Stream) { s.Retries = 1 }))
+	c := rep.Total[0].Counts
+	if c.Sent != c.Ran+c.NotRun+c.Unknown+c.Error+c.Running || c.Retried != c.Sent || c.NotRun != c.Sent {
+		t.Errorf("counts do not add up: %+v", c)
+	}
+	if n := rep.Total[0].Refusal.Count; n != int64(2*c.Sent) {
+		t.Errorf("%d refusals measured, want %d", n, 2*c.Sent)
+	}
+	var table bytes.Buffer
+	if err := rep.Table(&table); err != nil || !strings.Contains(table.String(), "no promise broken") {
+		t.Errorf("table: %v\n%s", err, table.String())
+	}
+	if _, err := json.Marshal(rep); err != nil {
+		t.Errorf("report as JSON: %v", err)
+	}
+}
+
+// Guards against coordinated omission: a stall of the system must show in the
+// latency of all requests that were due meanwhile, and arrivals must go on.
+func TestStallShowsInLatency(t *testing.T) {
+	f := newFakeEntry(t, bugNone)
+	s := f.scenario(nil)
+	s.Faults = []Fault{{
+		At:   Duration(100 * time.Millisecond),
+		URL:  "http://" + f.runner.Address() + "/admin/faults",
+		Body: `{"freeze": true, "for_ms": 400}`,
+	}}
+	rep := f.load(s)
+	if len(rep.Faults) != 1 || rep.Faults[0].Status != 200 {
+		t.Fatalf("fault was not applied: %+v", rep.Faults)
+	}
+	total := rep.Total[0]
+	if total.Latency.P50 < 150 || total.Counts.Ran != total.Counts.Sent {
+		t.Errorf("latency hides the stall: %+v %+v", total.Latency, total.Counts)
+	}
+	if rep.SendLag.P99 > 100 {
+		t.Errorf("sending waited for answers: lag %+v", rep.SendLag)
+	}
+}
+
+// Guards against unbounded load when nothing answers.
+func TestOutstandingLimit(t *testing.T) {
+	var open, most atomic.Int64
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if n := open.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		<-release
+	}))
+	defer s.Close()
+	f := newFakeEntry(t, bugNone)
+	sc := f.scenario(func(st *Stream) { st.Limit = Duration(400 * time.Millisecond) })
+	sc.Entries, sc.MaxOutstanding = []string{s.URL[len("http://"):]}, 10
+	rep, err := Run(t.Context(), sc, Options{})
+	close(release)
+	c := rep.Total[0].Counts
+	if err != nil || most.Load() > 10 || c.Dropped == 0 || c.Error != c.Sent {
+		t.Errorf("%d outstanding, %+v, %v", most.Load(), c, err)
+	}
+}
+
+// Guards against load that differs from one run to the next with one seed, and
+// rates or run times that miss what the scenario says.
+func TestArrivals(t *testing.T) {
+	st := Stream{Workspace: "w", Template: "t", Run: Distribution{Shape: ShapeLogNormal, Mean: Duration(50 * time.Millisecond), Sigma: 1}}.withDefaults()
+	s := Scenario{Seed: 7, Streams: []Stream{st}, Phases: []Phase{{Duration: Duration(100 * time.Second), Rates: map[string]float64{"w/t": 100}}}}
+	draw := func(seed uint64) (at []time.Duration, run time.Duration) {
+		s.Seed = seed
+		for a := newArrivals(s, 0, &st); ; {
+			next, ok := a.next()
+			if !ok {
+				return at, run / time.Duration(len(at))
+			}
+			at, run = append(at, next.at), run+next.run
+		}
+	}
+	first, mean := draw(7)
+	again, _ := draw(7)
+	other, _ := draw(8)
+	if !slices.Equal(first, again) || slices.Equal(first, other) {
+		t.Error("arrivals do not follow the seed")
+	}
+	// Four standard deviations of 10,000 Poisson arrivals.
+	if d := math.Abs(float64(len(first) - 10_000)); d > 400 {
+		t.Errorf("%d arrivals, want about 10000", len(first))
+	}
+	if mean < 46*time.Millisecond || mean > 54*time.Millisecond {
+		t.Errorf("mean run time %v, want about 50ms", mean)
+	}
+}
+
+// Guards against scenario files in the repository that no longer parse, and
+// against mistakes in a scenario that pass unnoticed.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("../../scenarios/*.toml")
+	if err != nil || len(files) < 3 {
+		t.Fatalf("scenario files: %v, %v", files, err)
+	}
+	for _, f := range files {
+		if _, err := ReadScenario(f); err != nil {
+			t.Error(err)
+		}
+	}
+	const head = "[[stream]]\nworkspace = \"w\"\ntemplate = \"t\"\n"
+	const phase = "[[phase]]\nduration = \"1s\"\n"
+	for text, want := range map[string]string{
+		"":                                       "needs a phase",
+		head + phase + "rates = {\"w/x\" = 1}":   "unknown stream",
+		head + "ratio = 1\n" + phase:             "ratio",
+		head + "limit = \"2 seconds\"\n" + phase: "unknown unit",
+		head + "mode = \"batch\"\n" + phase:      "unknown mode",
+		head + "repeat = 0.1\nidentifier = \"none\"\n" + phase:      "need an identifier",
+		head + phase + "[[fault]]\nat = \"1s\"\nurl = \"host:1/x\"": "not an http URL",
+		head + head + phase: "used twice",
+	} {
+		if _, err := ParseScenario([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %q", text, err, want)
+		}
+	}
+}
+
+// Guards against a check that trusts an incomplete log, or mistakes the tasks
+// of a gang for repeated runs.
+func TestCheckEffects(t *testing.T) {
+	at := time.Unix(1000, 0)
+	entry := func(event standin.EffectEvent, key string, ms int64) standin.Effect {
+		return standin.Effect{
+			Event: event, Endpoint: "e", Attempt: model.AttemptID(key), Template: "w/t", Echo: "x",
+			Reason: standin.EndDone, AtMicros: at.UnixMicro() + ms*1000,
+		}
+	}
+	run := func(key string, from, to int64) []standin.Effect {
+		return []standin.Effect{
+			entry(standin.EffectStart, key, from), entry(standin.EffectPerformed, key, to), entry(standin.EffectEnd, key, to),
+		}
+	}
+	sub := func(v Verdict, sentMS int64) submission {
+		return submission{echo: "x", template: "w/t", verdict: v, sent: at.Add(time.Duration(sentMS) * time.Millisecond)}
+	}
+	for name, c := range map[string]struct {
+		subs    []submission
+		effects []standin.Effect
+		dropped int
+		want    []Promise
+	}{
+		"gang":             {[]submission{sub(VerdictRan, 0)}, append(run("1.a.0.n", 1, 5), run("1.a.1.n", 1, 5)...), 0, nil},
+		"same task":        {[]submission{sub(VerdictRan, 0)}, append(run("1.a.0.n", 1, 5), run("1.a.0.m", 4, 9)...), 0, []Promise{PromiseNoOverlap, PromiseAtMostOnce}},
+		"no end":           {[]submission{sub(VerdictError, 0)}, append(run("1.a.0.n", 1, 5)[:1], run("1.a.0.m", 9, 9)[:1]...), 0, []Promise{PromiseNoOverlap}},
+		"dropped":          {[]submission{sub(VerdictRan, 0)}, run("1.a.0.n", 1, 5), 3, []Promise{PromiseCompletion}},
+		"ran without":      {[]submission{sub(VerdictRan, 0)}, nil, 0, []Promise{PromiseRan}},
+		"unknown":          {[]submission{sub(VerdictUnknown, 0)}, run("1.a.0.n", 1, 5)[:1], 0, nil},
+		"refused, started": {[]submission{sub(VerdictNotRun, 0)}, run("1.a.0.n", 1, 5)[:1], 0, []Promise{PromiseNotRun}},
+		"later repeat ran": {[]submission{sub(VerdictNotRun, 0), sub(VerdictRan, 3)}, run("1.a.0.n", 4, 5), 0, nil},
+		"earlier run":      {[]submission{sub(VerdictNotRun, 0), sub(VerdictRan, 3)}, run("1.a.0.n", 2, 5), 0, []Promise{PromiseNotRun}},
+	} {
+		rep := checkEffects(c.subs, []standin.EffectLog{{Effects: c.effects, Dropped: c.dropped}}, 1)
+		var got []Promise
+		for _, v := range rep.Violations {
+			got = append(got, v.Promise)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: violations %q, want %q", name, got, c.want)
+		}
+	}
+}
