--- a/internal/shard/cancel.go
+++ b/internal/shard/cancel.go
@@ -7,7 +7,7 @@
 )
 
 // Cancel cancels requests. Queued ones are not-run at once; running ones are
-// stopped, and their result here is unknown until Settle. Of an asynchronous request, not-run may be
+// stopped, and their result here is unknown until Settle. The results may be
 // shown to callers when the records in the effects are durable.
 func (t *Table) Cancel(now time.Time, keys []model.RequestKey) ([]model.CancelResult, Effects) {
 	var fx Effects
--- a/internal/shard/effects.go
+++ b/internal/shard/effects.go
@@ -36,7 +36,11 @@
 	Starts  []Start // to dispatch now
 	Cancels []CancelAttempt
 	Returns []model.Grant // to give back to their pool owners unused
-	Events  []Event
+	// Acks are attempts whose ends the pool owner may forget when all records
+	// returned so far, these included, are durable. An end that is not in Acks
+	// is kept in memory only and comes in the Acks of a later call.
+	Acks   []model.AttemptID
+	Events []Event
 }
 
 // Add appends the effects of o to e.
@@ -46,10 +50,11 @@
 	e.Starts = append(e.Starts, o.Starts...)
 	e.Cancels = append(e.Cancels, o.Cancels...)
 	e.Returns = append(e.Returns, o.Returns...)
+	e.Acks = append(e.Acks, o.Acks...)
 	e.Events = append(e.Events, o.Events...)
 }
 
 // Empty reports whether there is nothing to carry out.
 func (e *Effects) Empty() bool {
-	return len(e.Records)+len(e.Answers)+len(e.Starts)+len(e.Cancels)+len(e.Returns)+len(e.Events) == 0
+	return len(e.Records)+len(e.Answers)+len(e.Starts)+len(e.Cancels)+len(e.Returns)+len(e.Acks)+len(e.Events) == 0
 }
--- a/internal/shard/evidence.go
+++ b/internal/shard/evidence.go
@@ -33,7 +33,7 @@
 
 // evidenceOf returns the evidence for each task of a held request. It takes the
 // found attempts away.
-func (t *Table) evidenceOf(j *job) map[int]evidence {
+func (t *Table) evidenceOf(j *job, fx *Effects) map[int]evidence {
 	known := map[int]evidence{}
 	reported := map[model.AttemptID]bool{}
 	add := func(task int, e evidence) {
@@ -44,7 +44,7 @@
 			known[task] = e
 		}
 	}
-	for _, f := range j.shard.takeFound(j.hash) {
+	for _, f := range j.shard.takeFound(j.hash, fx) {
 		reported[f.state.Attempt] = true
 		if task, ok := f.state.Attempt.Task(); ok {
 			add(task, f.evidence())
@@ -95,7 +95,7 @@
 	if len(j.intent) == 0 && len(s.found[j.hash]) == 0 && s.mustHold(j, t.cfg.ClockSkew) {
 		return
 	}
-	known := t.evidenceOf(j)
+	known := t.evidenceOf(j, fx)
 	t.setPhase(j, phaseQueued)
 	fx.event("recovered", j.key, "", "")
 	t.adopt(now, j, known, fx)
@@ -154,9 +154,24 @@
 		t.conclude(now, u, fx)
 		return
 	}
+	t.recordEnds(now, u, fx)
 	t.stopIfDue(u, fx)
 }
 
+// recordEnds records the known ends of a gang that still runs.
+func (t *Table) recordEnds(now time.Time, u *unit, fx *Effects) {
+	if !u.job.journaled() {
+		return
+	}
+	for _, end := range u.ends {
+		if task, ok := end.Attempt.Task(); ok {
+			r := endRecord(u, task, end, t.cfg.KeptAnswerBytes)
+			r.Time = now
+			fx.Records = append(fx.Records, r)
+		}
+	}
+}
+
 // adoptTask applies the evidence to one task of a unit of which something is known.
 func (t *Table) adoptTask(now time.Time, u *unit, task int, known map[int]evidence, fx *Effects) {
 	e, ok := known[task]
--- a/internal/shard/finish.go
+++ b/internal/shard/finish.go
@@ -14,12 +14,10 @@
 	t.detach(now, j, fx)
 	t.setPhase(j, phaseDone)
 	j.endedAt = now
-	for _, w := range j.waiters {
-		reply := r
-		reply.Joined = w.joined
-		fx.answer(w.id, reply)
+	j.unconfirmed = j.accepted && r.Outcome == model.OutcomeNotRun
+	if !j.unconfirmed {
+		j.answerAll(r, fx)
 	}
-	j.waiters = nil
 	fx.event("done", j.key, "", string(r.Outcome)+" "+string(r.Reason))
 	t.keepReply(j, r, end)
 	if j.journaled() {
@@ -38,6 +36,29 @@
 	t.jobTimers.update(j)
 }
 
+// answerAll answers all waiters.
+func (j *job) answerAll(r model.Reply, fx *Effects) {
+	for _, w := range j.waiters {
+		reply := r
+		reply.Joined = w.joined
+		fx.answer(w.id, reply)
+	}
+	j.waiters = nil
+}
+
+// OutcomeDurable tells that an accepted request did not run. Until then its status stays
+// queued, because a successor that lacks the record would run it.
+func (t *Table) OutcomeDurable(_ time.Time, key model.RequestKey) Effects {
+	var fx Effects
+	j := t.find(key)
+	if j == nil || !j.unconfirmed {
+		return fx
+	}
+	j.unconfirmed = false
+	j.answerAll(j.reply, &fx)
+	return fx
+}
+
 // certain returns the reply with an unknown outcome where not-run can't be
 // known: an idempotent request has no record, so it may have run and ended
 // under an owner that died.
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -68,20 +68,16 @@
 	return snapshot
 }
 
-// remaining returns the recovery that the next owner has to finish.
+// remaining returns the recovery that the next owner has to finish. The time of
+// the takeover is kept, because what identifiers from before it came to stays uncertain.
 func (s *shardState) remaining() Recovery {
-	if s.takenAt.IsZero() {
-		return Recovery{}
-	}
 	r := Recovery{TakenAt: s.takenAt}
 	for pool, report := range s.reports {
-		if !report.come || !report.reachable || len(report.unreachable) > 0 {
+		// An unfinished recovery needs every report: the intents are resolved by them.
+		if s.recovering || !report.complete() {
 			r.Pools = append(r.Pools, pool)
 		}
 	}
-	if len(r.Pools) == 0 && !s.recovering {
-		return Recovery{}
-	}
 	sortPools(r.Pools)
 	return r
 }
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -38,6 +38,7 @@
 	counted     bool // counts against the bounds of the template's queue
 	replayed    bool // known from a journal
 	hasBody     bool // false for a replayed synchronous request until it is sent again
+	unconfirmed bool // its not-run outcome is not durable yet
 	phase       phase
 	class       class
 	maxWait     time.Duration
@@ -112,7 +113,7 @@
 // state returns the state for status calls.
 func (j *job) state() model.JobState {
 	switch {
-	case j.phase == phaseDone:
+	case j.phase == phaseDone && !j.unconfirmed:
 		return model.JobDone
 	case j.liveCount() > 0:
 		return model.JobRunning
@@ -132,7 +133,7 @@
 		Tasks:       j.total,
 		Attempts:    j.attempts,
 	}
-	if j.phase != phaseDone {
+	if j.phase != phaseDone || j.unconfirmed {
 		return s
 	}
 	s.Outcome, s.Reason, s.EndedAt = j.reply.Outcome, j.reply.Reason, j.endedAt
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -30,6 +30,7 @@
 	CallbackNone       Callback = iota
 	CallbackIntent              // IntentDurable or IntentFailed with Record.Attempt
 	CallbackAcceptance          // AcceptanceDurable or AcceptanceFailed with Record.Key
+	CallbackOutcome             // OutcomeDurable with Record.Key; the record is written again until it is durable
 )
 
 // Record is one entry of the journal. The journal keeps the order of records of a shard.
@@ -99,6 +100,11 @@
 		return CallbackIntent
 	case RecordAcceptance:
 		return CallbackAcceptance
+	case RecordOutcome:
+		if r.Async && r.Outcome != nil && r.Outcome.Outcome == model.OutcomeNotRun {
+			return CallbackOutcome
+		}
+		return CallbackNone
 	default:
 		return CallbackNone
 	}
--- a/internal/shard/recover.go
+++ b/internal/shard/recover.go
@@ -65,10 +65,7 @@
 // answerReplayed answers the waiters that joined a request before its records were replayed.
 func (t *Table) answerReplayed(j *job, fx *Effects) {
 	if j.phase == phaseDone {
-		for _, w := range j.waiters {
-			fx.answer(w.id, j.recordedReply())
-		}
-		j.waiters = nil
+		j.answerAll(j.reply, fx)
 		return
 	}
 	if j.accepted {
@@ -120,6 +117,7 @@
 		return
 	}
 	if state.Settled != nil {
+		fx.Acks = append(fx.Acks, state.Attempt)
 		t.lateEnd(now, j, *state.Settled, fx)
 		return
 	}
@@ -166,13 +164,16 @@
 	return false
 }
 
-// takeFound removes and returns the found attempts of a request.
-func (s *shardState) takeFound(hash uint64) []foundAttempt {
+// takeFound removes and returns the found attempts of a request and
+// acknowledges those that ended.
+func (s *shardState) takeFound(hash uint64, fx *Effects) []foundAttempt {
 	found := s.found[hash]
 	delete(s.found, hash)
 	for _, f := range found {
 		if f.state.Settled == nil {
 			s.running--
+		} else {
+			fx.Acks = append(fx.Acks, f.state.Attempt)
 		}
 	}
 	return found
@@ -180,9 +181,13 @@
 
 // forgetEnded drops the ended attempts of a request found before the time, and
 // reports whether running ones remain.
-func (s *shardState) forgetEnded(hash uint64, before time.Time) bool {
+func (s *shardState) forgetEnded(hash uint64, before time.Time, fx *Effects) bool {
 	kept := slices.DeleteFunc(s.found[hash], func(f foundAttempt) bool {
-		return f.state.Settled != nil && !f.at.After(before)
+		forget := f.state.Settled != nil && !f.at.After(before)
+		if forget {
+			fx.Acks = append(fx.Acks, f.state.Attempt)
+		}
+		return forget
 	})
 	if len(kept) == 0 {
 		delete(s.found, hash)
@@ -201,7 +206,7 @@
 	}
 	var missing []model.PoolID
 	for pool, report := range s.reports {
-		if !report.come || !report.reachable || len(report.unreachable) > 0 {
+		if !report.complete() {
 			missing = append(missing, pool)
 		}
 	}
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -8,7 +8,7 @@
 )
 
 // Settle takes the end of an attempt. Repeated, late and unknown ends are
-// allowed. The pool owner may forget the end when the records in the effects are durable.
+// allowed. The pool owner keeps the end until the attempt is in Acks.
 func (t *Table) Settle(now time.Time, s model.Settled) Effects {
 	var fx Effects
 	a := t.attempts[s.Attempt]
@@ -17,6 +17,7 @@
 		return fx
 	}
 	u := a.unit
+	fx.Acks = append(fx.Acks, s.Attempt)
 	if u.state == unitIntent {
 		// The attempt was not released, so nobody can have run it.
 		return fx
@@ -230,14 +231,17 @@
 	}
 	j := owner.jobs[hash]
 	if j != nil && j.phase != phaseHeld {
+		fx.Acks = append(fx.Acks, s.Attempt)
 		t.lateEnd(now, j, s, fx)
 		return
 	}
-	if s.End == model.AttemptEnded || j != nil {
-		t.addFound(now, owner, hash, foundAttempt{
-			state: model.AttemptState{Attempt: s.Attempt, Endpoint: s.Endpoint, Settled: &s}, at: now,
-		})
+	if j == nil && s.End != model.AttemptEnded && !owner.recovering {
+		fx.Acks = append(fx.Acks, s.Attempt)
+		return
 	}
+	t.addFound(now, owner, hash, foundAttempt{
+		state: model.AttemptState{Attempt: s.Attempt, Endpoint: s.Endpoint, Settled: &s}, at: now,
+	})
 }
 
 // lateEnd replaces an unknown outcome by the answer that came later. The
--- a/internal/shard/shard_state.go
+++ b/internal/shard/shard_state.go
@@ -33,6 +33,11 @@
 	unreachable map[string]bool // endpoints
 }
 
+// complete reports whether the attempts on all endpoints of the pool are known.
+func (r *poolReport) complete() bool {
+	return r.come && r.reachable && len(r.unreachable) == 0
+}
+
 // foundAttempt is an attempt that a pool owner reported and no request here started.
 type foundAttempt struct {
 	pool  model.PoolID
@@ -106,7 +111,7 @@
 		if !t.runsOn(pool) {
 			continue
 		}
-		if !report.come || !report.reachable || len(report.unreachable) > 0 {
+		if !report.complete() {
 			return true
 		}
 	}
--- a/internal/shard/submit.go
+++ b/internal/shard/submit.go
@@ -189,8 +189,11 @@
 }
 
 // settledForWaiters reports whether the outcome may be told. The outcome of a
-// replayed request may be overruled by a later record until all have come.
-func (j *job) settledForWaiters() bool { return !j.replayed || j.shard.replayed }
+// replayed request may be overruled by a later record until all have come, and
+// an accepted request whose not-run is not durable would run after a crash.
+func (j *job) settledForWaiters() bool {
+	return !j.unconfirmed && (!j.replayed || j.shard.replayed)
+}
 
 func conflictReply() model.Reply {
 	return model.Reply{
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -40,7 +40,7 @@
 		}
 		t.wakeUnit(now, u, &fx)
 	}
-	t.forgetFound(now)
+	t.forgetFound(now, &fx)
 	return fx
 }
 
@@ -126,7 +126,7 @@
 }
 
 // forgetFound drops ends without a request after the retention.
-func (t *Table) forgetFound(now time.Time) {
+func (t *Table) forgetFound(now time.Time, fx *Effects) {
 	for len(t.foundAges) > 0 && !now.Before(t.foundAges[0].at.Add(t.cfg.Retention)) {
 		age := t.foundAges[0]
 		t.foundAges = t.foundAges[1:]
@@ -134,7 +134,7 @@
 		if s == nil {
 			continue
 		}
-		if s.forgetEnded(age.hash, now.Add(-t.cfg.Retention)) {
+		if s.forgetEnded(age.hash, now.Add(-t.cfg.Retention), fx) {
 			t.foundAges = append(t.foundAges, foundAge{at: now, shard: age.shard, hash: age.hash})
 		}
 	}
