--- a/internal/entry/dispatchlocal.go
+++ b/internal/entry/dispatchlocal.go
@@ -87,7 +87,7 @@
 	result := pool.ResultOf(reply, err)
 	n.recordStart(o, args, result)
 	end, askErr := ask(n.ctx, n, func(r chan<- startEnd) event {
-		return startFinished{pool: p, attempt: o.Attempt, start: result, result: r}
+		return startFinished{pool: p, endpoint: o.Endpoint, attempt: o.Attempt, start: result, result: r}
 	})
 	if askErr != nil {
 		return startEnd{kind: pool.StartLost}
@@ -152,10 +152,11 @@
 
 // startFinished is the result of a start call.
 type startFinished struct {
-	pool    *ownedPool
-	attempt model.AttemptID
-	start   pool.StartResult
-	result  chan<- startEnd
+	pool     *ownedPool
+	endpoint string
+	attempt  model.AttemptID
+	start    pool.StartResult
+	result   chan<- startEnd
 }
 
 func (e startFinished) apply(l *loop) {
@@ -176,6 +177,9 @@
 		// shard owner asks by Pool.Attempts, which remembers it.
 		e.pool.pool.Delivered(l.now(), []model.AttemptID{e.attempt})
 	}
+	if e.start.Kind == pool.StartAccepted {
+		e.pool.kick(e.endpoint)
+	}
 	l.applyPool(e.pool, effects)
 	e.result <- end
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -12,8 +12,13 @@
 	// sessionTimeout bounds one session call. Two of them and an interval stay
 	// well under endpoint.LeaseTTL, so that one lost call never costs a lease.
 	sessionTimeout = 2 * time.Second
-	// sessionBusyInterval replaces endpoint.SessionInterval while work waits
-	// for the pool and the endpoint runs tasks, whose ends only the report tells.
+	// sessionMinInterval and sessionAgeShare set the interval of a worker that
+	// runs tasks: a quarter of the age of its youngest task. Only the report
+	// tells the end of a task, which so is known late by a quarter of its run at
+	// most, at a cost that grows with the logarithm of the run.
+	sessionMinInterval = 50 * time.Millisecond
+	sessionAgeShare    = 4
+	// sessionBusyInterval bounds the interval while work waits for the pool.
 	sessionBusyInterval = 250 * time.Millisecond
 	// sessionRetryInterval follows a failed call.
 	sessionRetryInterval = 500 * time.Millisecond
@@ -67,10 +72,24 @@
 	if err != nil {
 		return sessionRetryInterval
 	}
-	if next.busy && len(reply.Running) > 0 && reply.Kind == "worker" {
-		return sessionBusyInterval
+	return sessionInterval(reply, next.busy)
+}
+
+// sessionInterval returns the time until the next call after a report.
+func sessionInterval(r endpoint.SessionReply, busy bool) time.Duration {
+	if r.Kind != "worker" || len(r.Running) == 0 {
+		return endpoint.SessionInterval
+	}
+	limit := endpoint.SessionInterval
+	if busy {
+		limit = sessionBusyInterval
+	}
+	youngest := r.Running[0].RunMS
+	for _, a := range r.Running {
+		youngest = min(youngest, a.RunMS)
 	}
-	return endpoint.SessionInterval
+	age := time.Duration(youngest) * time.Millisecond
+	return min(limit, max(sessionMinInterval, age/sessionAgeShare))
 }
 
 // kick makes the next call happen at once.
--- a/internal/load/body.go
+++ b/internal/load/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strings"
 )
 
@@ -17,7 +16,7 @@
 		b["fail"] = true
 	}
 	if a.stream.OrderingField != "" {
-		b[a.stream.OrderingField] = fmt.Sprintf("%s-%d", a.stream.OrderingField, a.ordering)
+		b[a.stream.OrderingField] = a.orderingValue()
 	}
 	if a.stream.BodyBytes > 0 {
 		b["padding"] = strings.Repeat("x", a.stream.BodyBytes)
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -98,9 +98,10 @@
 
 // identifierRequest is the body of POST /v1/identifiers.
 type identifierRequest struct {
-	Workspace string `json:"workspace"`
-	Template  string `json:"template"`
-	Count     int    `json:"count"`
+	Workspace   string `json:"workspace"`
+	Template    string `json:"template"`
+	OrderingKey string `json:"ordering_key,omitempty"`
+	Count       int    `json:"count"`
 }
 
 // identifierReply is its reply.
@@ -109,7 +110,9 @@
 }
 
 func (c *caller) generated(ctx context.Context, a arrival) (string, error) {
-	body, err := json.Marshal(identifierRequest{Workspace: a.stream.Workspace, Template: a.stream.Template, Count: 1})
+	body, err := json.Marshal(identifierRequest{
+		Workspace: a.stream.Workspace, Template: a.stream.Template, OrderingKey: a.orderingValue(), Count: 1,
+	})
 	if err != nil {
 		return "", err
 	}
