--- a/cmd/agateyard-standin/hosted.go
+++ b/cmd/agateyard-standin/hosted.go
@@ -12,6 +12,9 @@
 	"github.com/agateyard/agateyard/internal/endpoint/standin"
 )
 
+// deregisterTimeout bounds the removal of the VMs from the platform's list at the end.
+const deregisterTimeout = 3 * time.Second
+
 // hostFlags are the flags that runners and workers share.
 type hostFlags struct {
 	count       int
@@ -78,5 +81,11 @@
 		logrus.Infof("standin: %d VMs registered", len(configs))
 	}
 	<-ctx.Done()
+	// An orderly stop takes the VMs off the list; a killed process leaves them there.
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
+	defer cancel()
+	if err := h.Deregister(bounded); err != nil {
+		logrus.Warnf("standin: VMs stay in the list: %v", err)
+	}
 	return nil
 }
--- a/internal/endpoint/httpclient_test.go
+++ b/internal/endpoint/httpclient_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -368,3 +369,67 @@
 		}
 	}
 }
+
+// BenchmarkSession measures a session call and its bytes on the wire, both
+// ways, for a worker that runs four tasks.
+func BenchmarkSession(b *testing.B) {
+	var wire atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(endpoint.HeaderExchange, r.Header.Get(endpoint.HeaderExchange))
+		reply := endpoint.SessionReply{Instance: "6e107c55-1287-404b-a674-7834284cf798", Kind: "worker"}
+		for i := range 4 {
+			reply.Running = append(reply.Running, endpoint.RunningAttempt{Attempt: startRequest(i).Attempt, Template: "kalnins/cut-list"})
+		}
+		raw, _ := json.Marshal(reply)
+		_, _ = w.Write(raw)
+	}))
+	s.Listener = countingListener{s.Listener, &wire}
+	s.Start()
+	defer s.Close()
+	c := client(b, s.URL[len("http://"):], nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Session(context.Background(), endpoint.SessionRequest{Token: 1, Owner: "a"}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(wire.Load())/float64(b.N), "wire-B/op")
+}
+
+// countingListener counts the bytes of its connections.
+type countingListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.n}, err
+}
+
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkClientMemory measures the memory of an idle client, of which a pool
+// owner has one per endpoint.
+func BenchmarkClientMemory(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		endpoint.NewHTTPClient("127.0.0.1:1", endpoint.DefaultOptions())
+	}
+}
--- a/internal/endpoint/standin/effect.go
+++ b/internal/endpoint/standin/effect.go
@@ -40,8 +40,11 @@
 	Echo     string          `json:"echo,omitempty"`
 	Token    uint64          `json:"token"` // that started the attempt
 	Reason   EndReason       `json:"reason,omitempty"`
-	Leaving  bool            `json:"leaving,omitempty"` // started after the endpoint announced that it leaves
-	AtMicros int64           `json:"at_us"`             // wall clock
+	AtMicros int64           `json:"at_us"` // wall clock
+
+	// LeavingMS is how long before the start the endpoint had announced that it
+	// leaves; 0 if it had not.
+	LeavingMS int64 `json:"leaving_ms,omitempty"`
 }
 
 // Time returns the wall time of the entry.
--- a/internal/endpoint/standin/endpoint.go
+++ b/internal/endpoint/standin/endpoint.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -135,8 +136,7 @@
 	e.faults = f
 	e.setting++
 	setting := e.setting
-	e.in.ledger.leaving = f.Leaving
-	e.in.ledger.refuses = !f.LeavingAccepts
+	e.in.ledger.setLeaving(e.in.now(), f.Leaving, !f.LeavingAccepts)
 	vm, base, ctx := e.vm(), e.platform, e.in.ctx
 	e.mu.Unlock()
 
@@ -204,6 +204,18 @@
 	return register(ctx, platformURL, vm)
 }
 
+// Deregister removes the VM from the platform's list, once, without retries. It
+// does nothing unless the VM was registered.
+func (e *Endpoint) Deregister(ctx context.Context) error {
+	e.mu.Lock()
+	base := e.platform
+	e.mu.Unlock()
+	if base == "" {
+		return nil
+	}
+	return callPlatform(ctx, http.MethodDelete, base+"/admin/vms/"+url.PathEscape(e.cfg.ID), nil)
+}
+
 // Close stops the endpoint. Running work ends without effect.
 func (e *Endpoint) Close() {
 	e.mu.Lock()
--- a/internal/endpoint/standin/endpoint_test.go
+++ b/internal/endpoint/standin/endpoint_test.go
@@ -344,6 +344,11 @@
 			r.e.SetFaults(Faults{})
 			s := r.session(1)
 			r.wantEvents(r.request(1, 1, 0).Attempt, c.events)
+			for _, e := range r.e.Effects().Effects {
+				if (e.LeavingMS > 0) != c.faults.Leaving {
+					t.Errorf("start is logged %d ms after the endpoint announced that it leaves", e.LeavingMS)
+				}
+			}
 			if c.events != "" && len(s.Ended) != 1 {
 				t.Errorf("%d ended in the report, want 1", len(s.Ended))
 			}
@@ -381,6 +386,10 @@
 			http.Error(w, "starting", http.StatusServiceUnavailable)
 			return
 		}
+		if r.Method == http.MethodDelete {
+			delete(vms, strings.TrimPrefix(r.URL.Path, "/admin/vms/"))
+			return
+		}
 		var vm platform.VM
 		if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
 			t.Error(err)
@@ -417,14 +426,18 @@
 	if got := post("/admin/faults", `{"leeving": true}`); got != 400 {
 		t.Errorf("unknown switch: status %d, want 400", got)
 	}
-	(&rig{T: t}).waitFor("leaving", func() bool {
+	rig := &rig{T: t}
+	rig.waitFor("leaving", func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		return vms["worker-3"].State == platform.VMLeaving
 	})
 	mu.Lock()
-	defer mu.Unlock()
 	if len(vms) != 5 || vms["worker-2"].State != platform.VMLive || vms["worker-2"].Address != h.Endpoints()[2].Address() {
 		t.Errorf("VM list: %+v", vms)
 	}
+	mu.Unlock()
+	if err := h.Deregister(t.Context()); err != nil || len(vms) != 0 {
+		t.Errorf("VM list after the end: %+v, %v", vms, err)
+	}
 }
--- a/internal/endpoint/standin/host.go
+++ b/internal/endpoint/standin/host.go
@@ -67,6 +67,16 @@
 	return g.Wait()
 }
 
+// Deregister removes all registered VMs from the platform's list.
+func (h *Host) Deregister(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(registerParallel)
+	for _, e := range h.endpoints {
+		g.Go(func() error { return e.Deregister(ctx) })
+	}
+	return g.Wait()
+}
+
 // Effects returns the effect logs of all endpoints in one list.
 func (h *Host) Effects() EffectLog {
 	all := EffectLog{Effects: []Effect{}}
--- a/internal/endpoint/standin/instance.go
+++ b/internal/endpoint/standin/instance.go
@@ -25,8 +25,7 @@
 	in := &instance{id: uuid.NewString(), started: time.Now()}
 	in.ctx, in.cancel = context.WithCancel(context.Background())
 	in.ledger = newLedger(in.id, e.cfg.Capacity, e.cfg.LeaseTTL)
-	in.ledger.leaving = e.faults.Leaving
-	in.ledger.refuses = !e.faults.LeavingAccepts
+	in.ledger.setLeaving(0, e.faults.Leaving, !e.faults.LeavingAccepts)
 	in.ledger.onEnd = func(a *attempt) { e.logStep(in, a, EffectEnd) }
 	in.lapse = time.AfterFunc(e.cfg.LeaseTTL, func() { e.lapse(in) })
 	return in
@@ -128,7 +127,7 @@
 func (e *Endpoint) logStep(in *instance, a *attempt, event EffectEvent) {
 	entry := Effect{
 		Event: event, Endpoint: e.cfg.ID, Instance: in.id, Attempt: a.id, Template: a.template,
-		Echo: a.work.Echo, Token: a.token, Leaving: a.leaving,
+		Echo: a.work.Echo, Token: a.token, LeavingMS: a.leaving.Milliseconds(),
 	}
 	if event == EffectEnd {
 		entry.Reason = a.reason
--- a/internal/endpoint/standin/ledger.go
+++ b/internal/endpoint/standin/ledger.go
@@ -21,7 +21,8 @@
 	owner      string
 	leaseUntil time.Duration
 	leaving    bool
-	refuses    bool // starts while leaving
+	leavingAt  time.Duration // announcement
+	refuses    bool          // starts while leaving
 
 	seen   map[model.AttemptID]seenAttempt
 	active map[model.AttemptID]*attempt
@@ -53,7 +54,7 @@
 	resources model.Resources
 	work      Work
 	token     uint64
-	leaving   bool // started while leaving
+	leaving   time.Duration // since the announcement, at the start
 	running   bool
 	throttled bool
 	effect    bool
@@ -93,6 +94,22 @@
 	}
 }
 
+// setLeaving announces that the endpoint leaves, or takes it back.
+func (l *ledger) setLeaving(now time.Duration, on, refuses bool) {
+	if on && !l.leaving {
+		l.leavingAt = now
+	}
+	l.leaving, l.refuses = on, refuses
+}
+
+// leavingFor returns the time since the announcement, at least 1 ms; 0 without one.
+func (l *ledger) leavingFor(now time.Duration) time.Duration {
+	if !l.leaving {
+		return 0
+	}
+	return max(now-l.leavingAt, time.Millisecond)
+}
+
 // session takes over or renews, and reports. An empty code is success.
 func (l *ledger) session(now time.Duration, req endpoint.SessionRequest) endpoint.RefusalCode {
 	l.advance(now)
@@ -165,7 +182,7 @@
 	}
 	a := &attempt{
 		id: req.Attempt, template: req.Template, resources: resources, work: w, token: req.Token,
-		leaving: l.leaving, running: true, started: now, limit: req.RunLimit, stop: make(chan struct{}),
+		leaving: l.leavingFor(now), running: true, started: now, limit: req.RunLimit, stop: make(chan struct{}),
 		change: make(chan struct{}, 1),
 	}
 	l.seen[a.id] = seenAttempt{}
--- a/internal/endpoint/standin/register.go
+++ b/internal/endpoint/standin/register.go
@@ -30,15 +30,16 @@
 	pause.InitialInterval = 50 * time.Millisecond
 	pause.MaxInterval = maxRegisterInterval
 	_, err = backoff.Retry(ctx, func() (struct{}, error) {
-		return struct{}{}, postVM(ctx, platformURL+"/admin/vms", body)
+		return struct{}{}, callPlatform(ctx, http.MethodPost, platformURL+"/admin/vms", body)
 	}, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(0))
 	return err
 }
 
-func postVM(ctx context.Context, url string, body []byte) error {
+// callPlatform makes one call.
+func callPlatform(ctx context.Context, method, url string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return backoff.Permanent(err)
 	}
--- a/internal/load/body.go
+++ b/internal/load/body.go
@@ -17,7 +17,7 @@
 		b["fail"] = true
 	}
 	if a.stream.OrderingField != "" {
-		b[a.stream.OrderingField] = fmt.Sprintf("%s-%d", a.stream.OrderingField, a.ordering)
+		b[a.stream.OrderingField] = a.orderingValue()
 	}
 	if a.stream.BodyBytes > 0 {
 		b["padding"] = strings.Repeat("x", a.stream.BodyBytes)
@@ -29,6 +29,14 @@
 	return raw
 }
 
+// orderingValue returns the value of the ordering field, empty without one.
+func (a arrival) orderingValue() string {
+	if a.stream.OrderingField == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s-%d", a.stream.OrderingField, a.ordering)
+}
+
 // runMS returns the run time; replicas of services run until they are stopped.
 func (a arrival) runMS() int64 {
 	if a.stream.Mode == ModeService {
--- a/internal/load/effects.go
+++ b/internal/load/effects.go
@@ -17,6 +17,9 @@
 // effectsTimeout bounds the reading of one effect log.
 const effectsTimeout = 30 * time.Second
 
+// leavingBound is how long an endpoint that is leaving may still get new work.
+const leavingBound = 3 * time.Second
+
 // Promise names a promise of the system.
 type Promise string
 
@@ -26,6 +29,8 @@
 	PromiseAtMostOnce Promise = "non-idempotent request has more than one effect"
 	PromiseNoOverlap  Promise = "two runs of one task overlap"
 	PromiseRan        Promise = "reported ran, but the endpoints have no such run"
+	PromiseOrder      Promise = "request started before an earlier one with its ordering key"
+	PromiseLeaving    Promise = "endpoint got new work long after it announced that it leaves"
 	PromiseCompletion Promise = "effect log is incomplete, nothing is proven"
 )
 
@@ -126,6 +131,7 @@
 	for _, echo := range order {
 		c.check(echo, byEcho[echo])
 	}
+	c.checkOrder(subs)
 	return c.report
 }
 
@@ -151,6 +157,9 @@
 		}
 		for _, e := range l.Effects {
 			c.report.Entries++
+			if e.Event == standin.EffectStart && e.LeavingMS > leavingBound.Milliseconds() {
+				c.add(PromiseLeaving, submission{echo: e.Echo}, fmt.Sprintf("%s after %d ms", e.Endpoint, e.LeavingMS))
+			}
 			k := key{e.Endpoint, e.Instance, e.Attempt}
 			r := byAttempt[k]
 			if r == nil {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -33,15 +33,28 @@
 	status     *model.JobStatus
 }
 
+// acceptedAt returns when the system took the request on or answered it.
+func (r result) acceptedAt() time.Time {
+	switch {
+	case r.accepted > 0:
+		return r.sent.Add(r.accepted)
+	case r.verdict == VerdictError:
+		return time.Time{}
+	}
+	return r.received
+}
+
 // submission is what the effect check needs of one submission.
 type submission struct {
 	echo       string
 	stream     string
 	template   string // "workspace/name"
+	ordering   string // value of the ordering field, empty without one
 	idempotent bool
 	verdict    Verdict
 	failed     bool
 	attempt    model.AttemptID
 	sent       time.Time
 	received   time.Time
+	accepted   time.Time // acceptance of a job or final answer to a request; zero without either
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -208,6 +208,7 @@
 	defer r.mu.Unlock()
 	stats.single(res)
 	r.submissions = append(r.submissions, submission{
+		ordering: a.orderingValue(), accepted: res.acceptedAt(),
 		echo: a.echo, stream: a.stream.Name, template: a.stream.Workspace + "/" + a.stream.Template,
 		idempotent: a.stream.Idempotent, verdict: res.verdict, failed: res.failed, attempt: res.attempt,
 		sent: res.sent, received: res.received,
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -204,6 +204,10 @@
 	sub := func(v Verdict, sentMS int64) submission {
 		return submission{echo: "x", template: "w/t", verdict: v, sent: at.Add(time.Duration(sentMS) * time.Millisecond)}
 	}
+	leaving := func(entries []standin.Effect, ms int64) []standin.Effect {
+		entries[0].LeavingMS = ms
+		return entries
+	}
 	for name, c := range map[string]struct {
 		subs    []submission
 		effects []standin.Effect
@@ -218,6 +222,8 @@
 		"unknown":          {[]submission{sub(VerdictUnknown, 0)}, run("1.a.0.n", 1, 5)[:1], 0, nil},
 		"refused, started": {[]submission{sub(VerdictNotRun, 0)}, run("1.a.0.n", 1, 5)[:1], 0, []Promise{PromiseNotRun}},
 		"later repeat ran": {[]submission{sub(VerdictNotRun, 0), sub(VerdictRan, 3)}, run("1.a.0.n", 4, 5), 0, nil},
+		"leaving":          {[]submission{sub(VerdictRan, 0)}, leaving(run("1.a.0.n", 1, 5), 3001), 0, []Promise{PromiseLeaving}},
+		"just announced":   {[]submission{sub(VerdictRan, 0)}, leaving(run("1.a.0.n", 1, 5), 2999), 0, nil},
 		"earlier run":      {[]submission{sub(VerdictNotRun, 0), sub(VerdictRan, 3)}, run("1.a.0.n", 2, 5), 0, []Promise{PromiseNotRun}},
 	} {
 		rep := checkEffects(c.subs, []standin.EffectLog{{Effects: c.effects, Dropped: c.dropped}}, 1)
@@ -230,3 +236,31 @@
 		}
 	}
 }
+
+// Guards against jobs that overtake one another within an ordering key.
+func TestCheckOrder(t *testing.T) {
+	at := time.Unix(1000, 0)
+	ms := func(n int) time.Time { return at.Add(time.Duration(n) * time.Millisecond) }
+	sub := func(echo, ordering string, sent, accepted int) submission {
+		return submission{echo: echo, template: "w/t", stream: "w/t", ordering: ordering, verdict: VerdictUnknown, sent: ms(sent), accepted: ms(accepted)}
+	}
+	start := func(echo string, n int) standin.Effect {
+		return standin.Effect{Event: standin.EffectStart, Endpoint: "e", Attempt: model.AttemptID("1." + echo + ".0.n"), Echo: echo, AtMicros: ms(n).UnixMicro()}
+	}
+	for name, c := range map[string]struct {
+		subs    []submission
+		effects []standin.Effect
+		want    int
+	}{
+		"in order":    {[]submission{sub("a", "k", 0, 2), sub("b", "k", 3, 4)}, []standin.Effect{start("a", 5), start("b", 6)}, 0},
+		"overtaken":   {[]submission{sub("a", "k", 0, 2), sub("b", "k", 3, 4)}, []standin.Effect{start("a", 6), start("b", 5)}, 1},
+		"concurrent":  {[]submission{sub("a", "k", 0, 4), sub("b", "k", 3, 4)}, []standin.Effect{start("a", 6), start("b", 5)}, 0},
+		"other key":   {[]submission{sub("a", "k", 0, 2), sub("b", "l", 3, 4)}, []standin.Effect{start("a", 6), start("b", 5)}, 0},
+		"by the last": {[]submission{sub("a", "k", 0, 1), sub("b", "k", 2, 3), sub("c", "k", 4, 5)}, []standin.Effect{start("a", 9), start("b", 9), start("c", 7)}, 1},
+	} {
+		rep := checkEffects(c.subs, []standin.EffectLog{{Effects: c.effects}}, 1)
+		if len(rep.Violations) != c.want {
+			t.Errorf("%s: violations %v, want %d", name, rep.Violations, c.want)
+		}
+	}
+}
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 )
 
 // Table writes the report as text.
 func (r Report) Table(w io.Writer) error {
-	fmt.Fprintf(w, "scenario %s, seed %d, started %s\n", r.Scenario, r.Seed, r.Started.Format("2006-01-02 15:04:05"))
+	fmt.Fprintf(w, "scenario %s, seed %d, started %s; latencies in ms\n", r.Scenario, r.Seed, r.Started.Format("2006-01-02 15:04:05"))
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	for _, p := range r.Phases {
 		fmt.Fprintf(t, "\nphase %s, %s\n", p.Name, p.Duration)
@@ -21,8 +23,8 @@
 	}
 	fmt.Fprintf(w, "\nsend lag of the generator: p99 %.1f ms, max %.1f ms\n", r.SendLag.P99, r.SendLag.Maximum)
 	for _, s := range r.Total {
-		for reason, n := range s.Reasons {
-			fmt.Fprintf(w, "%s: %s %d\n", s.Stream, reason, n)
+		for _, reason := range slices.Sorted(maps.Keys(s.Reasons)) {
+			fmt.Fprintf(w, "%s: %s %d\n", s.Stream, reason, s.Reasons[reason])
 		}
 		for _, e := range s.Errors {
 			fmt.Fprintf(w, "%s: error: %s\n", s.Stream, e)
@@ -46,10 +48,10 @@
 }
 
 func writeStreams(w io.Writer, streams []StreamReport) {
-	fmt.Fprintln(w, "stream\tsent\tran\tnot-run\tunknown\terror\trunning\tdropped\tran/s\tp50\tp90\tp99\tp999\tmax\twait p99\trefusal p99\tms\t")
+	fmt.Fprintln(w, "stream\tsent\tran\tnot-run\tunknown\terror\trunning\tdropped\tran/s\tp50\tp90\tp99\tp999\tmax\twait p99\trefusal p99\t")
 	for _, s := range streams {
 		c, l := s.Counts, s.Latency
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\t\n",
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
 			s.Stream, c.Sent, c.Ran, c.NotRun, c.Unknown, c.Error, c.Running, c.Dropped, s.Throughput,
 			l.P50, l.P90, l.P99, l.P999, l.Maximum, s.Wait.P99, s.Refusal.P99)
 	}
