--- a/cmd/agateyard-load/main.go
+++ b/cmd/agateyard-load/main.go
@@ -11,7 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"github.com/agateyard/agateyard/internal/load"
@@ -23,7 +22,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := newCommand().ExecuteContext(ctx); err != nil {
-		logrus.Errorf("load: %v", err)
+		fmt.Fprintf(os.Stderr, "agateyard-load: %v\n", err)
 		os.Exit(1)
 	}
 }
@@ -71,6 +70,9 @@
 	}
 	s.Scale(f.factor)
 	rep, err := load.Run(cmd.Context(), s, load.Options{Effects: f.effects, Settle: f.settle})
+	if rep.Started.IsZero() {
+		return err
+	}
 	if err := errors.Join(err, f.write(rep)); err != nil {
 		return err
 	}
--- a/cmd/agateyard-standin/main.go
+++ b/cmd/agateyard-standin/main.go
@@ -3,11 +3,11 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 )
 
@@ -15,7 +15,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := newCommand().ExecuteContext(ctx); err != nil {
-		logrus.Errorf("standin: %v", err)
+		fmt.Fprintf(os.Stderr, "agateyard-standin: %v\n", err)
 		os.Exit(1)
 	}
 }
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -173,7 +173,7 @@
 	for text, want := range map[string]string{
 		"":                                       "needs a phase",
 		head + phase + "rates = {\"w/x\" = 1}":   "unknown stream",
-		head + "ratio = 1\n" + phase:             "ratio",
+		head + "ratio = 1\n" + phase:             "line 4, column 1: unknown key \"stream.ratio\"",
 		head + "limit = \"2 seconds\"\n" + phase: "unknown unit",
 		head + "mode = \"batch\"\n" + phase:      "unknown mode",
 		head + "repeat = 0.1\nidentifier = \"none\"\n" + phase:      "need an identifier",
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/url"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -62,7 +63,12 @@
 	err := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields().Decode(&s)
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) {
-		return Scenario{}, errors.New(strict.String())
+		return Scenario{}, unknownKeys(strict)
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, column := decode.Position()
+		return Scenario{}, fmt.Errorf("line %d, column %d: %w", row, column, err)
 	}
 	if err != nil {
 		return Scenario{}, err
@@ -76,6 +82,16 @@
 	return s, s.Validate()
 }
 
+// unknownKeys returns one error for each unknown key, joined.
+func unknownKeys(strict *toml.StrictMissingError) error {
+	var errs []error
+	for _, e := range strict.Errors {
+		row, column := e.Position()
+		errs = append(errs, fmt.Errorf("line %d, column %d: unknown key %q", row, column, strings.Join(e.Key(), ".")))
+	}
+	return errors.Join(errs...)
+}
+
 // Validate returns all faults, joined.
 func (s Scenario) Validate() error {
 	var errs []error
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -41,7 +41,11 @@
 	for _, b := range broken {
 		fmt.Fprintf(w, "BROKEN: %s\n", b)
 	}
-	if len(broken) == 0 {
+	switch {
+	case len(broken) > 0:
+	case r.Effects == nil:
+		fmt.Fprintln(w, "no wrong answer; effects were not checked")
+	default:
 		fmt.Fprintln(w, "no promise broken")
 	}
 	return nil
