--- a/internal/pool/fake_endpoint_test.go
+++ b/internal/pool/fake_endpoint_test.go
@@ -35,7 +35,7 @@
 func (f *fakeEndpoint) restart(now time.Time) {
 	f.generation++
 	f.startedAt = now
-	f.token, f.seq, f.ended = 0, 0, nil
+	f.token, f.seq, f.ended, f.lease = 0, 0, nil, now
 	f.running = map[model.AttemptID]StartOrder{}
 	f.blocked = map[model.AttemptID]bool{}
 	f.seen = map[model.AttemptID]bool{}
@@ -60,10 +60,18 @@
 	f.history[a] = "answer " + answer
 	f.ended = append(f.ended, endpoint.EndedAttempt{
 		Seq: f.seq, Attempt: a, Template: order.Template.String(), Stopped: stopped, HasAnswer: true, RunMS: 5,
-		Answer: model.Answer{Status: 200, Body: []byte(f.history[a])},
+		Answer: f.answer(a),
 	})
 }
 
+func (f *fakeEndpoint) answer(a model.AttemptID) model.Answer {
+	status := 200
+	if f.history[a] == "answer failed" {
+		status = 500
+	}
+	return model.Answer{Status: status, Body: []byte(f.history[a])}
+}
+
 func (f *fakeEndpoint) session(now time.Time, r endpoint.SessionRequest) (endpoint.SessionReply, error) {
 	f.expire(now)
 	if r.Token < f.token {
@@ -96,7 +104,7 @@
 		return endpoint.ErrRepeated
 	case f.blocked[o.Attempt]:
 		return endpoint.ErrCancelled
-	case f.clock(now) > o.StartBeforeMS:
+	case f.clock(now) > o.StartBeforeMS || !now.Before(f.lease):
 		return endpoint.ErrExpired
 	case f.leaving:
 		return endpoint.ErrLeaving
--- a/internal/pool/fuzz_test.go
+++ b/internal/pool/fuzz_test.go
@@ -27,6 +27,13 @@
 	reply    endpoint.SessionReply
 }
 
+// startCall is a start call that has not returned.
+type startCall struct {
+	StartOrder
+	arrived bool
+	err     error
+}
+
 // fuzzWorld is a pool, the endpoints that it talks to, and the messages under way.
 type fuzzWorld struct {
 	t         *rapid.T
@@ -36,7 +43,7 @@
 	fakes     map[string]*fakeEndpoint
 	templates []model.Template
 	grants    []model.Grant
-	calls     []StartOrder // start calls under way
+	calls     []startCall  // start calls under way
 	strays    []StartOrder // given up by the owner, still in the network
 	replies   []lateReply
 	begun     map[model.AttemptID]StartOrder // by this owner
@@ -70,17 +77,29 @@
 func (w *fuzzWorld) takeover() {
 	w.token++
 	w.pool = New("worker/z/r", fmt.Sprint("owner", w.token), w.token, DefaultConfig(), rand.New(rand.NewSource(int64(w.token))))
-	w.strays = append(w.strays, w.calls...)
+	for _, c := range w.calls {
+		w.stray(c)
+	}
 	w.grants, w.calls, w.replies = nil, nil, nil
 	w.begun = map[model.AttemptID]StartOrder{}
 	w.settled = map[model.AttemptID]model.AttemptEnd{}
 	setTemplates(w.pool, w.templates...)
+	if rapid.Bool().Draw(w.t, "grid") {
+		w.pool.index = newGridIndex(false, nil)
+	}
 	for _, name := range sortedKeys(w.fakes) {
 		w.pool.AddEndpoint(w.now, name)
 	}
 	w.pool.EndpointsListed()
 }
 
+// stray leaves a call that the owner gave up in the network.
+func (w *fuzzWorld) stray(c startCall) {
+	if !c.arrived {
+		w.strays = append(w.strays, c.StartOrder)
+	}
+}
+
 func (w *fuzzWorld) fake() *fakeEndpoint {
 	return w.fakes[rapid.SampledFrom(sortedKeys(w.fakes)).Draw(w.t, "endpoint")]
 }
@@ -125,7 +144,7 @@
 			w.t.Fatalf("%s told as ended with %q, truth %q", s.Settled.Attempt, s.Settled.Answer.Body, truth)
 		}
 	}
-	if _, runs := f.running[s.Settled.Attempt]; runs {
+	if o, runs := f.running[s.Settled.Attempt]; runs && !f.blindTo(o) {
 		w.t.Fatalf("%s told as %s while it runs", s.Settled.Attempt, s.Settled.End)
 	}
 	if _, ours := w.begun[s.Settled.Attempt]; ours && s.To != "s" {
@@ -145,6 +164,7 @@
 		"schedule":     func(*rapid.T) { w.schedule() },
 		"begin":        func(*rapid.T) { w.begin() },
 		"startArrives": func(*rapid.T) { w.startArrives() },
+		"startReturns": func(*rapid.T) { w.startReturns() },
 		"startLost":    func(*rapid.T) { w.startLost() },
 		"strayArrives": func(*rapid.T) { w.strayArrives() },
 		"return":       func(*rapid.T) { w.giveBack() },
@@ -166,14 +186,14 @@
 	case 0:
 		f.restart(w.now)
 		// A restart resets the connections to the endpoint.
-		keep := func(o StartOrder) bool { return o.Endpoint == f.id }
-		w.strays = slices.DeleteFunc(w.strays, keep)
+		here := func(o StartOrder) bool { return o.Endpoint == f.id }
+		w.strays = slices.DeleteFunc(w.strays, here)
 		for _, o := range w.calls {
 			if o.Endpoint == f.id {
 				w.apply(w.pool.Finished(w.now, o.Attempt, ResultOf(endpoint.StartReply{}, endpoint.ErrLost)))
 			}
 		}
-		w.calls = slices.DeleteFunc(w.calls, keep)
+		w.calls = slices.DeleteFunc(w.calls, func(c startCall) bool { return here(c.StartOrder) })
 	case 1:
 		f.capacity = worker(2, 8, 0)
 		w.shrunk[f.id] = true
@@ -239,10 +259,13 @@
 }
 
 func (w *fuzzWorld) schedule() {
-	for _, a := range w.pool.Schedule(w.now) {
+	list := w.pool.Schedule(w.now)
+	for _, a := range list {
 		w.checkGrant(a.Grant)
 	}
-	w.checkLimits()
+	if len(list) > 0 {
+		w.checkLimits(list[len(list)-1].Grant)
+	}
 }
 
 func (w *fuzzWorld) hold() {
@@ -272,18 +295,16 @@
 	w.grants = append(w.grants, g)
 }
 
-// checkLimits checks the reserve: as long as confirm holds less, others that
-// were granted anything in this call left it free, unless they hold one grant.
-func (w *fuzzWorld) checkLimits() {
+// checkLimits checks the reserve of confirm after the last grant of a call: a
+// template that holds more than that one grant left the reserve free.
+func (w *fuzzWorld) checkLimits(last model.Grant) {
 	p := w.pool
-	t := p.template(w.templates[3].ID)
-	gap := t.reserved(p.total())
-	last := w.grants[max(0, len(w.grants)-1):]
-	if len(last) == 0 || p.grants[last[0].ID] == nil || last[0].Template == t.ID || p.grants[last[0].ID].probe {
+	confirm := p.template(w.templates[3].ID)
+	holder := p.template(last.Template)
+	if holder == confirm || p.grants[last.ID].probe || holder.count <= len(last.Endpoints) {
 		return
 	}
-	holder := p.template(last[0].Template)
-	if holder.count > len(last[0].Endpoints) && p.grants[last[0].ID].expires.Equal(w.now.Add(p.cfg.GrantTTL)) && !gap.Fits(p.free()) {
+	if gap := confirm.reserved(p.total()); !gap.Fits(p.free()) {
 		w.t.Fatalf("%s took the reserve: free %v, reserved %v", holder.ID, p.free(), gap)
 	}
 }
@@ -310,45 +331,64 @@
 			w.t.Fatalf("start on leaving endpoint %s", o.Endpoint)
 		}
 		w.begun[o.Attempt] = o
+		w.calls = append(w.calls, startCall{StartOrder: o})
 	}
-	w.calls = append(w.calls, orders...)
 	if _, err := w.pool.Begin(w.now, g.ID, ids); !errors.Is(err, ErrAttemptKnown) {
 		w.t.Fatalf("repeated dispatch got %v", err)
 	}
 }
 
-func (w *fuzzWorld) takeCall() (StartOrder, bool) {
-	if len(w.calls) == 0 {
-		return StartOrder{}, false
+func (w *fuzzWorld) drawCall(arrived bool) int {
+	var fit []int
+	for i, c := range w.calls {
+		if c.arrived == arrived {
+			fit = append(fit, i)
+		}
 	}
-	i := rapid.IntRange(0, len(w.calls)-1).Draw(w.t, "call")
-	o := w.calls[i]
-	w.calls = slices.Delete(w.calls, i, i+1)
-	return o, true
+	if len(fit) == 0 {
+		return -1
+	}
+	return rapid.SampledFrom(fit).Draw(w.t, "call")
 }
 
 func (w *fuzzWorld) startArrives() {
-	o, ok := w.takeCall()
-	if !ok {
+	i := w.drawCall(false)
+	if i < 0 {
 		return
 	}
-	f := w.fakes[o.Endpoint]
-	err := f.start(w.now, o)
-	if errors.Is(err, endpoint.ErrNoRoom) && !w.shrunk[f.id] {
-		w.t.Fatalf("%s granted beyond what %s has", o.Attempt, f.id)
+	c := &w.calls[i]
+	f := w.fakes[c.Endpoint]
+	c.arrived, c.err = true, f.start(w.now, c.StartOrder)
+	if errors.Is(c.err, endpoint.ErrNoRoom) && !w.shrunk[f.id] {
+		w.t.Fatalf("%s granted beyond what %s has", c.Attempt, f.id)
 	}
-	if rapid.IntRange(0, 3).Draw(w.t, "lost") == 0 {
-		err = endpoint.ErrLost
+}
+
+func (w *fuzzWorld) startReturns() {
+	i := w.drawCall(true)
+	if i < 0 {
+		return
+	}
+	c := w.calls[i]
+	w.calls = slices.Delete(w.calls, i, i+1)
+	f := w.fakes[c.Endpoint]
+	reply := endpoint.StartReply{Accepted: true}
+	if answer := f.history[c.Attempt]; answer != "" {
+		reply = endpoint.StartReply{Answer: f.answer(c.Attempt), RunMS: 5}
 	}
 	w.advance(time.Millisecond)
-	w.apply(w.pool.Finished(w.now, o.Attempt, ResultOf(endpoint.StartReply{Accepted: true}, err)))
+	w.apply(w.pool.Finished(w.now, c.Attempt, ResultOf(reply, c.err)))
 }
 
 func (w *fuzzWorld) startLost() {
-	if o, ok := w.takeCall(); ok {
-		w.apply(w.pool.Finished(w.now, o.Attempt, ResultOf(endpoint.StartReply{}, endpoint.ErrLost)))
-		w.strays = append(w.strays, o)
+	if len(w.calls) == 0 {
+		return
 	}
+	i := rapid.IntRange(0, len(w.calls)-1).Draw(w.t, "call")
+	c := w.calls[i]
+	w.calls = slices.Delete(w.calls, i, i+1)
+	w.apply(w.pool.Finished(w.now, c.Attempt, ResultOf(endpoint.StartReply{}, endpoint.ErrLost)))
+	w.stray(c)
 }
 
 func (w *fuzzWorld) strayArrives() {
@@ -377,7 +417,8 @@
 func (w *fuzzWorld) endTask() {
 	f := w.fake()
 	if len(f.running) > 0 {
-		f.end(rapid.SampledFrom(sortedKeys(f.running)).Draw(w.t, "attempt"), "done", false)
+		answer := rapid.SampledFrom([]string{"done", "done", "failed"}).Draw(w.t, "answer")
+		f.end(rapid.SampledFrom(sortedKeys(f.running)).Draw(w.t, "attempt"), answer, false)
 	}
 }
 
@@ -432,6 +473,7 @@
 			w.t.Fatalf("%s charged %v, holds %v", t.ID, t.charged, held[t])
 		}
 	}
+	w.checkAttempts()
 	for _, a := range sortedKeys(w.begun) {
 		f := w.fakes[w.begun[a].Endpoint]
 		if _, runs := f.running[a]; runs && p.attempts[a] == nil && !f.blindTo(w.begun[a]) {
@@ -440,6 +482,27 @@
 	}
 }
 
+// checkAttempts checks that a shard owner that asks finds every attempt.
+func (w *fuzzWorld) checkAttempts() {
+	all := map[model.ShardID]bool{}
+	for s := range model.ShardID(model.ShardCount) {
+		all[s] = true
+	}
+	states, _ := w.pool.Attempts(all)
+	listed := map[model.AttemptID]bool{}
+	for _, s := range states {
+		listed[s.Attempt] = true
+		if end, told := w.settled[s.Attempt]; told != (s.Settled != nil) || (told && end != s.Settled.End) {
+			w.t.Fatalf("%s listed as %+v, told %q", s.Attempt, s, end)
+		}
+	}
+	for a, o := range w.begun {
+		if _, told := w.settled[a]; !told && !listed[a] {
+			w.t.Fatalf("%s at %s is not listed", a, o.Endpoint)
+		}
+	}
+}
+
 // heal lets everything end and checks that nothing stays charged or untold.
 func (w *fuzzWorld) heal() {
 	for len(w.calls) > 0 {
--- a/internal/pool/settle.go
+++ b/internal/pool/settle.go
@@ -28,7 +28,7 @@
 
 // record remembers the end of an attempt and has it delivered.
 func (p *Pool) record(now time.Time, e *endpointState, to string, s model.Settled) {
-	rec := &settledRecord{settled: s, endpoint: e, at: now}
+	rec := &settledRecord{settled: s, at: now}
 	p.settled[s.Attempt] = rec
 	p.forget = append(p.forget, rec)
 	p.pending.Settled = append(p.pending.Settled, SettledTo{To: to, Settled: s})
@@ -45,7 +45,9 @@
 			continue
 		}
 		rec.delivered = true
-		rec.endpoint.acks.deliver(id)
+		if e := p.endpoints[rec.settled.Endpoint]; e != nil {
+			e.acks.deliver(id)
+		}
 	}
 }
 
@@ -58,7 +60,7 @@
 			kept = append(kept, p.forget[i:]...)
 			break
 		}
-		if p.mayReturn(rec) {
+		if p.mayReturn(now, rec) {
 			kept = append(kept, rec)
 			continue
 		}
@@ -68,8 +70,18 @@
 	p.forget = kept
 }
 
-func (p *Pool) mayReturn(rec *settledRecord) bool {
-	return p.endpoints[rec.endpoint.id] == rec.endpoint && !rec.endpoint.lastSent.After(rec.at)
+// unreportedRetention bounds how long the end of an attempt that an endpoint may
+// still list is remembered. It is the retention of the at-most-once record.
+const unreportedRetention = 15 * time.Minute
+
+// mayReturn reports whether an endpoint that has not been heard of since may
+// still list the attempt of the record. It may have left the VM list meanwhile.
+func (p *Pool) mayReturn(now time.Time, rec *settledRecord) bool {
+	if rec.settled.End == model.AttemptNotStarted || now.Sub(rec.at) > unreportedRetention {
+		return false
+	}
+	e := p.endpoints[rec.settled.Endpoint]
+	return e == nil || !e.lastSent.After(rec.at)
 }
 
 // Finished handles the result of a start call.
--- a/internal/pool/settled_record.go
+++ b/internal/pool/settled_record.go
@@ -9,7 +9,6 @@
 // settledRecord remembers the end of an attempt.
 type settledRecord struct {
 	settled   model.Settled
-	endpoint  *endpointState
 	at        time.Time
 	delivered bool
 }
