--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 	opts     cellOptions
 	platform string // base URL
 	admins   []string
+	mu       sync.Mutex // guards entries
 	entries  []*entryProc
 }
 
--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -47,9 +47,15 @@
 // waitDone waits for the outcome of jobs.
 func (c *cell) waitDone(e *entryProc, template string, ids []string, limit time.Duration) {
 	c.t.Helper()
+	var last model.JobStatus
+	defer func() {
+		if c.t.Failed() {
+			c.t.Logf("last job that was not done: %+v", last)
+		}
+	}()
 	c.eventually(limit, "jobs done", func() bool {
 		for _, id := range ids {
-			if c.jobStatus(e, template, id).State != model.JobDone {
+			if last = c.jobStatus(e, template, id); last.State != model.JobDone {
 				return false
 			}
 		}
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -17,6 +17,7 @@
 type loadOptions struct {
 	rate      int // requests a second
 	length    time.Duration
+	stop      <-chan struct{} // ends the load early; nil for never
 	runMS     int64
 	templates []string
 	seed      int64
@@ -33,7 +34,12 @@
 	defer ticker.Stop()
 	end := time.Now().Add(o.length)
 	for time.Now().Before(end) {
-		<-ticker.C
+		select {
+		case <-o.stop:
+			wg.Wait()
+			return
+		case <-ticker.C:
+		}
 		template := o.templates[rnd.Intn(len(o.templates))]
 		pick := rnd.Int()
 		wg.Go(func() { h.caller(o, template, pick) })
@@ -63,6 +69,8 @@
 
 // live returns the HTTP addresses of entry processes that have not ended.
 func (c *cell) live() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var out []string
 	for _, e := range c.entries {
 		select {
--- a/internal/entry/dispatches.go
+++ b/internal/entry/dispatches.go
@@ -107,6 +107,11 @@
 
 func (e dispatched) apply(l *loop) {
 	if e.err == nil {
+		for _, s := range e.reply.Settled {
+			if l.takeover.settles(s.Attempt) {
+				l.acks.replied(s.Attempt, e.grant.Pool)
+			}
+		}
 		l.settleOrForward(e.reply.Settled)
 		return
 	}
--- a/internal/entry/dispatchlocal.go
+++ b/internal/entry/dispatchlocal.go
@@ -173,9 +173,8 @@
 	}
 	effects.Settled = others
 	if end.settled != nil {
-		// The reply of the dispatch carries the end. If the reply gets lost, the
-		// shard owner asks by Pool.Attempts, which remembers it.
-		e.pool.pool.Delivered(l.now(), []model.AttemptID{e.attempt})
+		// The reply of the dispatch carries the end.
+		l.outbox.confirmLater(e.pool, *end.settled)
 	}
 	if e.start.Kind == pool.StartAccepted {
 		e.pool.kick(e.endpoint)
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -18,6 +18,7 @@
 	for _, ev := range e.Events {
 		l.n.recorder.Record(timeline.Event{Part: "shard", Name: ev.Name, Request: ev.Request, Attempt: ev.Attempt, Detail: ev.Detail})
 	}
+	l.acks.add(e.Acks)
 	l.demandDirty = true
 }
 
@@ -132,19 +133,3 @@
 		l.applyShard(l.table.Settle(now, s))
 	}
 }
-
-// acceptSettled takes ends delivered by pool owners. It reports false when
-// none was taken because a shard is not held here.
-func (l *loop) acceptSettled(settled []model.Settled) bool {
-	for _, s := range settled {
-		if !l.takeover.settles(s.Attempt) {
-			return false
-		}
-	}
-	now := l.now()
-	for _, s := range settled {
-		delete(l.dispatches.lost, s.Attempt)
-		l.applyShard(l.table.Settle(now, s))
-	}
-	return true
-}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -48,6 +48,7 @@
 	takeover    *takeover
 	outbox      *outbox
 	dispatches  *dispatches
+	acks        *acks
 	compaction  compaction
 	capacityAt  time.Time
 	peerHeard   time.Time // last message from a peer
@@ -72,6 +73,7 @@
 	l.takeover = newTakeover(l)
 	l.outbox = newOutbox(l)
 	l.dispatches = newDispatches(l)
+	l.acks = newAcks(l)
 	return l
 }
 
@@ -117,6 +119,7 @@
 		l.applyPool(p, p.pool.Tick(now))
 	}
 	l.outbox.retry(now)
+	l.acks.flush(now)
 	l.dispatches.resolve(now)
 	l.takeover.tick(now)
 	l.compaction.due(l)
--- a/internal/entry/outbox.go
+++ b/internal/entry/outbox.go
@@ -9,7 +9,11 @@
 
 const (
 	outboxRetryInterval = 500 * time.Millisecond
-	outboxTimeout       = time.Second
+	// outboxTimeout exceeds a write of the journal, which the receiver waits for.
+	outboxTimeout = 3 * time.Second
+	// confirmTimeout is how long the confirmation of an end may take before the
+	// end is delivered once more.
+	confirmTimeout = 5 * time.Second
 	// outboxKeep is how long an end is offered to a shard owner that can't be
 	// reached. A later owner asks by Pool.Attempts instead.
 	outboxKeep = 60 * time.Second
@@ -30,10 +34,12 @@
 	waiting  []*settlement
 	inFlight map[string]bool // by receiver
 	retryAt  time.Time
+	replied  map[model.AttemptID]*settlement // ends that went with the reply of a dispatch
+	order    []repliedEnd
 }
 
 func newOutbox(l *loop) *outbox {
-	return &outbox{l: l, inFlight: make(map[string]bool)}
+	return &outbox{l: l, inFlight: make(map[string]bool), replied: make(map[model.AttemptID]*settlement)}
 }
 
 // add queues the end of an attempt.
@@ -42,8 +48,42 @@
 	o.retryAt = time.Time{}
 }
 
+// confirmLater queues an end that went with the reply of a dispatch. It is
+// delivered again unless the shard owner confirms it first.
+func (o *outbox) confirmLater(p *ownedPool, settled model.Settled) {
+	now := o.l.now()
+	o.replied[settled.Attempt] = &settlement{pool: p, settled: settled, since: now}
+	o.order = append(o.order, repliedEnd{attempt: settled.Attempt, due: now.Add(confirmTimeout)})
+}
+
+// forget drops ends that are confirmed.
+func (o *outbox) forget(attempts []model.AttemptID) {
+	for _, a := range attempts {
+		delete(o.replied, a)
+	}
+}
+
+// requeue delivers ends again that were not confirmed in time.
+func (o *outbox) requeue(now time.Time) {
+	for len(o.order) > 0 && !now.Before(o.order[0].due) {
+		a := o.order[0].attempt
+		o.order = o.order[1:]
+		if s, ok := o.replied[a]; ok {
+			delete(o.replied, a)
+			o.waiting = append(o.waiting, s)
+		}
+	}
+}
+
+// repliedEnd is an end that waits for its confirmation.
+type repliedEnd struct {
+	attempt model.AttemptID
+	due     time.Time
+}
+
 // retry sends what waits, one batch per receiver at a time.
 func (o *outbox) retry(now time.Time) {
+	o.requeue(now)
 	if len(o.waiting) == 0 || now.Before(o.retryAt) {
 		return
 	}
@@ -83,17 +123,11 @@
 	for i, s := range batch {
 		settled[i] = s.settled
 	}
+	o.inFlight[to] = true
 	if to == o.l.n.self.Incarnation {
-		if !o.l.acceptSettled(settled) {
-			o.waiting = append(o.waiting, batch...)
-			return
-		}
-		for _, s := range batch {
-			o.done(s)
-		}
+		go o.l.n.deliverLocal(to, batch, settled)
 		return
 	}
-	o.inFlight[to] = true
 	n := o.l.n
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, outboxTimeout)
@@ -115,6 +149,14 @@
 	s.pool.pool.Delivered(o.l.now(), []model.AttemptID{s.settled.Attempt})
 }
 
+// deliverLocal delivers a batch to the own shard table and waits for the journal.
+func (n *Node) deliverLocal(to string, batch []*settlement, settled []model.Settled) {
+	ctx, cancel := context.WithTimeout(n.ctx, outboxTimeout)
+	defer cancel()
+	taken, err := ask(ctx, n, func(r chan<- bool) event { return endsArrived{settled: settled, result: r} })
+	n.post(endedSent{to: to, batch: batch, ok: err == nil && taken})
+}
+
 // endedSent is the result of delivering a batch.
 type endedSent struct {
 	to    string
--- a/internal/entry/rpcpool.go
+++ b/internal/entry/rpcpool.go
@@ -60,6 +60,14 @@
 	return err
 }
 
+// Delivered takes the confirmation of ends.
+func (s *PoolService) Delivered(args DeliveredArgs, reply *Empty) error {
+	s.n.observe(args.Header)
+	s.n.post(deliveredEvent{args: args})
+	reply.Header = s.n.header()
+	return nil
+}
+
 // Stop cancels attempts.
 func (s *PoolService) Stop(args StopAttemptsArgs, reply *Empty) error {
 	s.n.observe(args.Header)
--- a/internal/entry/rpcshard.go
+++ b/internal/entry/rpcshard.go
@@ -67,7 +67,7 @@
 // Ended takes the ends of attempts.
 func (s *ShardService) Ended(args EndedArgs, reply *EndedReply) error {
 	s.n.observe(args.Header)
-	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
+	ctx, cancel := context.WithTimeout(s.n.ctx, outboxTimeout)
 	defer cancel()
 	taken, err := ask(ctx, s.n, func(r chan<- bool) event { return endsArrived{settled: args.Settled, result: r} })
 	reply.Header, reply.Taken = s.n.header(), taken
@@ -80,7 +80,18 @@
 	result  chan<- bool
 }
 
-func (e endsArrived) apply(l *loop) { e.result <- l.acceptSettled(e.settled) }
+// apply takes the ends; the result follows when their records are written.
+func (e endsArrived) apply(l *loop) {
+	if !l.takeover.settlesAll(e.settled) {
+		e.result <- false
+		return
+	}
+	l.acks.expect(e.settled, e.result)
+	for _, s := range e.settled {
+		delete(l.dispatches.lost, s.Attempt)
+		l.applyShard(l.table.Settle(l.now(), s))
+	}
+}
 
 // Claim hands over the state of shards that a view gives to the sender.
 func (s *ShardService) Claim(args ClaimArgs, reply *ClaimReply) error {
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -91,7 +91,9 @@
 // hold takes a shard: the ownership goes to the journal before its records.
 func (t *takeover) hold(now time.Time, s model.ShardID, epoch uint64, take func() shard.Effects) {
 	t.held[s] = epoch
-	t.l.appendEntry(journalEntry{Own: &ownership{Shard: s, Epoch: epoch}}, false, nil)
+	t.l.appendEntry(journalEntry{Own: &ownership{Shard: s, Epoch: epoch}}, time.Time{}, func(_ error, seq uint64) event {
+		return ownershipWritten{seq: seq}
+	})
 	t.l.applyShard(take())
 }
 
@@ -105,6 +107,16 @@
 	return held && !t.frozen[s]
 }
 
+// settlesAll reports whether all ends are to be taken here.
+func (t *takeover) settlesAll(settled []model.Settled) bool {
+	for _, s := range settled {
+		if !t.settles(s.Attempt) {
+			return false
+		}
+	}
+	return true
+}
+
 // open reports whether requests of the shard are served here.
 func (t *takeover) open(s model.ShardID) bool {
 	_, held := t.held[s]
--- a/internal/load/arrivals.go
+++ b/internal/load/arrivals.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -70,11 +69,3 @@
 // newEcho returns the value that the work repeats in its answer and that the
 // effect logs carry. It is unique over runs.
 func newEcho() string { return uuid.NewString() }
-
-// orderingValue returns the ordering key of the request, empty without one.
-func (a arrival) orderingValue() string {
-	if a.stream.OrderingField == "" {
-		return ""
-	}
-	return fmt.Sprintf("%s-%d", a.stream.OrderingField, a.ordering)
-}
--- a/internal/load/body.go
+++ b/internal/load/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 )
 
