--- /dev/null
+++ b/internal/configstore/cache_test.go
@@ -0,0 +1,235 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// inForceBound is the time within which a configuration must be in force.
+const inForceBound = 7 * time.Second
+
+func encoded(t interface{ Fatal(...any) }, workspace string, revision uint64) Doc {
+	c := workspaceChange(workspace, fmt.Sprintf("r%d", revision), 0)
+	d := Document{Revision: revision, Changes: []string{c.ID}, Source: c.Source}
+	value, err := d.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Doc{Name: WorkspaceName(workspace), Revision: revision, JSON: value}
+}
+
+func runCache(t *testing.T, kv *fakeStore, test func(c *Cache)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCache(Options{Store: kv, Log: quiet()})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- c.Run(ctx) }()
+		test(c)
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("Run returned %v", err)
+		}
+	})
+}
+
+// Guards against a configuration that goes back to a lower revision, and against
+// one that stays behind, when peers offer older documents and watches stall,
+// fail, return late or lose their history.
+func TestRevisionsNeverFall(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		steps := rapid.SliceOfN(rapid.SampledFrom([]string{
+			"write", "offer", "offer", "stall", "fail", "reset", "heal", "delete", "pass",
+		}), 5, 40).Draw(rt, "steps")
+		kv := newFakeStore()
+		var problem string
+		runCache(t, kv, func(c *Cache) {
+			var newest, last uint64
+			name := WorkspaceName("a")
+			for _, s := range steps {
+				apply(kv, c, s, r, &newest)
+				synctest.Wait()
+				now := c.Revisions()[name]
+				if now < last {
+					problem = fmt.Sprintf("revision fell from %d to %d after %s", last, now, s)
+				}
+				last = now
+			}
+			kv.with(func() { kv.decide, kv.reset = nil, false })
+			time.Sleep(inForceBound)
+			if newest > 0 && c.Revisions()[name] != newest {
+				problem = fmt.Sprintf("revision %d in force, %d in the store", c.Revisions()[name], newest)
+			}
+			id := model.TemplateID{Workspace: "a", Name: fmt.Sprintf("r%d", newest)}
+			if _, ok := c.Template(id); !ok && newest > 0 {
+				problem = "template of the newest revision is missing"
+			}
+		})
+		if problem != "" {
+			rt.Fatal(problem)
+		}
+	})
+}
+
+// apply performs one step against the store or the cache.
+func apply(kv *fakeStore, c *Cache, step string, r *rand.Rand, newest *uint64) {
+	must := fatal{}
+	key := documentKey(WorkspaceName("a"))
+	fail := func(what fault) func(string, string) (fault, time.Duration) {
+		return func(string, string) (fault, time.Duration) { return what, 0 }
+	}
+	switch step {
+	case "write":
+		*newest++
+		kv.set(key, encoded(must, "a", *newest).JSON)
+	case "offer":
+		if *newest > 0 {
+			c.Offer([]Doc{encoded(must, "a", 1+r.Uint64N(*newest))})
+		}
+	case "stall":
+		kv.with(func() { kv.decide = fail(faultStall) })
+	case "fail":
+		kv.with(func() { kv.decide = fail(faultDown) })
+	case "reset":
+		kv.with(func() { kv.reset = true })
+	case "heal":
+		kv.with(func() { kv.decide, kv.reset = nil, false })
+	case "delete":
+		kv.mu.Lock()
+		version := kv.data[key].Version
+		kv.mu.Unlock()
+		if version != 0 {
+			kv.with(func() {
+				kv.revision++
+				e := kv.data[key]
+				e.Version, e.Deleted = kv.revision, true
+				kv.log = append(kv.log, e)
+			})
+		}
+	case "pass":
+		time.Sleep(time.Duration(r.IntN(6000)) * time.Millisecond)
+	}
+}
+
+// fatal panics, for helpers that are used outside of a test function.
+type fatal struct{}
+
+func (fatal) Fatal(args ...any) { panic(fmt.Sprint(args...)) }
+
+// Guards against a stalled watch that delays a change beyond the bound.
+func TestStalledWatch(t *testing.T) {
+	kv := newFakeStore()
+	runCache(t, kv, func(c *Cache) {
+		time.Sleep(time.Second)
+		stalled := false
+		kv.with(func() {
+			kv.decide = func(op, _ string) (fault, time.Duration) {
+				if op == "watch" && !stalled {
+					stalled = true
+					return faultStall, 0
+				}
+				return faultNone, 0
+			}
+		})
+		time.Sleep(DefaultWatchWait) // the watch that stalls begins
+		kv.set(documentKey(WorkspaceName("a")), encoded(t, "a", 1).JSON)
+		notice := c.Subscribe()
+		start := time.Now()
+		<-notice
+		if took := time.Since(start); took > inForceBound || !stalled {
+			t.Errorf("in force after %v, stalled %v", took, stalled)
+		}
+	})
+}
+
+// Guards against calls in a tight loop while the store resets every watch,
+// returns early, or is down.
+func TestCallsAreSpaced(t *testing.T) {
+	tests := map[string]func(*fakeStore){
+		"reset": func(f *fakeStore) { f.reset = true },
+		"early": func(f *fakeStore) { f.early = true },
+		"down": func(f *fakeStore) {
+			f.decide = func(string, string) (fault, time.Duration) { return faultDown, 0 }
+		},
+	}
+	for name, prepare := range tests {
+		kv := newFakeStore()
+		prepare(kv)
+		runCache(t, kv, func(*Cache) { time.Sleep(30 * time.Second) })
+		if n := kv.count("list") + kv.count("watch"); n < 5 || n > 90 {
+			t.Errorf("%s: %d calls in 30 s", name, n)
+		}
+	}
+}
+
+// Guards against documents of peers or of the store that are not what they claim
+// to be taking the place of good ones.
+func TestUnusableDocuments(t *testing.T) {
+	c := NewCache(Options{Store: newFakeStore(), Log: quiet()})
+	if c.Ready() {
+		t.Error("ready before any source answered")
+	}
+	good := encoded(t, "a", 5)
+	if c.Offer([]Doc{good}) != 1 || !c.Ready() {
+		t.Fatal("good document was not adopted")
+	}
+	other := encoded(t, "b", 9)
+	claim := encoded(t, "a", 4)
+	claim.Revision = 99
+	for name, d := range map[string]Doc{
+		"of another workspace": {Name: good.Name, Revision: 9, JSON: other.JSON},
+		"higher only in claim": claim,
+		"not JSON":             {Name: good.Name, Revision: 9, JSON: []byte("{")},
+		"without revision":     {Name: good.Name, JSON: []byte("{}")},
+		"faulty templates":     {Name: good.Name, JSON: []byte(`{"revision":9,"source":"workspace = 3"}`)},
+		"unknown name":         {Name: "workspace/A", JSON: other.JSON},
+	} {
+		if c.Offer([]Doc{d}) != 0 || c.Revisions()[good.Name] != 5 || len(c.Templates()) != 1 {
+			t.Errorf("document %s was adopted", name)
+		}
+	}
+}
+
+// Guards against drains, pauses or templates that are in force in the store and
+// not at the process, and against a lost notice.
+func TestContents(t *testing.T) {
+	kv := newFakeStore()
+	c := NewCache(Options{Store: kv, Log: quiet()})
+	s := NewStore(kv, c, quiet())
+	notice := c.Subscribe()
+	paused := model.TemplateID{Workspace: "a", Name: "w"}
+	edits := []CellEdit{
+		{Drain: []string{"vm-1", "vm-2"}, Reason: "kernel"},
+		{Undrain: []string{"vm-1", "never"}, Pause: []model.TemplateID{paused, paused}},
+	}
+	for i, edit := range edits {
+		change := Change{ID: fmt.Sprint(i), Name: CellName, IfRevision: uint64(i), Author: "o", Cell: &edit}
+		if _, err := s.Apply(t.Context(), change); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := s.Apply(t.Context(), workspaceChange("a", "w", 0)); err != nil {
+		t.Fatal(err)
+	}
+	<-notice
+	if c.Drained("vm-1") || !c.Drained("vm-2") || c.Drains()["vm-2"].Reason != "kernel" || !c.Paused(paused) {
+		t.Errorf("drains %v", c.Drains())
+	}
+	if len(c.Workspaces()) != 1 || c.Templates()[0].ID != paused || len(c.Docs()) != 2 || len(c.Docs("cell", "none")) != 1 {
+		t.Errorf("workspaces %v, templates %v", c.Workspaces(), c.Templates())
+	}
+	peer := NewCache(Options{Store: kv, Log: quiet()})
+	if peer.Offer(c.Docs()) != 2 || !peer.Drained("vm-2") {
+		t.Error("peer did not adopt the documents")
+	}
+}
