--- a/internal/configstore/cache_test.go
+++ b/internal/configstore/cache_test.go
@@ -30,6 +30,7 @@
 func runCache(t *testing.T, kv *fakeStore, test func(c *Cache)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		kv.changed = make(chan struct{}) // a channel from outside would stop the bubble's clock
 		c := NewCache(Options{Store: kv, Log: quiet()})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
