--- a/internal/endpoint/standin/endpoint_test.go
+++ b/internal/endpoint/standin/endpoint_test.go
@@ -398,6 +398,7 @@
 	}))
 	defer p.Close()
 	defer http.DefaultClient.CloseIdleConnections()
+	defer platformClient.CloseIdleConnections()
 	var configs []Config
 	for i := range 5 {
 		configs = append(configs, WorkerConfig(fmt.Sprint("worker-", i), "z1", "r1", model.Resources{CoresMilli: 1000}))
--- a/internal/endpoint/standin/register.go
+++ b/internal/endpoint/standin/register.go
@@ -20,6 +20,10 @@
 // maxRegisterInterval bounds the pause between two calls.
 const maxRegisterInterval = 2 * time.Second
 
+// platformClient keeps as many connections as a host uses at a time, so that
+// the registration of thousands of VMs doesn't use up the local ports.
+var platformClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: registerParallel, IdleConnTimeout: 5 * time.Second}}
+
 // register posts the VM to the platform until it answers or the context ends.
 func register(ctx context.Context, platformURL string, vm platform.VM) error {
 	body, err := json.Marshal(vm)
@@ -44,7 +48,7 @@
 		return backoff.Permanent(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := platformClient.Do(req)
 	if err != nil {
 		return err
 	}
