--- a/internal/shard/evidence.go
+++ b/internal/shard/evidence.go
@@ -92,7 +92,7 @@
 // ends, or queues the request. It may leave the request held.
 func (t *Table) resolve(now time.Time, j *job, fx *Effects) {
 	s := j.shard
-	if len(j.intent) == 0 && len(s.found[j.hash]) == 0 && s.mustHold(j, t.cfg.ClockSkew) {
+	if s.mustHold(j, t.cfg.ClockSkew) && !j.conclusive() {
 		return
 	}
 	known := t.evidenceOf(j, fx)
@@ -113,6 +113,30 @@
 	t.updateWake(j)
 }
 
+// conclusive reports whether what is known of the attempts is enough to decide
+// while others may be unseen. A recorded intent names every attempt. Without a record, a
+// failed attempt may have been repeated where nobody looks, so each task must run or have
+// ended well.
+func (j *job) conclusive() bool {
+	if j.needsIntent() {
+		return len(j.intent) > 0
+	}
+	settled := map[int]bool{}
+	for _, f := range j.shard.found[j.hash] {
+		if task, ok := f.state.Attempt.Task(); ok && (f.state.Settled == nil || good(*f.state.Settled)) {
+			settled[task] = true
+		}
+	}
+	for i := range j.units {
+		for _, end := range j.units[i].ends {
+			if task, ok := end.Attempt.Task(); ok && good(end) {
+				settled[task] = true
+			}
+		}
+	}
+	return len(settled) >= j.total
+}
+
 // acceptHeld asks for the acceptance record of a request that came during the recovery.
 func (t *Table) acceptHeld(j *job, fx *Effects) {
 	running := j.released()
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -174,7 +174,6 @@
 		u, state := &j.units[i], l.Units[i]
 		u.round, u.retries, u.refused, u.failed, u.ends = state.Round, state.Retries, state.Refused, state.Failed, state.Ends
 	}
-	j.intent = nil
 	for _, a := range l.Running {
 		state := model.AttemptState{Attempt: a.Attempt, Endpoint: a.Endpoint, Running: true}
 		t.addFound(now, s, j.hash, foundAttempt{pool: a.Pool, state: state, at: now})
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -17,7 +17,7 @@
 	RecordAcceptance RecordKind = "acceptance" // an asynchronous request, with its body
 	RecordIntent     RecordKind = "intent"     // attempts of a non-idempotent request that may be dispatched
 	RecordOutcome    RecordKind = "outcome"    // the end of a request
-	RecordEnd        RecordKind = "end"        // the end of one task of a gang whose other tasks still run
+	RecordEnd        RecordKind = "end"        // the end of an attempt that is not the end of the request
 	RecordCancel     RecordKind = "cancel"     // the caller cancelled a request that has live attempts
 	RecordRelease    RecordKind = "release"    // the shard was handed to another owner; drop its state
 )
@@ -47,11 +47,14 @@
 	End        *TaskEnd         `json:"end,omitempty"`
 }
 
-// TaskEnd is the content of a RecordEnd.
+// TaskEnd is the content of a RecordEnd: the end of one task of a gang that
+// still runs, or of a whole round of starts that is followed by another one.
 type TaskEnd struct {
-	Task    int           `json:"task"`
-	Round   int           `json:"round"` // of starts of the gang; a later round voids earlier ends
-	Settled model.Settled `json:"settled"`
+	Task      int           `json:"task"`
+	Round     int           `json:"round"`               // of starts; a later round voids the ends of earlier ones
+	Concluded bool          `json:"concluded,omitempty"` // Settled sums up the round
+	Retries   int           `json:"retries,omitempty"`   // with Concluded
+	Settled   model.Settled `json:"settled"`
 }
 
 // Acceptance is the content of a RecordAcceptance.
--- a/internal/shard/records_of.go
+++ b/internal/shard/records_of.go
@@ -60,6 +60,14 @@
 	return r
 }
 
+// concludedRecord returns the record of a round that is followed by another
+// one. Without it a successor could take the request for one that never ran.
+func concludedRecord(u *unit, end model.Settled, keptBytes int) Record {
+	r := endRecord(u, u.first, end, keptBytes)
+	r.End.Concluded, r.End.Retries = true, u.retries
+	return r
+}
+
 // outcomeRecord returns the record of a finished request.
 func outcomeRecord(j *job) Record {
 	r := newRecord(RecordOutcome, j)
@@ -100,6 +108,9 @@
 		r.Intent = &Intent{Attempts: j.intent}
 		records = append(records, r)
 	}
+	if j.last != nil && len(records) > 0 {
+		records = append(records, concludedRecord(&j.units[0], *j.last, t.cfg.KeptAnswerBytes))
+	}
 	for i := range j.units {
 		records = append(records, t.unitRecords(now, &j.units[i])...)
 	}
--- a/internal/shard/replay.go
+++ b/internal/shard/replay.go
@@ -144,12 +144,18 @@
 	}
 }
 
-// replayEnd restores the end of one task of a gang.
+// replayEnd restores the end of an attempt.
 func replayEnd(j *job, r Record) {
 	u := j.unitOf(r.End.Task)
 	if u == nil || r.End.Round < u.round {
 		return
 	}
+	if r.End.Concluded {
+		last := r.End.Settled
+		j.last = &last
+		u.round, u.retries, u.ends = r.End.Round, r.End.Retries, nil
+		return
+	}
 	if r.End.Round > u.round {
 		u.round, u.ends = r.End.Round, nil
 	}
@@ -171,7 +177,7 @@
 	j.async, j.cancelled = r.Async, o.Cancelled
 	j.submitted, j.startedAt, j.endedAt = o.Submitted, o.Started, r.Time
 	j.total, j.attempts, j.lastAttempt = o.Tasks, o.Attempts, o.LastAttempt
-	j.body, j.units, j.intent = nil, nil, nil
+	j.body, j.units, j.intent, j.last = nil, nil, nil, nil
 }
 
 // replayRelease forgets what was replayed, because the shard had another owner
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -72,12 +72,13 @@
 	end := combine(ends)
 	j := u.job
 	u.state = unitIdle
+	first := j.last == nil
 	if end.End != model.AttemptNotStarted {
 		j.last = &end
 	}
 	switch {
 	case j.kind == model.KindService:
-		t.concludeReplica(now, u, end, fx)
+		t.concludeReplica(now, u, end, first, fx)
 	case end.End == model.AttemptNotStarted:
 		t.startAnew(now, u, fx)
 	case good(end) && (end.HasAnswer || j.kind != model.KindRequest):
@@ -86,9 +87,20 @@
 		t.finishWithLast(now, j, fx)
 	default:
 		fx.event("retry", j.key, end.Attempt, string(end.End))
+		t.recordConcluded(now, u, end, fx)
 	}
 }
 
+// recordConcluded records the end of a round that is followed by another one.
+func (t *Table) recordConcluded(now time.Time, u *unit, end model.Settled, fx *Effects) {
+	if !u.job.journaled() {
+		return
+	}
+	r := concludedRecord(u, end, t.cfg.KeptAnswerBytes)
+	r.Time = now
+	fx.Records = append(fx.Records, r)
+}
+
 // combine sums up the ends of the tasks of a unit. An unknown end outweighs the
 // others, then a failure, then a stop. NotStarted holds only for all of them.
 func combine(ends []model.Settled) model.Settled {
@@ -182,7 +194,7 @@
 const stableRun = time.Minute
 
 // concludeReplica restarts a replica of a service, or ends it after a cancel.
-func (t *Table) concludeReplica(now time.Time, u *unit, end model.Settled, fx *Effects) {
+func (t *Table) concludeReplica(now time.Time, u *unit, end model.Settled, first bool, fx *Effects) {
 	j := u.job
 	if j.cancelled {
 		u.state = unitOver
@@ -200,6 +212,10 @@
 		// Only the last endpoint is avoided: a service outlives every list of failures.
 		u.failed = []string{end.Endpoint}
 	}
+	if first && j.last != nil {
+		// One record is enough to know that the service has run.
+		t.recordConcluded(now, u, end, fx)
+	}
 	if j.shard.frozen {
 		return
 	}
--- a/internal/shard/shard_state.go
+++ b/internal/shard/shard_state.go
@@ -135,7 +135,7 @@
 		return keyed || old
 	}
 	// The attempt of an idempotent request has no record; it may run where nobody looks.
-	if j.idempotent && (keyed || old) && s.blind(j.template) {
+	if !j.needsIntent() && (keyed || old) && s.blind(j.template) {
 		return true
 	}
 	return keyed && s.running > 0
--- a/internal/shard/stateful_test.go
+++ b/internal/shard/stateful_test.go
@@ -168,7 +168,9 @@
 
 func (w *world) actAdvance(t *rapid.T) {
 	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
-	w.apply(w.table.Tick(w.now))
+	if rapid.IntRange(0, 3).Draw(t, "late tick") > 0 {
+		w.apply(w.table.Tick(w.now))
+	}
 }
 
 func (w *world) actCancel(t *rapid.T) {
@@ -209,8 +211,13 @@
 	if len(w.reports) == 0 {
 		t.Skip()
 	}
-	i := rapid.IntRange(0, len(w.reports)-1).Draw(t, "report")
-	w.report(i, rapid.IntRange(0, 3).Draw(t, "unreachable") > 0)
+	pool := w.reports[rapid.IntRange(0, len(w.reports)-1).Draw(t, "report")].Pool
+	reachable := rapid.IntRange(0, 2).Draw(t, "unreachable") > 0
+	for i := len(w.reports) - 1; i >= 0; i-- {
+		if w.reports[i].Pool == pool {
+			w.report(i, reachable)
+		}
+	}
 }
 
 // checkQueues guards against counters that drift from the requests they count.
