--- /dev/null
+++ b/internal/pool/settle_test.go
@@ -0,0 +1,171 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/endpoint"
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// startOne returns a pool with one worker and one attempt whose start call is under way.
+func startOne(t *testing.T) (*Pool, model.AttemptID) {
+	t.Helper()
+	p := newTestPool("worker/z/r")
+	work := job("work", 5)
+	setTemplates(p, work)
+	addWorkers(p, 1, worker(4, 8, 0))
+	p.SetDemand(at(0), "s", 1, []model.Demand{demand(work, 1, at(0))})
+	list := p.Schedule(at(0))
+	a := attemptID(1)
+	if _, err := p.Begin(at(0), list[0].Grant.ID, []model.AttemptID{a}); err != nil {
+		t.Fatal(err)
+	}
+	return p, a
+}
+
+var lostStart = StartResult{Kind: StartLost, Err: endpoint.ErrLost}
+
+// TestSettleLost guards against a lost start that is told as not started while
+// it can still start, and against the end of a lost attempt told wrongly.
+func TestSettleLost(t *testing.T) {
+	running := endpoint.RunningAttempt{Attempt: attemptID(1), Template: "kalnins/work", Resources: job("work", 5).Resources}
+	ended := endpoint.EndedAttempt{Seq: 1, Attempt: attemptID(1), HasAnswer: true, Answer: model.Answer{Status: 200}}
+	afterLimit := at(3 * time.Second)
+	for _, c := range []struct {
+		name   string
+		sent   time.Time
+		change func(*endpoint.SessionReply)
+		want   model.AttemptEnd // "" for not settled
+	}{
+		{"before the limit", at(time.Second), nil, ""},
+		{"sent before the limit, listed later", at(2100 * time.Millisecond), nil, ""},
+		{"after the limit", afterLimit, nil, model.AttemptNotStarted},
+		{"running", afterLimit, func(r *endpoint.SessionReply) { r.Running = append(r.Running, running) }, ""},
+		{"ended", at(time.Second), func(r *endpoint.SessionReply) { r.Ended = append(r.Ended, ended) }, model.AttemptEnded},
+		{"restarted", afterLimit, func(r *endpoint.SessionReply) { r.Instance = "i2" }, model.AttemptUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, a := startOne(t)
+			p.Finished(at(10*time.Millisecond), a, lostStart)
+			r := report(worker(4, 8, 0))
+			if c.change != nil {
+				c.change(&r)
+			}
+			got := p.Report(at(4*time.Second), "e0000", c.sent, r).Settled
+			switch {
+			case c.want == "" && (len(got) != 0 || p.free() == p.total()):
+				t.Fatalf("settled %v, free %v", got, p.free())
+			case c.want != "" && (len(got) != 1 || got[0].Settled.End != c.want || got[0].To != "s" || p.free() != p.total()):
+				t.Fatalf("settled %v, free %v, want %v", got, p.free(), c.want)
+			}
+		})
+	}
+}
+
+// TestLeaseLapse guards against attempts on a dead endpoint that stay charged
+// for ever, or that are settled while the endpoint may hold its lease.
+func TestLeaseLapse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want time.Duration // earliest settlement, with calls every 2 s
+	}{
+		{"connection refused", endpoint.ErrNotSent, 12 * time.Second},
+		// The replies of five calls are lost; then calls stop and the lease of the last runs out.
+		{"replies lost", endpoint.ErrLost, 22 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, a := startOne(t)
+			p.Finished(at(0), a, StartResult{Kind: StartAccepted})
+			for d := time.Duration(0); d < time.Minute; d += 100 * time.Millisecond {
+				if d%(2*time.Second) == 0 && d > 0 {
+					if _, ok := p.NextSession(at(d), "e0000"); ok {
+						p.SessionFailed(at(d), "e0000", c.err)
+					}
+				}
+				settled := p.Tick(at(d)).Settled
+				if len(settled) == 0 {
+					continue
+				}
+				if settled[0].Settled.End != model.AttemptUnknown || d < c.want || d > c.want+time.Second {
+					t.Fatalf("settled %v after %v, want %v", settled, d, c.want)
+				}
+				return
+			}
+			t.Fatal("never settled")
+		})
+	}
+}
+
+// TestAck guards against an end that is acknowledged before the shard owner
+// has it: a successor of this owner would tell it as not started.
+func TestAck(t *testing.T) {
+	p, a := startOne(t)
+	p.Finished(at(0), a, StartResult{Kind: StartAccepted})
+	r := report(worker(4, 8, 0))
+	r.Ended = []endpoint.EndedAttempt{{Seq: 7, Attempt: a, HasAnswer: true, Answer: model.Answer{Status: 200}}}
+	p.Report(at(time.Second), "e0000", at(time.Second), r)
+	if req, _ := p.NextSession(at(2*time.Second), "e0000"); req.Ack != 0 {
+		t.Fatalf("acknowledged %d before delivery", req.Ack)
+	}
+	if s := p.Report(at(2*time.Second), "e0000", at(2*time.Second), r).Settled; len(s) != 0 {
+		t.Fatalf("told twice: %v", s)
+	}
+	p.Delivered(at(3*time.Second), []model.AttemptID{a})
+	if req, _ := p.NextSession(at(4*time.Second), "e0000"); req.Ack != 7 {
+		t.Fatalf("acknowledged %d after delivery, want 7", req.Ack)
+	}
+}
+
+// TestTakeover guards against a new owner that grants what the work of the
+// earlier one still holds, and against an incomplete list told as complete.
+func TestTakeover(t *testing.T) {
+	p := newTestPool("worker/z/r")
+	work := job("work", 5)
+	setTemplates(p, work)
+	p.SetDemand(at(0), "s", 1, []model.Demand{demand(work, 9, at(0))})
+	p.AddEndpoint(at(0), "a")
+	p.AddEndpoint(at(0), "b")
+	p.EndpointsListed()
+	if n := len(p.Schedule(at(0))); n != 0 {
+		t.Fatalf("%d grants before the first report", n)
+	}
+	r := report(worker(4, 8, 0))
+	old := attemptID(9)
+	r.Running = []endpoint.RunningAttempt{{Attempt: old, Template: "kalnins/gone", Resources: worker(3, 1, 0)}}
+	p.Report(at(0), "a", at(0), r)
+	if n := len(p.Schedule(at(0))); n != 1 {
+		t.Fatalf("%d grants beside 3 of 4 cores in use", n)
+	}
+	shard, _ := old.Shard()
+	states, complete := p.Attempts(map[model.ShardID]bool{shard: true})
+	if complete || len(states) != 1 || !states[0].Running {
+		t.Fatalf("got %v, complete %v", states, complete)
+	}
+	p.SessionFailed(at(0), "b", endpoint.ErrNotSent)
+	p.SessionFailed(at(2*time.Second), "b", endpoint.ErrNotSent)
+	if _, complete = p.Attempts(nil); !complete || len(p.Unreachable()) != 1 {
+		t.Fatalf("complete %v with unreachable %v", complete, p.Unreachable())
+	}
+	if e := p.SessionFailed(at(2*time.Second), "a", endpoint.ErrStaleToken); !e.Superseded || len(p.Schedule(at(2*time.Second))) != 0 {
+		t.Fatal("goes on after a higher token was seen")
+	}
+}
+
+// TestLeaving guards against starts on an endpoint that is leaving.
+func TestLeaving(t *testing.T) {
+	p := newTestPool("worker/z/r")
+	work := job("work", 5)
+	setTemplates(p, work)
+	addWorkers(p, 1, worker(4, 8, 0))
+	p.SetDemand(at(0), "s", 1, []model.Demand{demand(work, 9, at(0))})
+	list := p.Schedule(at(0))
+	p.SetLeaving(at(0), "e0000", true)
+	if _, err := p.Begin(at(0), list[0].Grant.ID, []model.AttemptID{attemptID(1)}); err != ErrGrantVoid {
+		t.Fatalf("Begin on a leaving endpoint: %v", err)
+	}
+	if n := len(p.Schedule(at(0))); n != 0 {
+		t.Fatalf("%d grants on a leaving endpoint", n)
+	}
+}
