--- /dev/null
+++ b/internal/pool/bench_test.go
@@ -0,0 +1,140 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// randomTask returns a task size as in the packing traces: mostly small, a
+// fifth with accelerators.
+func randomTask(rnd *rand.Rand) model.Resources {
+	r := model.Resources{
+		CoresMilli: 500 << rnd.Intn(5),
+		MemoryMB:   1024 << rnd.Intn(5),
+	}
+	if rnd.Intn(5) == 0 {
+		r.Accelerators = 1 << rnd.Intn(3)
+	}
+	return r
+}
+
+// benchPool returns a pool whose workers have 20/9 accelerators on average
+// (18,000 for 8,100) and are about four fifths full.
+func benchPool(workers int, rnd *rand.Rand) (*Pool, []model.Template) {
+	p := newTestPool("worker/z/r")
+	var templates []model.Template
+	for i := range 40 {
+		t := job(fmt.Sprint("t", i), i%10)
+		t.ID.Workspace = fmt.Sprint("w", i%8)
+		t.Resources = randomTask(rnd)
+		t.FloodShare = 0.5
+		templates = append(templates, t)
+	}
+	templates[0].Reserve = 0.05
+	setTemplates(p, templates...)
+	for i := range workers {
+		name := fmt.Sprintf("e%04d", i)
+		c := worker(32, 64, 0)
+		if i%18 < 5 { // 5 of 18 workers have 8 accelerators
+			c = worker(64, 256, 8)
+		}
+		p.AddEndpoint(epoch, name)
+		p.Report(epoch, name, epoch, report(c))
+	}
+	for p.free().CoresMilli*5 > p.total().CoresMilli {
+		t := p.template(templates[rnd.Intn(len(templates))].ID)
+		if !p.place(t, t.Resources, 1, nil) {
+			break
+		}
+	}
+	return p, templates
+}
+
+// BenchmarkDecision measures one placement among 40 classes that wait: order,
+// limits, placement and the grant, and the release of one task.
+func BenchmarkDecision(b *testing.B) {
+	for _, workers := range []int{50, 800, 8100} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			rnd := rand.New(rand.NewSource(testSeed))
+			p, templates := benchPool(workers, rnd)
+			var list []model.Demand
+			for _, t := range templates {
+				list = append(list, demand(t, 1<<40, at(0)))
+			}
+			p.SetDemand(epoch, "s", 1, list)
+			p.collect(false)
+			waiting := append([]*demandClass(nil), p.candidates...)
+			ring := make([]uint64, 64)
+			granted := 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := at(time.Duration(i) * time.Microsecond)
+				p.candidates = append(p.candidates[:0], waiting...)
+				c := p.candidates[p.firstCandidate()]
+				if p.grantOne(now, c, false) {
+					g := p.issue(now, c.key, "s", p.cfg.GrantTTL)
+					p.Return(now, ring[i%len(ring)])
+					ring[i%len(ring)] = g.grant.ID
+					granted++
+				}
+				if len(p.expiry) > 4096 {
+					p.expiry = p.expiry[:0]
+				}
+			}
+			b.ReportMetric(float64(granted)/float64(b.N), "granted/op")
+		})
+	}
+}
+
+// BenchmarkSchedule measures a whole call with one class that wants one grant
+// while 39 others are blocked, the usual state in a flood.
+func BenchmarkSchedule(b *testing.B) {
+	for _, workers := range []int{50, 800, 8100} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			rnd := rand.New(rand.NewSource(testSeed))
+			p, templates := benchPool(workers, rnd)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := at(time.Duration(i) * time.Microsecond)
+				t := templates[i%len(templates)]
+				p.SetDemand(now, "s", uint64(i+1), []model.Demand{demand(t, 1, now)})
+				for _, a := range p.Schedule(now) {
+					p.Return(now, a.Grant.ID)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkNoRoom measures a search that fails: every worker has the cores or
+// the memory for the task and none has both.
+func BenchmarkNoRoom(b *testing.B) {
+	for _, workers := range []int{50, 800, 8100} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			p := newTestPool("worker/z/r")
+			t := p.template(id("t"))
+			addWorkers(p, workers, worker(32, 64, 0))
+			for i, e := range p.ordered {
+				if i%2 == 0 {
+					p.charge(e, t, worker(31, 1, 0))
+				} else {
+					p.charge(e, t, worker(1, 63, 0))
+				}
+			}
+			need := worker(2, 2, 0)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if p.findEndpoint(t, need, false, nil) != nil {
+					b.Fatal("found room where there is none")
+				}
+			}
+		})
+	}
+}
--- a/internal/pool/schedule.go
+++ b/internal/pool/schedule.go
@@ -72,7 +72,8 @@
 
 // precedes is the order of service: the most urgent; then the workspace
 // furthest under its weighted share; then the template that fills its flood
-// share least; then age.
+// share least; then age; at equal age the larger task, because small
+// tasks placed first leave no room for large ones.
 func precedes(a, b *demandClass, total model.Resources) bool {
 	ta, tb := a.template, b.template
 	if ta.Urgency != tb.Urgency {
@@ -90,7 +91,10 @@
 			return fa < fb
 		}
 	}
-	return a.oldest.Before(b.oldest)
+	if !a.oldest.Equal(b.oldest) {
+		return a.oldest.Before(b.oldest)
+	}
+	return a.need.DominantShare(total) > b.need.DominantShare(total)
 }
 
 // grantOne checks the limits and places one grant of the class into p.chosen,
