--- a/internal/gateway/cancel_many.go
+++ b/internal/gateway/cancel_many.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/agateyard/agateyard/internal/model"
 )
@@ -85,27 +87,22 @@
 		p.Field = "Content-Type"
 		return p
 	}
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	body, err := readAll(w, r, limit)
+	if err != nil {
+		return bodyProblem(err, limit)
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
-	err := dec.Decode(into)
+	err = dec.Decode(into)
 	if err == nil {
 		if _, err = dec.Token(); errors.Is(err, io.EOF) {
 			return nil
 		}
 		err = errAfterValue
 	}
-	return jsonProblem(err, limit)
-}
-
-func jsonProblem(err error, limit int64) *Problem {
-	var large *http.MaxBytesError
 	var mismatch *json.UnmarshalTypeError
-	switch {
-	case errors.As(err, &large):
-		return tooLarge(limit)
-	case errors.As(err, &mismatch):
+	if errors.As(err, &mismatch) && mismatch.Field != "" {
 		return badField(mismatch.Field, "must be "+mismatch.Type.String())
-	default:
-		return badField("body", err.Error())
 	}
+	return badField("body", strings.TrimPrefix(err.Error(), "json: "))
 }
--- a/internal/gateway/config_handlers.go
+++ b/internal/gateway/config_handlers.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -184,7 +183,7 @@
 		writeProblem(w, badField("workspace", "is not a valid name"))
 		return
 	}
-	source, err := io.ReadAll(http.MaxBytesReader(w, r.Body, template.MaxSourceBytes))
+	source, err := readAll(w, r, template.MaxSourceBytes)
 	if err != nil {
 		writeProblem(w, bodyProblem(err, template.MaxSourceBytes))
 		return
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -160,7 +161,8 @@
 		// The caller's next connection then goes to a process that stays.
 		w.Header().Set("Connection", "close")
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+	// The deadline of an earlier answer on the connection does not count for this one.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	s.mux.ServeHTTP(w, r)
 }
 
@@ -182,6 +184,17 @@
 	writeProblem(w, p)
 }
 
+// readAll reads a body of at most limit bytes. The read deadline ends with it:
+// one that passes later would look to net/http like a caller that hung up, and
+// cancel the request while it waits for its answer.
+func readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = c.SetReadDeadline(time.Time{})
+	return body, err
+}
+
 // send writes the whole body with its length. An error means that the caller is
 // gone; nobody is left to be told.
 func send(w http.ResponseWriter, status int, body []byte) {
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -210,7 +209,7 @@
 		p.retryAfter = busyRetry
 		return p
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := readAll(w, r, limit)
 	if err != nil {
 		s.budget.release(size)
 		return bodyProblem(err, limit)
@@ -238,7 +237,8 @@
 }
 
 // completeKey adds the ordering key and, where the caller gave none, an
-// identifier. Work of a paused template is refused here, when the key is known.
+// identifier. New work of a paused template is refused here, when the key is
+// known; a caller that sends a known request again still gets its answer.
 func (s *Server) completeKey(in *incoming, r *http.Request) *Problem {
 	key := &in.submission.Key
 	value, p := orderingKey(in.template.OrderingKey, r.Header, in.submission.Body)
@@ -247,7 +247,7 @@
 	}
 	key.OrderingKey = value
 	in.hasKey = true
-	if s.opts.Held.Paused(key.Template) {
+	if s.opts.Held.Paused(key.Template) && !s.sentBefore(r.Context(), in) {
 		p := newProblem(http.StatusServiceUnavailable, codePaused, "an operator paused the template")
 		p.retryAfter = pausedRetry
 		return p
@@ -262,36 +262,49 @@
 // did not run. Where the caller may have sent the identifier before, the outcome
 // is that of the earlier sending: not-run would make the caller repeat it.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, in *incoming, p *Problem) {
-	if p.Outcome == "" {
-		p.Outcome = s.earlierOutcome(r.Context(), in)
-	}
+	s.metrics.refused.WithLabelValues(string(p.Reason)).Inc()
 	if in.supplied {
 		p.ID = in.submission.Key.ID
 	}
-	s.metrics.refused.WithLabelValues(string(p.Reason)).Inc()
+	if p.Outcome != "" {
+		writeProblem(w, p)
+		return
+	}
+	status, found, err := s.earlier(r.Context(), in)
+	switch {
+	case err != nil:
+		p.Outcome = model.OutcomeUnknown
+	case !found:
+		p.Outcome = model.OutcomeNotRun
+	case status.State != model.JobDone || status.Outcome == "":
+		p.Outcome = model.OutcomeUnknown
+	case p.Reason == model.ReasonUnknownTemplate && status.Answer != nil && status.Answer.Status != 0:
+		// The template was removed after the request ran.
+		w.Header().Set(HeaderIdempotencyKey, p.ID)
+		w.Header().Set(HeaderJoined, "true")
+		writeAnswer(w, *status.Answer)
+		return
+	default:
+		p.Outcome = status.Outcome
+	}
 	writeProblem(w, p)
 }
 
-// earlierOutcome returns what became of an earlier sending of the identifier,
-// not-run where there was none.
-func (s *Server) earlierOutcome(ctx context.Context, in *incoming) model.Outcome {
+// earlier returns the status of an earlier sending of the identifier.
+func (s *Server) earlier(ctx context.Context, in *incoming) (model.JobStatus, bool, error) {
 	known := in.hasKey || in.template.OrderingKey == ""
 	if !in.supplied || !known {
-		return model.OutcomeNotRun
+		return model.JobStatus{}, false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	status, found, err := s.opts.Scheduler.Status(ctx, in.submission.Key)
-	switch {
-	case err != nil:
-		return model.OutcomeUnknown
-	case !found:
-		return model.OutcomeNotRun
-	case status.State == model.JobDone && status.Outcome != "":
-		return status.Outcome
-	default:
-		return model.OutcomeUnknown
-	}
+	return s.opts.Scheduler.Status(ctx, in.submission.Key)
+}
+
+// sentBefore reports whether the shard owner knows the request.
+func (s *Server) sentBefore(ctx context.Context, in *incoming) bool {
+	_, found, err := s.earlier(ctx, in)
+	return err == nil && found
 }
 
 // writeReply sends the final answer of a submission.
