--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -109,13 +109,16 @@
 	w := httptest.NewRecorder()
 	a.ServeHTTP(w, r)
 	var b strings.Builder
-	fmt.Fprintf(&b, "%d\n", w.Code)
+	fmt.Fprintf(&b, "%d", w.Code)
 	for _, name := range shown {
 		if v := w.Header().Get(name); v != "" {
-			fmt.Fprintf(&b, "%s: %s\n", name, v)
+			fmt.Fprintf(&b, " | %s: %s", name, v)
 		}
 	}
-	b.WriteString(strings.TrimSpace(w.Body.String()) + "\n")
+	b.WriteString("\n")
+	if body := strings.TrimSpace(w.Body.String()); body != "" {
+		b.WriteString(body + "\n")
+	}
 	for _, s := range a.scheduler.submitted {
 		fmt.Fprintf(&b, "submitted %s ordering=%q async=%v wait=%v %q\n", s.Key, s.Key.OrderingKey, s.Async, s.MaxWait, s.Body)
 	}
@@ -252,7 +255,7 @@
 		State: model.JobDone, Outcome: model.OutcomeRan, Answer: &model.Answer{Status: 200, Body: []byte("cut")},
 	}
 	got := a.send(t, "POST /v1/workspaces/kalnins/templates/none/requests\nIdempotency-Key: k")
-	if !strings.HasPrefix(got, "200\nAgateyard-Outcome: ran\n") || !strings.HasSuffix(got, "cut\n") {
+	if !strings.HasPrefix(got, "200 | Agateyard-Outcome: ran | ") || !strings.HasSuffix(got, "cut\n") {
 		t.Errorf("got %s", got)
 	}
 }
