Bind starts and acknowledgements to the instance of the endpoint

Cause: a start that was delayed past a restart of its endpoint could pass the start limit, because the clock of the new instance begins at zero. Change: starts and session calls name the instance; no-lease is a definite refusal.

--- a/internal/entry/dispatchlocal.go
+++ b/internal/entry/dispatchlocal.go
@@ -76,6 +76,7 @@
 	n.recorder.Record(timeline.Event{Part: "pool", Name: "start-sent", Request: args.Request, Attempt: string(o.Attempt), Detail: o.Endpoint})
 	reply, err := o.client.Start(ctx, endpoint.StartRequest{
 		Attempt:       o.Attempt,
+		Instance:      o.Instance,
 		Token:         o.Token,
 		StartBeforeMS: o.StartBeforeMS,
 		Template:      o.Template.String(),
--- a/internal/pool/membership.go
+++ b/internal/pool/membership.go
@@ -106,7 +106,7 @@
 	}
 	e.calling, e.calledAt = true, now
 	return endpoint.SessionRequest{
-		Token: p.token, Owner: p.owner,
+		Token: p.token, Owner: p.owner, Instance: e.instance,
 		Ack: e.acks.advance(now, p.cfg.SettledTTL),
 	}, true
 }
--- a/internal/pool/start_result.go
+++ b/internal/pool/start_result.go
@@ -30,7 +30,7 @@
 // endpoint.ErrRepeated is not among them: the earlier arrival may have run.
 var definiteRefusals = []error{
 	endpoint.ErrStaleToken, endpoint.ErrExpired, endpoint.ErrNoRoom, endpoint.ErrLeaving,
-	endpoint.ErrNotSent, endpoint.ErrBadRequest, endpoint.ErrCancelled,
+	endpoint.ErrNotSent, endpoint.ErrBadRequest, endpoint.ErrCancelled, endpoint.ErrNoLease,
 }
 
 // ResultOf converts the return values of endpoint.Client.Start. An error that
