--- a/internal/configstore/cache.go
+++ b/internal/configstore/cache.go
@@ -30,7 +30,7 @@
 type Cache struct {
 	opts Options
 	view atomic.Pointer[contents] // never nil; readers take no lock
-	sync atomic.Bool              // documents were read from the store or offered by a peer
+	sync atomic.Bool              // all documents were read from the store or offered by a peer
 
 	mu   sync.Mutex // held while contents are replaced
 	held map[string]held
@@ -57,10 +57,13 @@
 	return c
 }
 
-// Offer takes documents that a peer or the store supplied and adopts those with
-// a higher revision than the held one. It returns the number adopted. A call
-// without documents tells that a peer has none.
-func (c *Cache) Offer(docs []Doc) int {
+// Offer takes documents from a peer or the store and adopts those with a higher
+// revision than the held one. It returns the number adopted.
+func (c *Cache) Offer(docs []Doc) int { return c.adopt(docs) }
+
+// OfferAll is Offer for all documents that a ready peer holds, none included. It
+// makes the cache ready while the store does not answer.
+func (c *Cache) OfferAll(docs []Doc) int {
 	adopted := c.adopt(docs)
 	c.sync.Store(true)
 	return adopted
@@ -144,7 +147,8 @@
 	return s
 }
 
-// Ready reports whether the cache was filled once, from the store or by a peer.
+// Ready reports whether the cache once held all documents of the store or of a
+// ready peer. Before that, a missing template may exist.
 func (c *Cache) Ready() bool { return c.sync.Load() }
 
 // Revisions returns the revision in force here of each document.
--- a/internal/configstore/cache_test.go
+++ b/internal/configstore/cache_test.go
@@ -181,8 +181,11 @@
 		t.Error("ready before any source answered")
 	}
 	good := encoded(t, "a", 5)
-	if c.Offer([]Doc{good}) != 1 || !c.Ready() {
-		t.Fatal("good document was not adopted")
+	if c.Offer([]Doc{good}) != 1 || c.Ready() {
+		t.Fatal("good document was not adopted, or passed for all documents")
+	}
+	if c.OfferAll([]Doc{good}) != 0 || !c.Ready() {
+		t.Fatal("all documents of a peer did not make the cache ready")
 	}
 	other := encoded(t, "b", 9)
 	claim := encoded(t, "a", 4)
--- a/internal/gateway/identifiers.go
+++ b/internal/gateway/identifiers.go
@@ -55,13 +55,11 @@
 	if p := checkTemplateID(t, ""); p != nil {
 		return p
 	}
-	template, ok := s.opts.Scheduler.Template(t)
-	if !ok {
-		p := newProblem(http.StatusNotFound, model.ReasonUnknownTemplate, "no template "+t.String())
-		p.Field = "template"
+	var in incoming
+	if p := s.findTemplate(&in, t); p != nil {
 		return p
 	}
-	if template.OrderingKey != "" && body.OrderingKey == "" {
+	if in.template.OrderingKey != "" && body.OrderingKey == "" {
 		return badField("ordering_key", "is required by the template")
 	}
 	return nil
--- a/internal/template/template_test.go
+++ b/internal/template/template_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -32,6 +33,26 @@
 	})
 }
 
+// Guards against examples in the documentation that are not valid.
+func TestDocumentedExamples(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := strings.Split(string(page), "```toml\n")
+	if len(blocks) != 3 {
+		t.Fatalf("%d examples", len(blocks)-1)
+	}
+	entry, _, _ := strings.Cut(blocks[1], "```")
+	if _, err := settings.Parse("entry.toml", []byte(entry)); err != nil {
+		t.Error(err)
+	}
+	templates, _, _ := strings.Cut(blocks[2], "```")
+	if _, err := Parse("kalnins.toml", []byte(templates)); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against documents that the store can't hold.
 func TestSizeLimits(t *testing.T) {
 	var findings settings.Findings
