--- a/internal/configstore/cache.go
+++ b/internal/configstore/cache.go
@@ -1,6 +1,7 @@
 package configstore
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,12 +13,15 @@
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/platform"
 	"github.com/agateyard/agateyard/internal/template"
+	"github.com/agateyard/agateyard/internal/timeline"
 )
 
 // Options are the parts of a Cache.
 type Options struct {
 	Store platform.Store
 	Log   *logrus.Entry
+	// Timeline records each revision that comes into force; may be nil.
+	Timeline *timeline.Recorder
 	// WatchWait is the time that one watch stays pending; 0 takes the default.
 	WatchWait time.Duration
 	// WatchMargin is the time beyond WatchWait after which a watch counts as
@@ -99,10 +103,19 @@
 		return false
 	}
 	c.held[d.Name] = h
-	c.opts.Log.WithField("document", d.Name).WithField("revision", h.doc.Revision).Info("config: revision in force")
+	c.record(h.doc)
 	return true
 }
 
+func (c *Cache) record(d Doc) {
+	c.opts.Log.WithField("document", d.Name).WithField("revision", d.Revision).Info("config: revision in force")
+	if c.opts.Timeline != nil {
+		c.opts.Timeline.Record(timeline.Event{
+			Part: "config", Name: "in-force", Detail: fmt.Sprintf("%s revision %d", d.Name, d.Revision),
+		})
+	}
+}
+
 // parse checks a document of the store or of a peer. The revision counts that
 // the JSON holds.
 func parse(d Doc) (held, error) {
--- a/internal/configstore/cache_test.go
+++ b/internal/configstore/cache_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/timeline"
 )
 
 // inForceBound is the time within which a configuration must be in force.
@@ -205,10 +206,11 @@
 }
 
 // Guards against drains, pauses or templates that are in force in the store and
-// not at the process, and against a lost notice.
+// not at the process, and against a lost notice or event.
 func TestContents(t *testing.T) {
 	kv := newFakeStore()
-	c := NewCache(Options{Store: kv, Log: quiet()})
+	events := timeline.NewRecorder(timeline.NewClock(time.Now), "test", 16)
+	c := NewCache(Options{Store: kv, Log: quiet(), Timeline: events})
 	s := NewStore(kv, c, quiet())
 	notice := c.Subscribe()
 	paused := model.TemplateID{Workspace: "a", Name: "w"}
@@ -232,6 +234,9 @@
 	if len(c.Workspaces()) != 1 || c.Templates()[0].ID != paused || len(c.Docs()) != 2 || len(c.Docs("cell", "none")) != 1 {
 		t.Errorf("workspaces %v, templates %v", c.Workspaces(), c.Templates())
 	}
+	if e := events.Events(""); len(e) != 3 || e[1].Detail != "cell revision 2" {
+		t.Errorf("timeline %+v", e)
+	}
 	peer := NewCache(Options{Store: kv, Log: quiet()})
 	if peer.Offer(c.Docs()) != 2 || !peer.Drained("vm-2") {
 		t.Error("peer did not adopt the documents")
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -184,6 +184,7 @@
 	scheduler *fakeScheduler
 	config    *fakeConfig
 	registry  *prometheus.Registry
+	timeline  *timeline.Recorder
 }
 
 func newAPI(t testing.TB) *api {
@@ -203,6 +204,7 @@
 		{Name: "workspace/kalnins", JSON: []byte(`{"revision":4,"source":"workspace = \"kalnins\""}`)},
 	})
 	a := &api{scheduler: f, config: &fakeConfig{cache: cache}, registry: prometheus.NewRegistry()}
+	a.timeline = timeline.NewRecorder(timeline.NewClock(time.Now), "test", 16)
 	a.Server = New(Options{
 		Scheduler: f,
 		Config:    a.config,
@@ -212,6 +214,7 @@
 		},
 		Retention: 15 * time.Minute,
 		Registry:  a.registry,
+		Timeline:  a.timeline,
 		Log:       logrus.NewEntry(log),
 		Now:       func() time.Time { return now },
 	})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -273,6 +273,32 @@
 	}
 }
 
+// Guards against submissions and revisions that an operator can't see in the
+// metrics or on the timeline.
+func TestObservability(t *testing.T) {
+	a := newAPI(t)
+	a.scheduler.reply = model.Reply{Outcome: model.OutcomeNotRun, Reason: model.ReasonOverload}
+	a.send(t, "POST /v1/workspaces/kalnins/templates/cut-list/requests\nIdempotency-Key: first")
+	a.send(t, "POST /v1/workspaces/kalnins/templates/cut-list/requests\nIdempotency-Key: second\nAgateyard-Max-Wait: soon")
+	metrics := a.send(t, "GET /metrics")
+	for _, line := range []string{
+		`agateyard_gateway_outcomes_total{outcome="not-run",reason="overload"} 1`,
+		`agateyard_gateway_refused_total{reason="invalid-request"} 1`,
+		`agateyard_config_revision{document="workspace/kalnins"} 4`,
+		`agateyard_gateway_held_submissions 0`,
+		`agateyard_http_requests_total{method="POST",route="/v1/workspaces/{workspace}/templates/{template}/requests",status="429"} 1`,
+	} {
+		if !strings.Contains(metrics, line) {
+			t.Errorf("%s is missing", line)
+		}
+	}
+	events := a.timeline.Events("")
+	if len(events) != 2 || events[0].Name != "answered" || events[0].Request != "first" || events[1].Name != "refused" ||
+		events[1].Detail != "not-run invalid-request" {
+		t.Errorf("timeline %+v", events)
+	}
+}
+
 // BenchmarkRefusal measures the gateway's part in the answer to a refused request.
 func BenchmarkRefusal(b *testing.B) {
 	a := newAPI(b)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/settings"
+	"github.com/agateyard/agateyard/internal/timeline"
 )
 
 const (
@@ -38,7 +39,7 @@
 	panicLogsPerSecond = 1
 )
 
-// Options are the parts of a Server. All but Now are required.
+// Options are the parts of a Server. All but Timeline and Now are required.
 type Options struct {
 	Scheduler Scheduler
 	Config    Config
@@ -47,6 +48,7 @@
 	Retention time.Duration // of the at-most-once record
 	Registry  *prometheus.Registry
 	Log       *logrus.Entry
+	Timeline  *timeline.Recorder
 	Now       func() time.Time // time.Now where nil
 }
 
@@ -166,6 +168,18 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// record adds the end of a submission to the timeline.
+func (s *Server) record(event, id string, outcome model.Outcome, reason model.Reason) {
+	if s.opts.Timeline == nil {
+		return
+	}
+	detail := string(outcome)
+	if reason != "" {
+		detail += " " + string(reason)
+	}
+	s.opts.Timeline.Record(timeline.Event{Part: "gateway", Name: event, Request: id, Detail: detail})
+}
+
 // recoverPanic answers a request whose handler panicked. What became of a
 // submission is then not known.
 func (s *Server) recoverPanic(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -266,10 +266,16 @@
 	if in.supplied {
 		p.ID = in.submission.Key.ID
 	}
-	if p.Outcome != "" {
-		writeProblem(w, p)
+	if p.Outcome == "" && s.settleRefusal(w, r, in, p) {
 		return
 	}
+	s.record("refused", p.ID, p.Outcome, p.Reason)
+	writeProblem(w, p)
+}
+
+// settleRefusal sets the outcome of a refusal. It returns true when it answered
+// the caller with the answer of the earlier sending.
+func (s *Server) settleRefusal(w http.ResponseWriter, r *http.Request, in *incoming, p *Problem) bool {
 	status, found, err := s.earlier(r.Context(), in)
 	switch {
 	case err != nil:
@@ -282,12 +288,13 @@
 		// The template was removed after the request ran.
 		w.Header().Set(HeaderIdempotencyKey, p.ID)
 		w.Header().Set(HeaderJoined, "true")
+		s.record("answered", p.ID, model.OutcomeRan, "")
 		writeAnswer(w, *status.Answer)
-		return
+		return true
 	default:
 		p.Outcome = status.Outcome
 	}
-	writeProblem(w, p)
+	return false
 }
 
 // earlier returns the status of an earlier sending of the identifier.
@@ -318,6 +325,7 @@
 		h.Set(HeaderJoined, "true")
 	}
 	s.metrics.outcomes.WithLabelValues(string(reply.Outcome), string(reply.Reason)).Inc()
+	s.record("answered", in.submission.Key.ID, reply.Outcome, reply.Reason)
 	if reply.Outcome == model.OutcomeRan && reply.Answer.Status != 0 {
 		writeAnswer(w, reply.Answer)
 		return
