--- a/internal/configstore/cache_test.go
+++ b/internal/configstore/cache_test.go
@@ -51,7 +51,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
 		steps := rapid.SliceOfN(rapid.SampledFrom([]string{
-			"write", "offer", "offer", "stall", "fail", "reset", "heal", "delete", "pass",
+			"write", "compact", "offer", "offer", "stall", "fail", "reset", "heal", "delete", "pass",
 		}), 5, 40).Draw(rt, "steps")
 		kv := newFakeStore()
 		var problem string
@@ -94,6 +94,12 @@
 	case "write":
 		*newest++
 		kv.set(key, encoded(must, "a", *newest).JSON)
+	case "compact": // with a write that no watch sees
+		*newest++
+		kv.with(func() {
+			kv.write(key, encoded(must, "a", *newest).JSON)
+			kv.compact()
+		})
 	case "offer":
 		if *newest > 0 {
 			c.Offer([]Doc{encoded(must, "a", 1+r.Uint64N(*newest))})
--- a/internal/configstore/fake_store_test.go
+++ b/internal/configstore/fake_store_test.go
@@ -37,8 +37,10 @@
 
 	// decide returns the fault and the latency of a call.
 	decide func(op, key string) (fault, time.Duration)
-	// reset makes watches answer that the history is gone.
-	reset bool
+	// reset makes watches answer that the history is gone. Without it, that is so
+	// for watches from before compacted.
+	reset     bool
+	compacted uint64
 	// early makes watches return at once without changes.
 	early bool
 }
@@ -129,10 +131,19 @@
 func (f *fakeStore) set(key string, value []byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.write(key, value)
+}
+
+func (f *fakeStore) write(key string, value []byte) {
 	f.revision++
 	f.record(platform.Entry{Key: key, Value: value, Version: f.revision})
 }
 
+// compact drops the history.
+func (f *fakeStore) compact() {
+	f.log, f.compacted = nil, f.revision
+}
+
 func (f *fakeStore) record(e platform.Entry) {
 	if e.Deleted {
 		delete(f.data, e.Key)
@@ -165,7 +176,8 @@
 	timeout := time.After(wait)
 	for {
 		f.mu.Lock()
-		c, changed, answer := platform.Changes{Revision: f.revision, Reset: f.reset}, f.changed, f.reset || f.early
+		c := platform.Changes{Revision: f.revision, Reset: f.reset || after < f.compacted}
+		changed, answer := f.changed, c.Reset || f.early
 		for _, e := range f.log {
 			if e.Version > after && strings.HasPrefix(e.Key, prefix) {
 				c.Entries = append(c.Entries, e)
