--- a/internal/gateway/status_codes.go
+++ b/internal/gateway/status_codes.go
@@ -18,7 +18,9 @@
 // A "ran" answer carries the endpoint's own status, or 410 where the answer was
 // not kept. An "unknown" answer is 504 when the time ran out and 502 otherwise;
 // sending it again is safe only with the same identifier. A refusal by the
-// gateway itself is 400, 404, 405, 408, 413, 415, 422, 431 or 503 with "not-run".
+// gateway itself is 400, 404, 405, 408, 413, 415, 422, 431 or 503 with "not-run",
+// or with the outcome of an earlier sending of the same identifier. An identifier
+// past the retention is 400 with "unknown", since its record has lapsed.
 var notRunStatus = map[model.Reason]int{
 	model.ReasonUnknownTemplate: http.StatusNotFound,
 	model.ReasonInfeasible:      http.StatusUnprocessableEntity,
