--- a/internal/configstore/cache.go
+++ b/internal/configstore/cache.go
@@ -1,6 +1,7 @@
 package configstore
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,12 +13,15 @@
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/platform"
 	"github.com/agateyard/agateyard/internal/template"
+	"github.com/agateyard/agateyard/internal/timeline"
 )
 
 // Options are the parts of a Cache.
 type Options struct {
 	Store platform.Store
 	Log   *logrus.Entry
+	// Timeline records each revision that comes into force; may be nil.
+	Timeline *timeline.Recorder
 	// WatchWait is the time that one watch stays pending; 0 takes the default.
 	WatchWait time.Duration
 	// WatchMargin is the time beyond WatchWait after which a watch counts as
@@ -30,7 +34,7 @@
 type Cache struct {
 	opts Options
 	view atomic.Pointer[contents] // never nil; readers take no lock
-	sync atomic.Bool              // documents were read from the store or offered by a peer
+	sync atomic.Bool              // all documents were read from the store or offered by a peer
 
 	mu   sync.Mutex // held while contents are replaced
 	held map[string]held
@@ -57,10 +61,13 @@
 	return c
 }
 
-// Offer takes documents that a peer or the store supplied and adopts those with
-// a higher revision than the held one. It returns the number adopted. A call
-// without documents tells that a peer has none.
-func (c *Cache) Offer(docs []Doc) int {
+// Offer takes documents from a peer or the store and adopts those with a higher
+// revision than the held one. It returns the number adopted.
+func (c *Cache) Offer(docs []Doc) int { return c.adopt(docs) }
+
+// OfferAll is Offer for all documents that a ready peer holds, none included. It
+// makes the cache ready while the store does not answer.
+func (c *Cache) OfferAll(docs []Doc) int {
 	adopted := c.adopt(docs)
 	c.sync.Store(true)
 	return adopted
@@ -96,10 +103,19 @@
 		return false
 	}
 	c.held[d.Name] = h
-	c.opts.Log.WithField("document", d.Name).WithField("revision", h.doc.Revision).Info("config: revision in force")
+	c.record(h.doc)
 	return true
 }
 
+func (c *Cache) record(d Doc) {
+	c.opts.Log.WithField("document", d.Name).WithField("revision", d.Revision).Info("config: revision in force")
+	if c.opts.Timeline != nil {
+		c.opts.Timeline.Record(timeline.Event{
+			Part: "config", Name: "in-force", Detail: fmt.Sprintf("%s revision %d", d.Name, d.Revision),
+		})
+	}
+}
+
 // parse checks a document of the store or of a peer. The revision counts that
 // the JSON holds.
 func parse(d Doc) (held, error) {
@@ -144,7 +160,8 @@
 	return s
 }
 
-// Ready reports whether the cache was filled once, from the store or by a peer.
+// Ready reports whether the cache once held all documents of the store or of a
+// ready peer. Before that, a missing template may exist.
 func (c *Cache) Ready() bool { return c.sync.Load() }
 
 // Revisions returns the revision in force here of each document.
--- a/internal/configstore/cache_test.go
+++ b/internal/configstore/cache_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/timeline"
 )
 
 // inForceBound is the time within which a configuration must be in force.
@@ -50,7 +51,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
 		steps := rapid.SliceOfN(rapid.SampledFrom([]string{
-			"write", "offer", "offer", "stall", "fail", "reset", "heal", "delete", "pass",
+			"write", "compact", "offer", "offer", "stall", "fail", "reset", "heal", "delete", "pass",
 		}), 5, 40).Draw(rt, "steps")
 		kv := newFakeStore()
 		var problem string
@@ -93,6 +94,12 @@
 	case "write":
 		*newest++
 		kv.set(key, encoded(must, "a", *newest).JSON)
+	case "compact": // with a write that no watch sees
+		*newest++
+		kv.with(func() {
+			kv.write(key, encoded(must, "a", *newest).JSON)
+			kv.compact()
+		})
 	case "offer":
 		if *newest > 0 {
 			c.Offer([]Doc{encoded(must, "a", 1+r.Uint64N(*newest))})
@@ -181,8 +188,11 @@
 		t.Error("ready before any source answered")
 	}
 	good := encoded(t, "a", 5)
-	if c.Offer([]Doc{good}) != 1 || !c.Ready() {
-		t.Fatal("good document was not adopted")
+	if c.Offer([]Doc{good}) != 1 || c.Ready() {
+		t.Fatal("good document was not adopted, or passed for all documents")
+	}
+	if c.OfferAll([]Doc{good}) != 0 || !c.Ready() {
+		t.Fatal("all documents of a peer did not make the cache ready")
 	}
 	other := encoded(t, "b", 9)
 	claim := encoded(t, "a", 4)
@@ -202,10 +212,11 @@
 }
 
 // Guards against drains, pauses or templates that are in force in the store and
-// not at the process, and against a lost notice.
+// not at the process, and against a lost notice or event.
 func TestContents(t *testing.T) {
 	kv := newFakeStore()
-	c := NewCache(Options{Store: kv, Log: quiet()})
+	events := timeline.NewRecorder(timeline.NewClock(time.Now), "test", 16)
+	c := NewCache(Options{Store: kv, Log: quiet(), Timeline: events})
 	s := NewStore(kv, c, quiet())
 	notice := c.Subscribe()
 	paused := model.TemplateID{Workspace: "a", Name: "w"}
@@ -229,6 +240,9 @@
 	if len(c.Workspaces()) != 1 || c.Templates()[0].ID != paused || len(c.Docs()) != 2 || len(c.Docs("cell", "none")) != 1 {
 		t.Errorf("workspaces %v, templates %v", c.Workspaces(), c.Templates())
 	}
+	if e := events.Events(""); len(e) != 3 || e[1].Detail != "cell revision 2" {
+		t.Errorf("timeline %+v", e)
+	}
 	peer := NewCache(Options{Store: kv, Log: quiet()})
 	if peer.Offer(c.Docs()) != 2 || !peer.Drained("vm-2") {
 		t.Error("peer did not adopt the documents")
