--- a/internal/journal/crash_test.go
+++ b/internal/journal/crash_test.go
@@ -74,6 +74,7 @@
 	for _, effect := range []bool{false, true} {
 		for n := range mostWrites {
 			t.Run(fmt.Sprintf("write %d, effect %v", n, effect), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { crashAt(t, n, effect) })
 			})
 		}
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -69,6 +69,9 @@
 
 // watch performs one call, which a request for a new listing cuts short.
 func (m *Manager) watch(ctx context.Context, revision uint64) (platform.Changes, error) {
+	// The store may never answer a watch, whatever limits its client has.
+	ctx, stop := context.WithTimeout(ctx, m.cfg.WatchWait+platform.DefaultWatchGrace)
+	defer stop()
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	done := make(chan struct{})
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,6 +22,9 @@
 // land, so the same write is sent again: the condition lets at most one of them
 // take effect. It goes on until the outcome is known or ctx ends.
 //
+// The returned version is that of this write, or 0 if a later write has already
+// replaced the value: a following write on condition of it then conflicts.
+//
 // ErrUncertain is returned only when ctx has ended first. ErrConflict means that
 // the write did not take effect, or that a later write replaced it and the
 // value no longer names changeID; a caller for which this matters keeps earlier
@@ -34,7 +38,7 @@
 	}
 	delay := NewBackOff(settleFirstDelay, settleMaxDelay)
 	for {
-		found, settled, err := readBack(ctx, s, key, opts.IfVersion, changeID, extract)
+		found, settled, err := readBack(ctx, s, key, value, opts.IfVersion, changeID, extract)
 		if settled {
 			return found, err
 		}
@@ -58,7 +62,7 @@
 
 // readBack reports whether the fate of a write is settled, and how. Not settled
 // without an error means that the key still has the version of the condition.
-func readBack(ctx context.Context, s Store, key string, ifVersion uint64, changeID string,
+func readBack(ctx context.Context, s Store, key string, value []byte, ifVersion uint64, changeID string,
 	extract func([]byte) []string,
 ) (uint64, bool, error) {
 	e, err := s.Get(ctx, key)
@@ -72,9 +76,13 @@
 		return 0, false, err
 	}
 	for _, id := range extract(e.Value) {
-		if id == changeID {
-			return e.Version, true, nil
+		if id != changeID {
+			continue
+		}
+		if !bytes.Equal(e.Value, value) {
+			return 0, true, nil
 		}
+		return e.Version, true, nil
 	}
 	if e.Version == ifVersion {
 		return 0, false, nil
