--- a/internal/membership/edit.go
+++ b/internal/membership/edit.go
@@ -16,7 +16,8 @@
 // Leave takes this process out of the view, before it hands over. The lease goes on
 // until Release, and the view lists the process as leaving: if it dies meanwhile,
 // it becomes a predecessor. Leave retries until it succeeds, ctx ends or the
-// process was replaced.
+// process was replaced. After ErrNotJoined there is nothing to leave and the caller
+// ends Run.
 func (m *Manager) Leave(ctx context.Context) error {
 	m.mu.Lock()
 	m.leaving = true
