--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -33,33 +33,27 @@
 	}
 }
 
-// follow lists the content and watches it until a new listing is needed or the
-// listing fails. A watch that fails is repeated here from the same revision.
+// follow lists the content and watches it until a call fails or the history is gone.
+// A failed watch leads to a new listing: where the store stalls watches, the listings
+// still bring the changes.
 func (m *Manager) follow(ctx context.Context, succeeded func()) error {
 	listing, err := m.list(ctx)
 	if err != nil {
 		return err
 	}
-	succeeded()
 	if err = m.deliver(ctx, listing); err != nil {
 		return err
 	}
 	revision := listing.revision
-	retry := platform.NewBackOff(firstRetry, maxRetry)
 	for {
 		changes, err := m.watch(ctx, revision)
-		switch {
-		case errors.Is(err, errRelist):
+		if err != nil {
 			return err
-		case err != nil:
-			if err = platform.Sleep(ctx, retry.NextBackOff()); err != nil {
-				return err
-			}
-			continue
-		case changes.Reset:
+		}
+		if changes.Reset {
 			return errRelist
 		}
-		retry.Reset()
+		succeeded()
 		revision = changes.Revision
 		if err = m.deliver(ctx, batch{entries: changes.Entries, revision: revision}); err != nil {
 			return err
