--- a/internal/membership/cell_test.go
+++ b/internal/membership/cell_test.go
@@ -137,19 +137,21 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
-		switch err := n.m.Leave(ctx); {
-		case errors.Is(err, ErrNotJoined):
-			n.stop(true)
+		if n.m.Leave(ctx) != nil {
+			n.stop(true) // the process exits without having left
 			n.cancel()
 			return
-		case err != nil || !release:
+		}
+		if !release {
 			return
 		}
-		if n.m.Release(ctx) == nil {
-			n.mu.Lock()
-			n.released = true
-			n.mu.Unlock()
+		if n.m.Release(ctx) != nil {
+			n.cancel()
+			return
 		}
+		n.mu.Lock()
+		n.released = true
+		n.mu.Unlock()
 	}()
 }
 
--- a/internal/membership/edit.go
+++ b/internal/membership/edit.go
@@ -25,16 +25,30 @@
 	if err := m.persist(ctx, m.markLeaving); err != nil {
 		return fmt.Errorf("leave: %w", err)
 	}
-	self := m.cfg.Self.Incarnation
-	return m.editView(ctx, func(v *model.View) bool {
-		i := slices.IndexFunc(v.Members, func(o model.Member) bool { return o.Incarnation == self })
-		if i < 0 {
-			return false
-		}
-		v.Members = slices.Delete(v.Members, i, i+1)
-		v.Leaving = append(v.Leaving, self)
-		return true
+	replaced := false
+	err := m.editView(ctx, func(v *model.View) bool {
+		replaced = slices.Contains(v.Predecessors, m.cfg.Self.Incarnation)
+		return !replaced && moveToLeaving(v, m.cfg.Self.Incarnation)
 	})
+	if err == nil && replaced {
+		err = ErrReplaced
+	}
+	if err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	return nil
+}
+
+// moveToLeaving reports whether it has changed the view. An incarnation that is not a
+// member yet is moved as well: a view that adds it may be on its way, and conflicts
+// with this one.
+func moveToLeaving(v *model.View, incarnation string) bool {
+	if slices.Contains(v.Leaving, incarnation) {
+		return false
+	}
+	v.Members = slices.DeleteFunc(v.Members, func(o model.Member) bool { return o.Incarnation == incarnation })
+	v.Leaving = append(v.Leaving, incarnation)
+	return true
 }
 
 // markLeaving sets the mark in the member key, so that nobody adds this process again.
@@ -130,15 +144,14 @@
 func (m *Manager) editView(ctx context.Context, edit func(*model.View) bool) error {
 	return m.persist(ctx, func(ctx context.Context) error {
 		e, err := m.cfg.Store.Get(ctx, viewKey)
-		if errors.Is(err, platform.ErrNotFound) {
-			return nil // no view, nothing to edit
-		}
-		if err != nil {
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
 			return err
 		}
-		var v model.View
-		if err = json.Unmarshal(e.Value, &v); err != nil {
-			return fmt.Errorf("value of %s: %w", viewKey, err)
+		var v model.View // empty before the first
+		if err == nil {
+			if err = json.Unmarshal(e.Value, &v); err != nil {
+				return fmt.Errorf("value of %s: %w", viewKey, err)
+			}
 		}
 		if !edit(&v) {
 			return nil
--- a/internal/membership/manager_test.go
+++ b/internal/membership/manager_test.go
@@ -54,6 +54,7 @@
 						LostReplies:      rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "lost replies"),
 						LoseNextRequests: rapid.IntRange(0, 1).Draw(t, "lost requests"),
 						StallWatches:     rapid.Bool().Draw(t, "stall"),
+						LatencyMS:        rapid.SampledFrom([]int64{0, 400}).Draw(t, "latency"),
 					}
 					c.server.SetFaults(faults)
 				},
@@ -181,6 +182,7 @@
 		if _, err := c.server.Get(t.Context(), memberPrefix+n.name); err != nil {
 			t.Errorf("member key during the handover: %v", err)
 		}
+		c.server.SetFaults(standin.Faults{LatencyMS: 400}) // longer than the quiet period
 		if err := n.m.Release(t.Context()); err != nil {
 			t.Fatal(err)
 		}
