shard: measure service rates on lasting backlogs only, and shed queues that drain too slowly

Cause: a request that started a millisecond after its arrival counted as a rate of a thousand a second, so that a flood was taken in full for 8 s and its callers were refused only after 30 s. Ruled out: starts that are counted twice (starts and ends agree in the timeline). Change: backlogs shorter than a sample and the first sample of a backlog are left out; queued requests that won't start in time at the present rate are answered.

--- a/internal/shard/rate_meter.go
+++ b/internal/shard/rate_meter.go
@@ -7,17 +7,21 @@
 
 // rateMeter measures the service rate of a queue: starts per second while work
 // waits. Time without a backlog is left out, because the rate is then that of
-// the arrivals and says nothing of the capacity.
+// the arrivals and says nothing of the capacity. So is a backlog that lasts less
+// than a sample: a request that starts a millisecond after its arrival would
+// count as a rate of a thousand a second, and the next flood would be taken for
+// work that starts in time.
 type rateMeter struct {
 	window time.Duration // half-life of the average
 	rate   float64       // starts per second
 	known  bool
 
 	busy   bool
+	first  bool          // no sample has passed since the backlog began
 	mark   time.Time     // start of the part of the interval that is not in spent yet
 	spent  time.Duration // backlogged time since the last sample
 	starts float64       // starts since the last sample
-	seen   time.Time     // last time with a backlog
+	seen   time.Time     // last time with a lasting backlog
 }
 
 // sampleFraction is the length of a sample as a part of the window. Shorter
@@ -27,6 +31,9 @@
 // setBusy tells whether work waits from now on.
 func (m *rateMeter) setBusy(now time.Time, busy bool) {
 	m.advance(now)
+	if busy != m.busy {
+		m.first, m.spent, m.starts = true, 0, 0
+	}
 	m.busy = busy
 	m.mark = now
 }
@@ -44,15 +51,21 @@
 	}
 	m.spent += max(0, now.Sub(m.mark))
 	m.mark = now
-	m.seen = now
 	if m.spent < m.window/sampleFraction {
 		return
 	}
+	m.seen = now
 	m.sample()
 }
 
 // sample folds the starts since the last sample into the average.
+// The first one of a backlog is left out, since it has the starts on capacity
+// that was free when the backlog began.
 func (m *rateMeter) sample() {
+	if m.first {
+		m.first, m.spent, m.starts = false, 0, 0
+		return
+	}
 	rate := m.starts / m.spent.Seconds()
 	if m.known {
 		weight := 1 - math.Exp2(-m.spent.Seconds()/m.window.Seconds())
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -27,6 +27,7 @@
 	jobTimers   dueHeap[*job]
 	unitTimers  dueHeap[*unit]
 	foundAges   []foundAge // in order of time
+	shedAt      time.Time  // last look at queues that may be too long
 }
 
 // foundAge tells when a found attempt was reported.
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -41,6 +41,7 @@
 		t.wakeUnit(now, u, &fx)
 	}
 	t.forgetFound(now, &fx)
+	t.shedQueues(now, &fx)
 	return fx
 }
 
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -89,7 +89,7 @@
     sleep 0.1
   done
   echo "entry processes did not become ready"
-  tail -5 "$dir"/entry-*.log
+  tail -n 5 "$dir"/*.log
   exit 1
 }
 
