--- a/internal/platform/standin/http_test.go
+++ b/internal/platform/standin/http_test.go
@@ -3,12 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"sync"
@@ -162,31 +160,17 @@
 	return out
 }
 
-func admin(t *testing.T, method, url string, body any) {
-	t.Helper()
-	b, err := json.Marshal(body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req, err := http.NewRequest(method, url, bytes.NewReader(b))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("%s %s: %s", method, url, resp.Status)
-	}
-}
-
 // Guards against a VM list that shows changes before its lag, or never.
 func TestVMListLags(t *testing.T) {
 	const lag = 150 * time.Millisecond
 	_, client, url := serve(t, Config{VMLag: lag})
+	admin := NewAdmin(url)
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
 	vm := platform.VM{ID: "vm-1", Address: "127.0.0.1:1", Kind: platform.VMWorker, Zone: "a", Rack: "r1"}
 	check := func(want string) {
 		t.Helper()
@@ -195,18 +179,25 @@
 			t.Errorf("list %s, error %v; want %s", got, err, want)
 		}
 	}
-	admin(t, http.MethodPost, url+"/admin/vms", vm)
+	must(admin.RegisterVM(t.Context(), vm))
 	check("[]")
 	time.Sleep(lag)
 	check("[{vm-1 127.0.0.1:1 worker a r1  live}]")
 	vm.State = platform.VMLeaving
-	admin(t, http.MethodPost, url+"/admin/vms", vm)
+	must(admin.RegisterVM(t.Context(), vm))
 	check("[{vm-1 127.0.0.1:1 worker a r1  live}]")
 	time.Sleep(lag)
 	check("[{vm-1 127.0.0.1:1 worker a r1  leaving}]")
-	admin(t, http.MethodDelete, url+"/admin/vms/vm-1", nil)
-	admin(t, http.MethodPut, url+"/admin/vm-lag", vmLagBody{})
+	must(admin.RemoveVM(t.Context(), vm.ID))
+	must(admin.SetVMLag(t.Context(), 0))
 	check("[]")
+	must(admin.SetFaults(t.Context(), Faults{Outage: true}))
+	if c, err := admin.Counters(t.Context()); err != nil || c.Calls[platform.CallVMs] != 5 {
+		t.Errorf("counters %+v, error %v", c, err)
+	}
+	if _, err := client.VMs(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("list in an outage: %v", err)
+	}
 }
 
 // Guards against a shutdown that waits for the long polls of clients.
