--- a/internal/journal/writer_test.go
+++ b/internal/journal/writer_test.go
@@ -15,8 +15,9 @@
 	"github.com/agateyard/agateyard/internal/platform/standin"
 )
 
-// Guards against more than 80 journal writes a second from all members together, and
-// against an idle writer that makes its first record wait.
+// Guards against more than 80 journal writes a second from all members together,
+// against a burst over the store's limits when an outage ends, and against an idle
+// writer that makes its first record wait.
 func TestWriteRateOfAllJournals(t *testing.T) {
 	for _, members := range []int{1, 9, 65} {
 		synctest.Test(t, func(t *testing.T) {
@@ -47,6 +48,27 @@
 			if puts > 80*seconds+int64(members) {
 				t.Errorf("%d members made %d writes in %d s", members, puts, seconds)
 			}
+			server.SetFaults(standin.Faults{Outage: true})
+			for _, x := range worlds {
+				x.append(0)
+			}
+			time.Sleep(time.Minute)
+			before := server.Counters()
+			server.SetFaults(standin.Faults{})
+			time.Sleep(5 * time.Second)
+			after := server.Counters()
+			t.Logf("%d members: %d writes in the 5 s after an outage", members, after.Writes-before.Writes)
+			if after.Throttled != before.Throttled {
+				t.Errorf("%d members: %d calls over the limits after an outage", members, after.Throttled-before.Throttled)
+			}
+			for _, x := range worlds {
+				x.mu.Lock()
+				open := x.open
+				x.mu.Unlock()
+				if open != 0 {
+					t.Errorf("%d records are open 5 s after an outage", open)
+				}
+			}
 		})
 	}
 }
--- a/internal/membership/manager_test.go
+++ b/internal/membership/manager_test.go
@@ -261,6 +261,30 @@
 	}
 }
 
+// Guards against members that are taken for dead because the pages of a listing were
+// read at different revisions, and against older states that replace newer ones.
+func TestListingOfSeveralPagesIsNotActedOnEarly(t *testing.T) {
+	entry := func(version uint64, key string, v any) platform.Entry {
+		return platform.Entry{Key: key, Value: encode(v), Version: version}
+	}
+	a, b := model.Member{Incarnation: "a"}, model.Member{Incarnation: "b"}
+	memberA := entry(5, memberPrefix+"a", memberRecord{Member: a})
+	memberB := entry(15, memberPrefix+"b", memberRecord{Member: b})
+	first := entry(8, viewKey, model.View{Number: 1, Members: []model.Member{a}})
+	second := entry(20, viewKey, model.View{Number: 2, Members: []model.Member{a, b}})
+	c := newCluster()
+	// The first page was read at revision 10, before b came, the second at 20.
+	c.apply(batch{entries: []platform.Entry{memberA, second}, revision: 10, listing: true, actAfter: 20})
+	if v, differs := c.next(); differs {
+		t.Errorf("before the watch has caught up: %+v", v)
+	}
+	c.apply(batch{entries: []platform.Entry{first}, revision: 12})
+	c.apply(batch{entries: []platform.Entry{memberB, second}, revision: 20})
+	if v, differs := c.next(); differs || c.view.Number != 2 {
+		t.Errorf("after the watch has caught up: view %d, next %+v", c.view.Number, v)
+	}
+}
+
 // Guards against a step of the view that loses an incarnation, lists it twice or does
 // not come to rest.
 func TestNextViewKeepsEveryIncarnation(t *testing.T) {
