--- a/internal/pool/main_test.go
+++ b/internal/pool/main_test.go
@@ -21,10 +21,20 @@
 		_ = f.Value.Set(fmt.Sprint(testSeed))
 	}
 	_ = flag.Set("rapid.nofailfile", "true") // the seed is enough
+	// The defaults of 100 runs of 30 steps miss faults that need a takeover or a late message.
+	raise("rapid.checks", "100", "500")
+	raise("rapid.steps", "30", "100")
 	fmt.Println("seed of rapid:", flag.Lookup("rapid.seed").Value, "seed of tables:", testSeed)
 	os.Exit(m.Run())
 }
 
+// raise sets a flag unless it was given on the command line.
+func raise(name, standard, value string) {
+	if flag.Lookup(name).Value.String() == standard {
+		_ = flag.Set(name, value)
+	}
+}
+
 var epoch = time.Unix(1_000_000, 0)
 
 func at(d time.Duration) time.Time { return epoch.Add(d) }
--- a/internal/pool/settle_test.go
+++ b/internal/pool/settle_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -169,3 +170,77 @@
 		t.Fatalf("%d grants on a leaving endpoint", n)
 	}
 }
+
+// TestContradictions guards against wrong conclusions from messages that
+// contradict each other: old reports, refusals of work that runs, and work
+// that an endpoint lists again after it was settled.
+func TestContradictions(t *testing.T) {
+	size := job("work", 5).Resources
+	running := report(worker(4, 8, 0))
+	running.Running = []endpoint.RunningAttempt{{Attempt: attemptID(1), Template: "kalnins/work", Resources: size}}
+	empty := report(worker(4, 8, 0))
+	answered := StartResult{Kind: StartAnswered, Answer: model.Answer{Status: 200}}
+	refused := StartResult{Kind: StartRefused, Err: endpoint.ErrExpired}
+	s := time.Second
+	for _, c := range []struct {
+		name    string
+		run     func(p *Pool, a model.AttemptID) []SettledTo
+		want    []model.AttemptEnd
+		charged model.Resources
+	}{
+		{"list older than the end", func(p *Pool, a model.AttemptID) []SettledTo {
+			out := p.Finished(at(2*s), a, answered).Settled
+			return append(out, p.Report(at(3*s), "e0000", at(s), running).Settled...)
+		}, []model.AttemptEnd{model.AttemptEnded}, model.Resources{}},
+		{"report older than the last", func(p *Pool, a model.AttemptID) []SettledTo {
+			p.Finished(at(0), a, StartResult{Kind: StartAccepted})
+			p.Report(at(3*s), "e0000", at(3*s), running)
+			return p.Report(at(4*s), "e0000", at(2*s), empty).Settled
+		}, nil, size},
+		{"refusal of work that runs", func(p *Pool, a model.AttemptID) []SettledTo {
+			p.Report(at(s), "e0000", at(s), running)
+			out := p.Finished(at(2*s), a, refused).Settled
+			return append(out, p.Report(at(3*s), "e0000", at(3*s), empty).Settled...)
+		}, []model.AttemptEnd{model.AttemptUnknown}, model.Resources{}},
+		{"refusal as repeated", func(p *Pool, a model.AttemptID) []SettledTo {
+			p.Finished(at(s), a, ResultOf(endpoint.StartReply{}, endpoint.ErrRepeated))
+			return p.Report(at(4*s), "e0000", at(4*s), empty).Settled
+		}, []model.AttemptEnd{model.AttemptUnknown}, model.Resources{}},
+		{"listed again after the lease lapsed", func(p *Pool, a model.AttemptID) []SettledTo {
+			p.Finished(at(0), a, StartResult{Kind: StartAccepted})
+			out := p.Tick(at(13 * s)).Settled
+			return append(out, p.Report(at(90*s), "e0000", at(90*s), running).Settled...)
+		}, []model.AttemptEnd{model.AttemptUnknown}, size},
+		{"and gone after that", func(p *Pool, a model.AttemptID) []SettledTo {
+			p.Finished(at(0), a, StartResult{Kind: StartAccepted})
+			out := p.Tick(at(13 * s)).Settled
+			out = append(out, p.Report(at(90*s), "e0000", at(90*s), running).Settled...)
+			return append(out, p.Report(at(92*s), "e0000", at(92*s), empty).Settled...)
+		}, []model.AttemptEnd{model.AttemptUnknown}, model.Resources{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, a := startOne(t)
+			var got []model.AttemptEnd
+			for _, s := range c.run(p, a) {
+				got = append(got, s.Settled.End)
+			}
+			if !slices.Equal(got, c.want) || p.endpoints["e0000"].charged != c.charged {
+				t.Fatalf("settled %v, want %v; charged %v, want %v", got, c.want, p.endpoints["e0000"].charged, c.charged)
+			}
+		})
+	}
+}
+
+// TestBeginAfterLease guards against a start at an endpoint that has not
+// reported within its lease: it would be stopped, or be unaccounted for.
+func TestBeginAfterLease(t *testing.T) {
+	p, _ := startOne(t)
+	g, _ := p.Hold(at(9700*time.Millisecond), "s", id("work"), job("work", 5).Resources, 1)
+	if _, err := p.Begin(at(10100*time.Millisecond), g.ID, []model.AttemptID{attemptID(2)}); err != ErrGrantVoid {
+		t.Fatalf("Begin after the lease: %v", err)
+	}
+	p.Tick(at(10100 * time.Millisecond))
+	if _, ok := p.Hold(at(10100*time.Millisecond), "s", id("work"), job("work", 5).Resources, 1); ok {
+		t.Fatal("grant after the lease")
+	}
+}
