--- a/internal/pool/endpoint_state.go
+++ b/internal/pool/endpoint_state.go
@@ -11,6 +11,7 @@
 	id string
 
 	removed         bool // no longer in the VM list
+	droppedAt       time.Time
 	leavingSet      bool // by drain or VM list
 	leavingReported bool // by its own report
 	reported        bool // has reported under our token
--- a/internal/pool/membership.go
+++ b/internal/pool/membership.go
@@ -16,6 +16,10 @@
 		return
 	}
 	e := newEndpointState(id)
+	if old := p.dropped[id]; old != nil {
+		e.instance, e.lastSent, e.acks = old.instance, old.lastSent, old.acks
+		delete(p.dropped, id)
+	}
 	p.endpoints[id] = e
 	at, _ := slices.BinarySearchFunc(p.ordered, id, func(o *endpointState, id string) int {
 		return strings.Compare(o.id, id)
@@ -45,7 +49,7 @@
 	}
 	e.removed = true
 	p.stateChanged(now, e)
-	p.dropRemoved(e)
+	p.dropRemoved(now, e)
 }
 
 // stateChanged voids the grants of an endpoint that takes no more starts.
@@ -57,19 +61,30 @@
 }
 
 // dropRemoved forgets a removed endpoint on which nothing is charged.
-func (p *Pool) dropRemoved(e *endpointState) {
+func (p *Pool) dropRemoved(now time.Time, e *endpointState) {
 	if !e.removed || len(e.attempts) > 0 || len(e.grants) > 0 {
 		return
 	}
 	p.uncount(e)
 	p.index.update(e, false)
 	delete(p.endpoints, e.id)
+	e.droppedAt = now
+	p.dropped[e.id] = e
 	same := func(o *endpointState) bool { return o == e }
 	p.ordered = slices.DeleteFunc(p.ordered, same)
 	p.quarantined = slices.DeleteFunc(p.quarantined, same)
 	p.changes++
 }
 
+// forgetDropped forgets the endpoints that left long ago.
+func (p *Pool) forgetDropped(now time.Time) {
+	for id, e := range p.dropped {
+		if now.Sub(e.droppedAt) > unreportedRetention {
+			delete(p.dropped, id)
+		}
+	}
+}
+
 // Endpoints returns the endpoints in order, removed ones with unsettled attempts included.
 func (p *Pool) Endpoints() []string {
 	return p.names(func(*endpointState) bool { return true })
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,7 +18,9 @@
 	listed    bool // the VM list was applied in full
 	endpoints map[string]*endpointState
 	ordered   []*endpointState // by identifier
-	index     freeIndex
+	// Endpoints that left: one that comes back lists ends that were handled before.
+	dropped map[string]*endpointState
+	index   freeIndex
 
 	activeCapacity  model.Resources // of endpoints that take work
 	activeCharged   model.Resources // on endpoints that take work
@@ -60,6 +62,7 @@
 	return &Pool{
 		id: id, owner: owner, token: token, cfg: cfg, rnd: rnd,
 		endpoints:  map[string]*endpointState{},
+		dropped:    map[string]*endpointState{},
 		index:      &scanIndex{leastLoaded: isRunnerPool(id)},
 		templates:  map[model.TemplateID]*templateState{},
 		workspaces: map[string]*workspaceState{},
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -33,7 +33,7 @@
 	e.leavingReported = r.Leaving
 	p.stateChanged(now, e)
 	p.voidExcess(now, e)
-	p.dropRemoved(e)
+	p.dropRemoved(now, e)
 	return p.take()
 }
 
--- a/internal/pool/settle_test.go
+++ b/internal/pool/settle_test.go
@@ -244,3 +244,20 @@
 		t.Fatal("grant after the lease")
 	}
 }
+
+// TestReturnedEndpoint guards against an end that is told again when its
+// endpoint left the VM list and came back after the end was forgotten.
+func TestReturnedEndpoint(t *testing.T) {
+	p, a := startOne(t)
+	p.Finished(at(0), a, StartResult{Kind: StartAccepted})
+	r := report(worker(4, 8, 0))
+	r.Ended = []endpoint.EndedAttempt{{Seq: 1, Attempt: a, HasAnswer: true, Answer: model.Answer{Status: 200}}}
+	first := p.Report(at(time.Second), "e0000", at(time.Second), r).Settled
+	p.RemoveEndpoint(at(2*time.Second), "e0000")
+	p.Tick(at(70 * time.Second))
+	p.AddEndpoint(at(71*time.Second), "e0000")
+	again := p.Report(at(72*time.Second), "e0000", at(72*time.Second), r).Settled
+	if len(first) != 1 || len(again) != 0 {
+		t.Fatalf("told %v, then %v", first, again)
+	}
+}
--- a/internal/pool/tick.go
+++ b/internal/pool/tick.go
@@ -13,7 +13,8 @@
 		p.settleLapsed(now, e)
 		p.pollOverdue(now, e)
 	}
-	p.dropAllRemoved()
+	p.dropAllRemoved(now)
+	p.forgetDropped(now)
 	p.preempt(now)
 	return p.take()
 }
@@ -42,9 +43,9 @@
 }
 
 // dropAllRemoved forgets removed endpoints whose last grant has ended.
-func (p *Pool) dropAllRemoved() {
+func (p *Pool) dropAllRemoved(now time.Time) {
 	for i := len(p.ordered) - 1; i >= 0; i-- {
-		p.dropRemoved(p.ordered[i])
+		p.dropRemoved(now, p.ordered[i])
 	}
 }
 
