--- a/internal/pool/fake_endpoint_test.go
+++ b/internal/pool/fake_endpoint_test.go
@@ -59,7 +59,7 @@
 	f.seq++
 	f.history[a] = "answer " + answer
 	f.ended = append(f.ended, endpoint.EndedAttempt{
-		Seq: f.seq, Attempt: a, Template: order.Template.String(), Stopped: stopped, HasAnswer: true, RunMS: 5,
+		Seq: f.seq, Attempt: a, Template: order.Template.String(), Stopped: stopped, HasAnswer: true, RunMS: 5000,
 		Answer: f.answer(a),
 	})
 }
@@ -140,3 +140,14 @@
 func (f *fakeEndpoint) blindTo(o StartOrder) bool {
 	return o.Instance != fmt.Sprint(f.generation)
 }
+
+// runsBlind reports whether the endpoint runs an attempt that was started in
+// this way; the owner may have settled it as unknown.
+func (f *fakeEndpoint) runsBlind() bool {
+	for _, o := range f.running {
+		if f.blindTo(o) {
+			return true
+		}
+	}
+	return false
+}
