--- /dev/null
+++ b/internal/bench/cell.go
@@ -0,0 +1,250 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/gateway"
+	"github.com/agateyard/agateyard/internal/platform/standin"
+)
+
+const (
+	startLimit   = 60 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// cell is a running cell.
+type cell struct {
+	opts      Options
+	dir       string
+	platform  string // base URL
+	processes []*process
+	entries   []*entryProcess
+	endpoints *process // the stand-in that runs the workers, or else the runners
+	client    *http.Client
+}
+
+// entryProcess is one entry process and its link to the store.
+type entryProcess struct {
+	*process
+	http string // ip:port
+	link *storeLink
+}
+
+func startCell(ctx context.Context, o Options) (*cell, error) {
+	dir := o.Logs
+	var err error
+	if dir == "" {
+		dir, err = os.MkdirTemp("", "agateyard-bench-")
+	}
+	if err != nil {
+		return nil, err
+	}
+	c := &cell{opts: o, dir: dir, client: &http.Client{Timeout: 10 * time.Second}}
+	if err := c.start(ctx); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cell) start(ctx context.Context) error {
+	if err := c.startPlatform(ctx); err != nil {
+		return err
+	}
+	if err := c.startEndpoints(ctx); err != nil {
+		return err
+	}
+	for i := range c.opts.Members {
+		if err := c.startEntry(i); err != nil {
+			return err
+		}
+	}
+	return c.waitMembers(ctx)
+}
+
+// run starts a process of the cell.
+func (c *cell) run(name, binary string, args ...string) (*process, error) {
+	p, err := startProcess(c.dir, name, filepath.Join(c.opts.Bin, binary), args...)
+	if err == nil {
+		c.processes = append(c.processes, p)
+	}
+	return p, err
+}
+
+func (c *cell) startPlatform(ctx context.Context) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	c.platform = "http://" + address
+	if _, err := c.run("platform", "agateyard-standin", "platform", "--listen", address); err != nil {
+		return err
+	}
+	return c.eventually(ctx, "platform answers", func() bool {
+		_, err := c.counters()
+		return err == nil
+	})
+}
+
+func (c *cell) startEndpoints(ctx context.Context) error {
+	o := c.opts
+	zones := make([]string, o.Zones)
+	for i := range zones {
+		zones[i] = "--zone=" + zoneName(i)
+	}
+	kinds := []struct {
+		name  string
+		count int
+		args  []string
+	}{
+		{"runner", o.Runners, []string{"--service", "orders"}},
+		{"worker", o.Workers, []string{"--per-rack", fmt.Sprint(o.PerRack), "--accelerators", "2"}},
+	}
+	listed := 0
+	for _, k := range kinds {
+		if k.count == 0 {
+			continue
+		}
+		args := append([]string{k.name, "--count", fmt.Sprint(k.count), "--platform", c.platform}, k.args...)
+		p, err := c.run(k.name, "agateyard-standin", append(args, zones...)...)
+		if err != nil {
+			return err
+		}
+		c.endpoints = p
+		listed += k.count
+	}
+	return c.eventually(ctx, "endpoints are listed", func() bool {
+		var vms []json.RawMessage
+		return c.get(c.platform+"/v1/vms", &vms) == nil && len(vms) == listed
+	})
+}
+
+func (c *cell) startEntry(i int) error {
+	httpAddress, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	rpcAddress, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	link, err := newStoreLink(c.platform)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("entry-%d", i)
+	path := filepath.Join(c.dir, name+".toml")
+	text := fmt.Sprintf("name = %q\nzone = %q\nhttp_address = %q\nrpc_address = %q\nplatform_url = %q\n\n[limits]\nqueue_entries = 200000\n\n[stop]\ndrain_delay = \"0s\"\ntimeout = \"5s\"\n",
+		name, zoneName(i%c.opts.Zones), httpAddress, rpcAddress, link.url())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return err
+	}
+	p, err := c.run(name, "agateyard-entry", "--config", path)
+	if err != nil {
+		return err
+	}
+	c.entries = append(c.entries, &entryProcess{process: p, http: httpAddress, link: link})
+	return nil
+}
+
+// waitMembers waits until every process is ready and in one view.
+func (c *cell) waitMembers(ctx context.Context) error {
+	return c.eventually(ctx, "one view of all members", func() bool {
+		s, err := c.status()
+		if err != nil || len(s.Members) != c.opts.Members {
+			return false
+		}
+		for _, m := range s.Members {
+			if !m.Ready || m.View != s.View {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// stop ends the processes that the cell started, entry processes by force:
+// their orderly stop is no part of a measurement.
+func (c *cell) stop() {
+	for _, e := range c.entries {
+		_ = e.cmd.Process.Kill()
+		e.link.close()
+	}
+	for i := len(c.processes) - 1; i >= 0; i-- {
+		c.processes[i].stop()
+	}
+	if c.opts.Logs == "" {
+		_ = os.RemoveAll(c.dir)
+	}
+}
+
+func (c *cell) status() (gateway.CellStatus, error) {
+	var s gateway.CellStatus
+	return s, c.get("http://"+c.entries[0].http+"/v1/status", &s)
+}
+
+func (c *cell) counters() (standin.Counters, error) {
+	var k standin.Counters
+	return k, c.get(c.platform+"/admin/counters", &k)
+}
+
+func (c *cell) get(url string, into any) error {
+	resp, err := c.client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+func (c *cell) eventually(ctx context.Context, what string, done func() bool) error {
+	deadline := time.Now().Add(startLimit)
+	for !done() {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s: not within %v", what, startLimit)
+		}
+		if !sleep(ctx, pollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (c *cell) addresses() []string {
+	var out []string
+	for _, e := range c.entries {
+		out = append(out, e.http)
+	}
+	return out
+}
+
+func zoneName(i int) string { return "zone-" + strings.ToLower(string(rune('a'+i))) }
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
