--- /dev/null
+++ b/internal/shard/requests_test.go
@@ -0,0 +1,213 @@
+package shard
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// TestRepeatGetsRecordedAnswer guards against a second execution of a finished
+// request, and against large answers that fill the memory.
+func TestRepeatGetsRecordedAnswer(t *testing.T) {
+	for _, size := range []int{10, DefaultKeptAnswerBytes + 1} {
+		f := newFixture(t, Config{})
+		key := f.key("ask", "")
+		f.submit(key)
+		body := strings.Repeat("x", size)
+		first := f.reply(f.ended(f.start("ask", "e1").Attempt, 200, body))
+		f.check(string(first.Answer.Body) == body, "the first caller lacks the answer")
+		again := f.reply(f.submit(key))
+		kept := size <= DefaultKeptAnswerBytes
+		f.check(again.Joined && again.Outcome == model.OutcomeRan, "repeat: %+v", again)
+		f.check((string(again.Answer.Body) == body) == kept, "answer of %d bytes kept: %t", size, !kept)
+		f.check((again.Reason == model.ReasonAnswerTooLarge) != kept, "reason %q", again.Reason)
+		f.advance(DefaultRetention + 2*DefaultClockSkew)
+		_, known := f.table.Status(key)
+		f.check(!known, "the record outlives the retention")
+	}
+}
+
+// TestIdentifierAge guards against identifiers whose record is gone already or
+// would go before the identifier is refused for its age.
+func TestIdentifierAge(t *testing.T) {
+	cases := []struct {
+		name   string
+		age    time.Duration
+		reason model.Reason
+	}{
+		{"charge", DefaultRetention + time.Second, model.ReasonIDTooOld},
+		{"charge", DefaultRetention - time.Second, ""},
+		{"charge", -DefaultClockSkew - time.Second, model.ReasonIDInFuture},
+		{"charge", -DefaultClockSkew + time.Second, ""},
+		{"ask", DefaultRetention + time.Second, ""},
+	}
+	for _, c := range cases {
+		f := newFixture(t, Config{})
+		key := f.key(c.name, "")
+		key.ID = mint(f.now.Add(-c.age), f.rnd)
+		fx := f.submit(key)
+		if c.reason == "" {
+			f.check(len(fx.Answers) == 0, "%v was refused: %+v", c, fx.Answers)
+		} else {
+			f.refused(fx, c.reason)
+		}
+	}
+	f := newFixture(t, Config{})
+	f.refused(f.submit(model.RequestKey{Template: model.TemplateID{Workspace: "w", Name: "charge"}, ID: "mine"}), model.ReasonIDTooOld)
+	key := f.key("charge", "")
+	key.ID = mint(f.now.Add(DefaultClockSkew), f.rnd)
+	f.submit(key)
+	f.table.Cancel(f.now, []model.RequestKey{key})
+	f.advance(DefaultRetention + DefaultClockSkew)
+	f.check(f.reply(f.submit(key)).Reason == model.ReasonCancelled, "the record went before the identifier was too old")
+}
+
+// TestQueueBounds guards against a flood of one template that takes the space of others.
+func TestQueueBounds(t *testing.T) {
+	for _, cfg := range []Config{{QueueEntries: 3}, {QueueBytes: 12}} {
+		f := newFixture(t, cfg)
+		for range 3 {
+			f.check(len(f.submit(f.key("ask", "")).Answers) == 0, "refused below the bound")
+		}
+		f.check(f.refused(f.submit(f.key("ask", "")), model.ReasonQueueFull).RetryAfter > 0, "no Retry-After")
+		f.check(len(f.submit(f.key("charge", "")).Answers) == 0, "the flood takes the space of another template")
+		f.start("ask", "e1")
+		f.check(len(f.submit(f.key("ask", "")).Answers) == 0, "a started request holds queue space")
+	}
+}
+
+// TestOverload guards against callers that wait in vain in a queue too long for
+// its measured rate, and against a flood that refuses other templates.
+func TestOverload(t *testing.T) {
+	f := newFixture(t, Config{})
+	for range 500 {
+		f.check(len(f.submit(f.key("ask", "")).Answers) == 0, "refused without a measured rate")
+	}
+	for range 100 { // ten starts a second
+		f.advance(100 * time.Millisecond)
+		f.start("ask", "e1")
+		f.submit(f.key("ask", ""))
+	}
+	r := f.refused(f.submit(f.key("ask", "")), model.ReasonOverload)
+	f.check(r.RetryAfter > 15*time.Second && r.RetryAfter < 60*time.Second, "Retry-After is %s", r.RetryAfter)
+	f.check(len(f.submit(f.key("charge", "")).Answers) == 0, "the flood refuses another template")
+	f.check(len(f.submit(f.key("ask-ordered", "a")).Answers) == 1, "less urgent work is not predicted to wait for urgent work")
+	patient := model.Submission{Key: f.key("ask", ""), MaxWait: time.Minute}
+	f.check(len(f.table.Submit(f.now, patient, 1).Answers) == 0, "a caller that may wait was refused")
+}
+
+// TestInfeasible guards against requests that wait for an endpoint that does not exist.
+func TestInfeasible(t *testing.T) {
+	f := newFixture(t, Config{})
+	one := model.Resources{CoresMilli: 1000}
+	pool := model.PoolSummary{Pool: workerPool, Total: one.Scale(2), Biggest: one.Scale(2), Endpoint: 1}
+	f.table.SetCapacity(f.now, []model.PoolSummary{pool})
+	f.check(len(f.submit(f.key("gang", "")).Records) == 1, "a feasible gang was refused")
+	f.refused(f.submit(f.key("gang-once", "")), model.ReasonInfeasible)
+	f.change("job", func(t *model.Template) { t.Resources.Accelerators = 1 })
+	f.refused(f.submit(f.key("job", "")), model.ReasonInfeasible)
+}
+
+// TestWaitExceeded guards against callers that are held beyond their wait, and
+// against a not-run for work that has started.
+func TestWaitExceeded(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.submit(f.key("ask", ""))
+	s := f.start("ask", "e1")
+	f.submit(f.key("ask", ""))
+	next, ok := f.table.Next()
+	f.check(ok && next.Equal(f.now.Add(20*time.Second)), "next is %s", next)
+	f.refused(f.advance(20*time.Second), model.ReasonWaitExceeded)
+	f.check(f.reply(f.ended(s.Attempt, 200, "")).Outcome == model.OutcomeRan, "the started request was not answered")
+}
+
+// TestWithdrawnIntent guards against a start of a request that was answered
+// not-run because its intent was not recorded in time.
+func TestWithdrawnIntent(t *testing.T) {
+	withdraw := map[string]func(*fixture, model.AttemptID) Effects{
+		"failed":   func(f *fixture, a model.AttemptID) Effects { return f.table.IntentFailed(f.now, a) },
+		"deadline": func(f *fixture, _ model.AttemptID) Effects { return f.advance(21 * time.Second) },
+		"late": func(f *fixture, a model.AttemptID) Effects {
+			f.now = f.now.Add(21 * time.Second)
+			return f.table.IntentDurable(f.now, a)
+		},
+	}
+	for name, f := range withdraw {
+		t.Run(name, func(t *testing.T) {
+			fix := newFixture(t, Config{})
+			fix.submit(fix.key("charge", ""))
+			fx, _ := fix.bind("charge", false, "e1")
+			fix.check(len(fx.Starts) == 0 && len(fx.Records) == 1, "started before the intent was durable")
+			a := fx.Records[0].Attempt()
+			fx = f(fix, a)
+			fix.refused(fx, model.ReasonStoreDown)
+			fix.check(len(fx.Returns) == 1 && len(fx.Starts) == 0, "the grant was not returned")
+			fix.check(len(fix.table.IntentDurable(fix.now, a).Starts) == 0, "a withdrawn intent started")
+		})
+	}
+}
+
+// TestJournalDown guards against accepted or at-most-once work without a
+// record, and against an outage of the store that stops idempotent work.
+func TestJournalDown(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.table.SetJournal(f.now, false)
+	f.refused(f.submit(f.key("charge", "")), model.ReasonStoreDown)
+	f.refused(f.submit(f.key("job", "")), model.ReasonStoreDown)
+	f.check(len(f.submit(f.key("ask", "")).Answers) == 0, "idempotent work was refused")
+	f.table.SetJournal(f.now, true)
+	key := f.key("job", "")
+	f.submit(key)
+	f.refused(f.table.AcceptanceFailed(f.now, key), model.ReasonStoreDown)
+}
+
+// TestRetry guards against repeats on the endpoint that failed the request,
+// beyond the limit or the budget, and without backoff.
+func TestRetry(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.submit(f.key("ask", ""))
+	for _, endpoint := range []string{"e1", "e2"} {
+		s := f.start("ask", endpoint)
+		f.check(len(f.ended(s.Attempt, 500, "").Answers) == 0, "answered although it may be repeated")
+		_, ok := f.bind("ask", false, "e9")
+		f.check(!ok, "repeated without backoff")
+		f.advance(time.Second)
+		_, ok = f.bind("ask", false, endpoint)
+		f.check(!ok, "repeated on the endpoint that failed it")
+	}
+	r := f.reply(f.ended(f.start("ask", "e3").Attempt, 503, "last"))
+	f.check(r.Outcome == model.OutcomeRan && string(r.Answer.Body) == "last", "after the limit: %+v", r)
+	repeats := 0
+	for range 20 { // the budget is three and a tenth of the starts
+		f.submit(f.key("ask", ""))
+		if len(f.ended(f.start("ask", "e1").Attempt, 500, "").Answers) == 0 {
+			repeats++
+		}
+	}
+	f.check(repeats <= 4, "%d repeats exceed the budget", repeats)
+}
+
+// TestLateEnd guards against an unknown outcome that stays although the answer came later.
+func TestLateEnd(t *testing.T) {
+	f := newFixture(t, Config{})
+	key := f.key("charge", "")
+	f.submit(key)
+	fx, _ := f.bind("charge", false, "e1")
+	a := fx.Records[0].Attempt()
+	f.table.IntentDurable(f.now, a)
+	unknown := f.reply(f.table.Settle(f.now, model.Settled{Attempt: a, End: model.AttemptUnknown}))
+	f.check(unknown.Outcome == model.OutcomeUnknown && unknown.Reason == model.ReasonAttemptLost, "%+v", unknown)
+	f.check(len(f.ended(a, 200, "late").Answers) == 0, "answered twice")
+	f.check(string(f.reply(f.submit(key)).Answer.Body) == "late", "the late answer was lost")
+}
+
+// TestDecodeRecord guards against journal entries that are taken without their content.
+func TestDecodeRecord(t *testing.T) {
+	for _, text := range []string{"", "{", `{"kind":"intent"}`, `{"kind":"outcome"}`, `{"kind":"x"}`, `{"kind":"end"}`} {
+		if r, err := DecodeRecord([]byte(text)); err == nil {
+			t.Errorf("%q was decoded to %+v", text, r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/shard/scheduling_test.go
@@ -0,0 +1,223 @@
+package shard
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// TestUrgencyBeforeAge guards against old or underserved less urgent work that
+// delays urgent work, and against a workspace that starves another of the same urgency.
+func TestUrgencyBeforeAge(t *testing.T) {
+	f := newFixture(t, Config{})
+	heavy := model.TemplateID{Workspace: "heavy", Name: "ask"}
+	f.templates[heavy] = model.Template{
+		ID: heavy, Kind: model.KindRequest, Service: "svc", Idempotent: true, Urgency: 3, Weight: 3,
+		Resources: model.Resources{Slots: 1},
+	}
+	f.table.SetTemplates(f.now, f.templates)
+	f.submit(f.key("ask-ordered", "a")) // urgency 0
+	f.now = f.now.Add(10 * time.Second)
+	started := map[model.TemplateID]int{}
+	for range 60 {
+		f.submit(f.key("ask", ""))
+		key := f.key("ask", "")
+		key.Template = heavy
+		f.submit(key)
+	}
+	f.submit(f.key("charge", "")) // urgency 9
+	first := f.table.Demand(f.now)[0]
+	f.check(first.Template.Name == "charge", "first demand is %v", first)
+	generic := model.Grant{Pool: runnerPool, Resources: model.Resources{Slots: 1}, Endpoints: []string{"e1"}}
+	for i := range 41 {
+		fx, ok := f.table.Bind(f.now, generic)
+		f.check(ok, "no work for a grant")
+		if i == 0 {
+			f.check(fx.Records[0].Key.Template.Name == "charge", "first start is %v", fx.Records[0].Key)
+			continue
+		}
+		started[fx.Starts[0].Key.Template]++
+	}
+	f.check(started[heavy] >= 28 && started[heavy] <= 32, "weight 3 of 4 got %d of 40 starts", started[heavy])
+	f.check(len(started) == 2, "less urgent work went first: %v", started)
+}
+
+// TestBlockedWorkHoldsBackNothing guards against head-of-line blocking by an
+// ordering key, a gang that is not covered, and an endpoint that a request avoids.
+func TestBlockedWorkHoldsBackNothing(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.submit(f.key("ask-ordered", "a"))
+	f.start("ask-ordered", "e1")
+	blocked := f.key("ask-ordered", "a")
+	f.submit(blocked)
+	other := f.key("ask-ordered", "b")
+	f.submit(other)
+	f.check(f.start("ask-ordered", "e1").Key == other, "a blocked key holds back another")
+	_, ok := f.bind("ask-ordered", false, "e1")
+	f.check(!ok, "a blocked request started")
+
+	f.accept(f.key("gang", ""))
+	f.bind("gang", true, "e1")
+	f.accept(f.key("job", ""))
+	f.start("job", "e2")
+
+	f.submit(f.key("ask", ""))
+	f.ended(f.start("ask", "e1").Attempt, 500, "")
+	f.advance(time.Second)
+	fresh := f.key("ask", "")
+	f.submit(fresh)
+	f.check(f.start("ask", "e1").Key == fresh, "a repeat that avoids the endpoint holds back another request")
+}
+
+// TestGang guards against a gang that starts in part, keeps grants that are not
+// completed, or goes on after the failure of one task.
+func TestGang(t *testing.T) {
+	f := newFixture(t, Config{})
+	key := f.key("gang-once", "")
+	f.accept(key)
+	f.bind("gang-once", true, "e1")
+	expired := f.advance(DefaultHoldLimit)
+	f.check(len(expired.Returns) == 1, "an incomplete gang keeps its grant")
+	f.bind("gang-once", true, "e1")
+	fx, _ := f.bind("gang-once", true, "e2", "e3")
+	f.check(len(fx.Records) == 1 && len(fx.Records[0].Intent.Attempts) == 3, "not all tasks in one intent: %+v", fx)
+	fx = f.table.IntentDurable(f.now, fx.Records[0].Attempt())
+	f.check(len(fx.Starts) == 3, "%d of 3 tasks started", len(fx.Starts))
+	starts := fx.Starts
+	fx = f.ended(starts[1].Attempt, 500, "broken")
+	f.check(len(fx.Cancels) == 2, "%d of 2 other tasks stopped", len(fx.Cancels))
+	for _, i := range []int{0, 2} {
+		fx = f.table.Settle(f.now, model.Settled{Attempt: starts[i].Attempt, End: model.AttemptEnded, Stopped: true})
+	}
+	status, _ := f.table.Status(key)
+	f.check(status.Outcome == model.OutcomeRan && status.Answer.Status == 500, "status %+v", status)
+}
+
+// TestService guards against replicas that stay down, restart in a tight loop
+// or outlive a cancel.
+func TestService(t *testing.T) {
+	f := newFixture(t, Config{})
+	id := model.TemplateID{Workspace: "w", Name: "service"}
+	f.templates[id] = model.Template{ID: id, Kind: model.KindService, Tasks: 2, MaxWait: time.Second}
+	f.table.SetTemplates(f.now, f.templates)
+	key := f.key("service", "")
+	f.accept(key)
+	f.check(f.table.Demand(f.now)[0].Count == 2, "demand %+v", f.table.Demand(f.now))
+	first := f.start("service", "e1")
+	f.start("service", "e2")
+	previous := time.Duration(0)
+	for round := range 6 {
+		endpoint := []string{"e1", "e3"}[round%2]
+		f.table.Settle(f.now, model.Settled{Attempt: first.Attempt, Endpoint: endpoint, End: model.AttemptUnknown})
+		next, ok := f.table.Next()
+		f.check(ok, "no restart planned")
+		wait := next.Sub(f.now)
+		f.check(wait > previous/4, "backoff shrinks from %s to %s", previous, wait)
+		previous = wait
+		f.advance(wait)
+		first = f.start("service", []string{"e3", "e1"}[round%2])
+	}
+	f.check(previous > 500*time.Millisecond, "backoff after 6 failures is %s", previous)
+	results, fx := f.table.Cancel(f.now, []model.RequestKey{key})
+	f.check(len(fx.Cancels) == 2 && results[0].Outcome == model.OutcomeUnknown, "%+v", fx)
+	for _, c := range fx.Cancels {
+		f.table.Settle(f.now, model.Settled{Attempt: c.Attempt, End: model.AttemptEnded, Stopped: true})
+	}
+	status, _ := f.table.Status(key)
+	f.check(status.State == model.JobDone && status.Reason == model.ReasonCancelled, "status %+v", status)
+	f.check(len(f.table.Demand(f.now)) == 0, "a cancelled service wants a grant")
+}
+
+// TestTakeover guards against a successor that holds new requests, doubles a
+// running attempt or runs a later request of an ordering key beside an earlier one.
+func TestTakeover(t *testing.T) {
+	f := newFixture(t, Config{})
+	running := f.key("ask-ordered", "a")
+	f.submit(running)
+	attempt := f.start("ask-ordered", "e1").Attempt
+	old := f.key("ask", "")
+
+	f.now = f.now.Add(time.Minute)
+	f.table = New(Config{}, f.rnd)
+	f.table.SetTemplates(f.now, f.templates)
+	f.own(Recovery{TakenAt: f.now, Pools: []model.PoolID{runnerPool}})
+	for s := range model.ShardID(model.ShardCount) {
+		f.table.Replayed(f.now, s)
+	}
+	f.submit(old)
+	_, ok := f.bind("ask", false, "e1")
+	f.check(!ok, "an old identifier started during the recovery")
+	f.now = f.now.Add(DefaultClockSkew + time.Millisecond)
+	f.submit(f.key("ask", ""))
+	f.start("ask", "e1")
+	later := f.key("ask-ordered", "a")
+	f.submit(later)
+
+	for s := range model.ShardID(model.ShardCount) {
+		report := RecoveryReport{Shard: s, Pool: runnerPool, Reachable: true}
+		if id, _ := attempt.Shard(); id == s {
+			report.Attempts = []model.AttemptState{{Attempt: attempt, Endpoint: "e1", Running: true}}
+		}
+		f.table.RecoveryResult(f.now, report)
+	}
+	f.check(f.start("ask", "e2").Key == old, "the old identifier did not start after the recovery")
+	_, ok = f.bind("ask-ordered", false, "e1")
+	f.check(!ok, "a request runs beside an unknown attempt that may have its ordering key")
+	f.submit(running)
+	f.check(len(f.table.Demand(f.now)) == 0, "a running attempt is doubled")
+	r := f.reply(f.ended(attempt, 200, "joined"))
+	f.check(string(r.Answer.Body) == "joined", "%+v", r)
+	f.check(f.start("ask-ordered", "e1").Key == later, "the line stays blocked")
+}
+
+// TestTaskEndSurvivesTakeover guards against a gang that runs again because the
+// end of a task, which its pool has forgotten, was lost with the owner.
+func TestTaskEndSurvivesTakeover(t *testing.T) {
+	f := newFixture(t, Config{})
+	key := f.key("gang", "")
+	journal := f.submit(key).Records
+	f.table.AcceptanceDurable(f.now, key)
+	fx, _ := f.bind("gang", false, "e1", "e2")
+	journal = append(journal, f.ended(fx.Starts[0].Attempt, 200, "").Records...)
+
+	f.now = f.now.Add(time.Minute)
+	f.table = New(Config{}, f.rnd)
+	f.table.SetTemplates(f.now, f.templates)
+	f.own(Recovery{TakenAt: f.now, Pools: []model.PoolID{workerPool}})
+	for _, r := range journal {
+		f.table.Replay(f.now, recode(t, r))
+	}
+	f.table.Replayed(f.now, key.Shard())
+	f.table.RecoveryResult(f.now, RecoveryReport{
+		Shard: key.Shard(), Pool: workerPool, Reachable: true,
+		Attempts: []model.AttemptState{{Attempt: fx.Starts[1].Attempt, Endpoint: "e2", Running: true}},
+	})
+	f.check(len(f.table.Demand(f.now)) == 0, "the gang starts again")
+	f.check(len(f.ended(fx.Starts[1].Attempt, 200, "").Cancels) == 0, "the gang was stopped")
+	status, _ := f.table.Status(key)
+	f.check(status.Outcome == model.OutcomeRan, "status %+v", status)
+}
+
+// TestRelease guards against a successor that revives a shard which its
+// predecessor had handed over, and a frozen shard that stays idle when it is taken back.
+func TestRelease(t *testing.T) {
+	f := newFixture(t, Config{})
+	key := f.key("job", "")
+	journal := f.submit(key).Records
+	f.table.AcceptanceDurable(f.now, key)
+	f.table.Freeze(f.now, key.Shard())
+	f.check(len(f.table.Demand(f.now)) == 0 && !f.table.Owns(key.Shard()), "a frozen shard wants grants")
+	f.check(f.reply(f.submit(key)).Reason == model.ReasonMoved, "a frozen shard takes requests")
+	f.table.Own(f.now, key.Shard(), Recovery{})
+	f.check(len(f.table.Demand(f.now)) == 1, "the shard stays frozen")
+	journal = append(journal, f.table.Drop(f.now, key.Shard()).Records...)
+	f.table.Own(f.now, key.Shard(), Recovery{TakenAt: f.now})
+	for _, r := range journal {
+		f.table.Replay(f.now, r)
+	}
+	f.table.Replayed(f.now, key.Shard())
+	jobs := f.table.Jobs(Filter{Workspace: "w", Template: "job"})
+	f.check(!slices.ContainsFunc(jobs, func(s model.JobStatus) bool { return s.Key == key }), "a released job came back")
+}
