--- a/internal/shard/evidence.go
+++ b/internal/shard/evidence.go
@@ -123,13 +123,13 @@
 	}
 	settled := map[int]bool{}
 	for _, f := range j.shard.found[j.hash] {
-		if task, ok := f.state.Attempt.Task(); ok && (f.state.Settled == nil || good(*f.state.Settled)) {
+		if task, ok := f.state.Attempt.Task(); ok && (f.state.Settled == nil || j.succeeded(*f.state.Settled)) {
 			settled[task] = true
 		}
 	}
 	for i := range j.units {
 		for _, end := range j.units[i].ends {
-			if task, ok := end.Attempt.Task(); ok && good(end) {
+			if task, ok := end.Attempt.Task(); ok && j.succeeded(end) {
 				settled[task] = true
 			}
 		}
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -54,6 +54,11 @@
 	return s.End == model.AttemptEnded && !s.Stopped && !s.Answer.Failed()
 }
 
+// succeeded reports whether the end needs no repeat. A caller of a request waits for its answer.
+func (j *job) succeeded(s model.Settled) bool {
+	return good(s) && (s.HasAnswer || j.kind != model.KindRequest)
+}
+
 // stopUnit asks once to stop the live attempts of the unit.
 func (t *Table) stopUnit(u *unit, fx *Effects) {
 	if u.stopping {
@@ -81,7 +86,7 @@
 		t.concludeReplica(now, u, end, first, fx)
 	case end.End == model.AttemptNotStarted:
 		t.startAnew(now, u, fx)
-	case good(end) && (end.HasAnswer || j.kind != model.KindRequest):
+	case j.succeeded(end):
 		t.finishWithLast(now, j, fx)
 	case j.cancelled || !t.retry(now, u, ends):
 		t.finishWithLast(now, j, fx)
