--- a/internal/shard/main_test.go
+++ b/internal/shard/main_test.go
@@ -7,13 +7,22 @@
 	"testing"
 )
 
-// defaultSeed makes the runs of rapid reproducible; -rapid.seed overrides it.
-const defaultSeed = "20261203"
+// fuzzDefaults makes the runs of rapid reproducible and deep enough to reach
+// several changes of the owner. The command line overrides them.
+var fuzzDefaults = map[string]string{"rapid.seed": "20261203", "rapid.checks": "500", "rapid.steps": "120"}
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = f.Value.Set(defaultSeed)
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range fuzzDefaults {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
 	}
 	fmt.Printf("rapid.seed=%s\n", flag.Lookup("rapid.seed").Value)
 	os.Exit(m.Run())
--- a/internal/shard/recover.go
+++ b/internal/shard/recover.go
@@ -228,6 +228,13 @@
 	t.resolveHeld(now, s, fx)
 }
 
+// resolveOne settles a held request after the recovery if what is known of it is enough.
+func (t *Table) resolveOne(now time.Time, j *job, fx *Effects) {
+	if j != nil && j.phase == phaseHeld && !j.shard.recovering {
+		t.resolve(now, j, fx)
+	}
+}
+
 // resolveUnblocked settles held requests after the last found attempt without a request has ended.
 func (t *Table) resolveUnblocked(now time.Time, s *shardState, fx *Effects) {
 	if !s.recovering && s.running == 0 {
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -246,11 +246,12 @@
 	if !ok || !valid || owner == nil {
 		return
 	}
+	j := owner.jobs[hash]
 	if owner.endFound(hash, s) {
+		t.resolveOne(now, j, fx)
 		t.resolveUnblocked(now, owner, fx)
 		return
 	}
-	j := owner.jobs[hash]
 	if j != nil && j.phase != phaseHeld {
 		fx.Acks = append(fx.Acks, s.Attempt)
 		t.lateEnd(now, j, s, fx)
@@ -263,6 +264,7 @@
 	t.addFound(now, owner, hash, foundAttempt{
 		state: model.AttemptState{Attempt: s.Attempt, Endpoint: s.Endpoint, Settled: &s}, at: now,
 	})
+	t.resolveOne(now, j, fx)
 }
 
 // lateEnd replaces an unknown outcome by the answer that came later. The
--- a/internal/shard/submit.go
+++ b/internal/shard/submit.go
@@ -107,21 +107,20 @@
 	t.count(j)
 	t.placeInLine(now, j, fx)
 	switch {
-	case hold:
+	case hold || found:
 		t.setPhase(j, phaseHeld)
 		fx.event("held", j.key, "", "")
-	case found:
-		t.setPhase(j, phaseHeld)
-		t.resolve(now, j, fx)
+		t.resolveOne(now, j, fx)
 		t.resolveUnblocked(now, j.shard, fx)
-		return
 	case j.async:
 		t.accept(j, fx)
 	default:
 		fx.event("queued", j.key, "", "")
 		t.activate(now, j)
 	}
-	t.updateWake(j)
+	if j.phase != phaseDone {
+		t.updateWake(j)
+	}
 }
 
 // register makes the request known to its shard.
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -101,11 +101,13 @@
 }
 
 // expireHeld answers the waiters of a request that waits for the recovery. A
-// non-idempotent request without an intent in the replayed journal did not run;
-// of others it is not known.
+// non-idempotent request without an intent in the replayed journal did not run,
+// nor did one that was minted after the takeover; of others it is not known.
 func (t *Table) expireHeld(now time.Time, j *job, fx *Effects) {
 	s := j.shard
-	unstarted := j.needsIntent() && s.replayed && len(j.intent) == 0 && len(s.found[j.hash]) == 0
+	recorded := j.needsIntent() && s.replayed
+	fresh := !s.mintedBefore(j.key.ID, t.cfg.ClockSkew)
+	unstarted := len(j.intent) == 0 && len(s.found[j.hash]) == 0 && (recorded || fresh)
 	if unstarted && !j.replayed {
 		r := refusal{model.ReasonWaitExceeded, "earlier attempts are being settled", t.retryAfter(0)}
 		t.finish(now, j, r.reply(), nil, fx)
