Count work by template, poll endpoints that pools name, keep test ports out of the ephemeral range

Cause: the status counted at most 1,000 jobs; entry processes failed to start in busy tests because an outgoing connection had taken their port. Change: shard.Table.Counts; Effects.Poll is followed; ports lie below 32768.

--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -60,25 +60,14 @@
 
 // templateStatus counts the requests of the own shards by template.
 func templateStatus(l *loop) []gateway.TemplateStatus {
-	byID := make(map[model.TemplateID]*gateway.TemplateStatus)
 	now := l.now()
-	for _, j := range l.table.Jobs(shard.Filter{}) {
-		t := byID[j.Key.Template]
-		if t == nil {
-			t = &gateway.TemplateStatus{Template: j.Key.Template}
-			byID[j.Key.Template] = t
+	var out []gateway.TemplateStatus
+	for _, c := range l.table.Counts() {
+		t := gateway.TemplateStatus{Template: c.Template, Queued: c.Queued, Running: c.Running}
+		if !c.Oldest.IsZero() {
+			t.OldestWaitMS = now.Sub(c.Oldest).Milliseconds()
 		}
-		switch j.State {
-		case model.JobQueued:
-			t.Queued++
-			t.OldestWaitMS = max(t.OldestWaitMS, now.Sub(j.SubmittedAt).Milliseconds())
-		case model.JobRunning:
-			t.Running++
-		}
-	}
-	out := make([]gateway.TemplateStatus, 0, len(byID))
-	for _, t := range byID {
-		out = append(out, *t)
+		out = append(out, t)
 	}
 	return out
 }
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -102,6 +102,9 @@
 	for _, ev := range e.Events {
 		l.n.recorder.Record(ev)
 	}
+	for _, id := range e.Poll {
+		p.kick(id)
+	}
 	if e.Superseded {
 		l.n.log.WithField("pool", string(p.id)).Warn("entry: pool has a newer owner")
 		go l.n.refetchView()
--- a/internal/shard/shed.go
+++ b/internal/shard/shed.go
@@ -74,3 +74,15 @@
 	})
 	return out
 }
+
+// measured reports whether any request waits in a queue of known rate.
+func (t *Table) measured() bool {
+	for _, template := range t.ordered {
+		for _, q := range template.queues {
+			if q.size() > 0 && q.meter.known {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -20,6 +20,9 @@
 			next = at
 		}
 	}
+	if at := t.shedAt.Add(shedInterval); t.measured() && (next.IsZero() || at.Before(next)) {
+		next = at
+	}
 	return next, !next.IsZero()
 }
 
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -15,14 +15,22 @@
 }
 trap stop_cell EXIT
 
-# Ports are picked free, so that several cells fit on one machine.
+# Ports are picked free, so that several cells fit on one machine, and below the
+# range from which the kernel takes ports for outgoing connections.
 free_ports() {
   python3 - "$1" <<'PY'
-import socket, sys
-socks = [socket.socket() for _ in range(int(sys.argv[1]))]
-for s in socks:
-    s.bind(("127.0.0.1", 0))
-print(" ".join(str(s.getsockname()[1]) for s in socks))
+import random, socket, sys
+ports = []
+while len(ports) < int(sys.argv[1]):
+    port = random.randrange(10000, 32000)
+    with socket.socket() as s:
+        try:
+            s.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+    if port not in ports:
+        ports.append(port)
+print(" ".join(map(str, ports)))
 PY
 }
 
