--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -37,7 +37,7 @@
 // Run between two segments, after done was called for every acknowledged record and
 // before any other; a caller whose state is owned by an event loop passes the call
 // through the queue that its done functions use, and so gets exactly that state.
-// Appends wait while collect runs.
+// Segments wait while collect runs, so that event loop must not call Compact itself.
 //
 // A crash at any point loses nothing: the snapshot counts only when all its parts are
 // written, and segments are deleted only after that. Compact returns ErrCompacting if
