--- a/internal/shard/admission.go
+++ b/internal/shard/admission.go
@@ -68,6 +68,10 @@
 
 // retryAfter returns the Retry-After of a refusal when the queue needs the given time to drain.
 func (t *Table) retryAfter(excess time.Duration) time.Duration {
+	if excess >= never/2 {
+		// Nothing starts. The next measurement decides.
+		excess = t.cfg.RateWindow
+	}
 	wait := min(max(excess, t.cfg.MinimumRetryWait), maxRetryAfter)
 	return time.Duration(float64(wait) * (1 + retryAfterJitter*t.rnd.Float64()))
 }
--- a/internal/shard/bench_test.go
+++ b/internal/shard/bench_test.go
@@ -82,6 +82,32 @@
 	})
 }
 
+// BenchmarkJobs measures a listing for an operator.
+func BenchmarkJobs(b *testing.B) {
+	eachCount(b, func(b *testing.B, f *fixture, _ []model.RequestKey) {
+		for range b.N {
+			f.table.Jobs(Filter{Template: "ask", State: model.JobQueued})
+		}
+	})
+}
+
+// BenchmarkRefusal measures the answer to a request that the queue can't serve in time.
+func BenchmarkRefusal(b *testing.B) {
+	eachCount(b, func(b *testing.B, f *fixture, _ []model.RequestKey) {
+		f.advance(time.Millisecond)
+		for range 100 {
+			f.now = f.now.Add(10 * time.Millisecond)
+			f.start("ask", "e1")
+		}
+		impatient := model.Submission{Key: f.key("ask", ""), MaxWait: time.Millisecond}
+		b.ResetTimer()
+		for range b.N {
+			fx := f.table.Submit(f.now, impatient, 1)
+			f.refused(fx, model.ReasonOverload)
+		}
+	})
+}
+
 // BenchmarkCancelAll measures the cancellation of up to 10,000 queued requests in one call.
 func BenchmarkCancelAll(b *testing.B) {
 	for _, n := range queuedCounts {
--- a/internal/shard/filter.go
+++ b/internal/shard/filter.go
@@ -13,9 +13,18 @@
 // DefaultJobsLimit bounds the result of Table.Jobs without Filter.Limit.
 const DefaultJobsLimit = 1000
 
-// selects reports whether the status matches the filter.
-func (f Filter) selects(s *model.JobStatus) bool {
-	return (f.Workspace == "" || f.Workspace == s.Key.Template.Workspace) &&
-		(f.Template == "" || f.Template == s.Key.Template.Name) &&
-		(f.State == "" || f.State == s.State)
+// limit returns the greatest number of results.
+func (f Filter) limit() int {
+	if f.Limit <= 0 {
+		return DefaultJobsLimit
+	}
+	return f.Limit
+}
+
+// selects reports whether the request matches the filter.
+func (f Filter) selects(j *job) bool {
+	id := j.key.Template
+	return (f.Workspace == "" || f.Workspace == id.Workspace) &&
+		(f.Template == "" || f.Template == id.Name) &&
+		(f.State == "" || f.State == j.state())
 }
--- a/internal/shard/rate_meter.go
+++ b/internal/shard/rate_meter.go
@@ -33,10 +33,18 @@
 
 // add counts starts. It is called before the queue shrinks by them.
 func (m *rateMeter) add(now time.Time, n float64) {
+	if !m.known && m.starts == 0 {
+		// The time before the first start is that of finding capacity, not of serving.
+		m.spent, m.mark = 0, now
+	}
 	m.starts += n
 	m.advance(now)
 }
 
+// stallWindows is how many windows a backlog may last without any start until
+// the rate counts as zero. It covers the change of a pool owner.
+const stallWindows = 2
+
 // advance accounts for the time up to now and takes a sample when due.
 func (m *rateMeter) advance(now time.Time) {
 	if !m.busy {
@@ -48,6 +56,9 @@
 	if m.spent < m.window/sampleFraction {
 		return
 	}
+	if !m.known && m.starts == 0 && m.spent < stallWindows*m.window {
+		return
+	}
 	m.sample()
 }
 
--- a/internal/shard/requests_test.go
+++ b/internal/shard/requests_test.go
@@ -85,6 +85,8 @@
 	for range 500 {
 		f.check(len(f.submit(f.key("ask", "")).Answers) == 0, "refused without a measured rate")
 	}
+	f.advance(4 * time.Second)
+	f.check(len(f.submit(f.key("ask", "")).Answers) == 0, "refused while capacity is being found")
 	for range 100 { // ten starts a second
 		f.advance(100 * time.Millisecond)
 		f.start("ask", "e1")
@@ -203,6 +205,22 @@
 	f.check(string(f.reply(f.submit(key)).Answer.Body) == "late", "the late answer was lost")
 }
 
+// TestUnconfirmedOutcome guards against an accepted job that is reported as
+// not-run before that is durable: a successor without the record runs it.
+func TestUnconfirmedOutcome(t *testing.T) {
+	f := newFixture(t, Config{})
+	key := f.key("job", "")
+	f.accept(key)
+	_, fx := f.table.Cancel(f.now, []model.RequestKey{key})
+	f.check(fx.Records[0].Callback() == CallbackOutcome, "no callback for %+v", fx.Records)
+	status, _ := f.table.Status(key)
+	f.check(status.State == model.JobQueued && status.Outcome == "", "told too early: %+v", status)
+	f.check(len(f.table.Submit(f.now, model.Submission{Key: key, Body: []byte("body")}, 99).Answers) == 0, "told too early")
+	f.refused(f.table.OutcomeDurable(f.now, key), model.ReasonCancelled)
+	status, _ = f.table.Status(key)
+	f.check(status.Outcome == model.OutcomeNotRun, "status %+v", status)
+}
+
 // TestDecodeRecord guards against journal entries that are taken without their content.
 func TestDecodeRecord(t *testing.T) {
 	for _, text := range []string{"", "{", `{"kind":"intent"}`, `{"kind":"outcome"}`, `{"kind":"x"}`, `{"kind":"end"}`} {
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -164,25 +164,26 @@
 
 // Jobs returns the requests that the filter selects, ordered by submission.
 func (t *Table) Jobs(f Filter) []model.JobStatus {
-	limit := f.Limit
-	if limit <= 0 {
-		limit = DefaultJobsLimit
-	}
-	var selected []model.JobStatus
+	var selected []*job
 	for _, s := range t.shards {
 		if s == nil {
 			continue
 		}
 		for _, j := range s.jobs {
-			if status := j.status(); f.selects(&status) {
-				selected = append(selected, status)
+			if f.selects(j) {
+				selected = append(selected, j)
 			}
 		}
 	}
-	slices.SortFunc(selected, func(a, b model.JobStatus) int {
-		return cmp.Or(a.SubmittedAt.Compare(b.SubmittedAt), strings.Compare(a.Key.String(), b.Key.String()))
+	slices.SortFunc(selected, func(a, b *job) int {
+		return cmp.Or(a.submitted.Compare(b.submitted), cmp.Compare(a.seq, b.seq))
 	})
-	return selected[:min(limit, len(selected))]
+	selected = selected[:min(f.limit(), len(selected))]
+	statuses := make([]model.JobStatus, 0, len(selected))
+	for _, j := range selected {
+		statuses = append(statuses, j.status())
+	}
+	return statuses
 }
 
 // event adds an entry for the time line.
