--- a/internal/shard/requests_test.go
+++ b/internal/shard/requests_test.go
@@ -221,6 +221,24 @@
 	f.check(status.Outcome == model.OutcomeNotRun, "status %+v", status)
 }
 
+// TestJobsLimit guards against a listing that leaves out the earliest requests.
+func TestJobsLimit(t *testing.T) {
+	f := newFixture(t, Config{})
+	var keys []model.RequestKey
+	for range 50 {
+		f.now = f.now.Add(time.Millisecond)
+		keys = append(keys, f.key("ask", ""))
+		f.submit(keys[len(keys)-1])
+	}
+	for _, limit := range []int{1, 7, 50, 60} {
+		jobs := f.table.Jobs(Filter{Limit: limit})
+		f.check(len(jobs) == min(limit, len(keys)), "%d jobs with limit %d", len(jobs), limit)
+		for i, status := range jobs {
+			f.check(status.Key == keys[i], "limit %d: job %d is %v", limit, i, status.Key)
+		}
+	}
+}
+
 // TestDecodeRecord guards against journal entries that are taken without their content.
 func TestDecodeRecord(t *testing.T) {
 	for _, text := range []string{"", "{", `{"kind":"intent"}`, `{"kind":"outcome"}`, `{"kind":"x"}`, `{"kind":"end"}`} {
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -162,25 +162,22 @@
 	return j.status(), true
 }
 
-// Jobs returns the requests that the filter selects, ordered by submission.
+// Jobs returns the first requests that the filter selects, ordered by submission.
 func (t *Table) Jobs(f Filter) []model.JobStatus {
-	var selected []*job
+	first := firstJobs{limit: f.limit()}
 	for _, s := range t.shards {
 		if s == nil {
 			continue
 		}
 		for _, j := range s.jobs {
-			if f.selects(j) {
-				selected = append(selected, j)
+			if first.wants(j) && f.selects(j) {
+				first.add(j)
 			}
 		}
 	}
-	slices.SortFunc(selected, func(a, b *job) int {
-		return cmp.Or(a.submitted.Compare(b.submitted), cmp.Compare(a.seq, b.seq))
-	})
-	selected = selected[:min(f.limit(), len(selected))]
-	statuses := make([]model.JobStatus, 0, len(selected))
-	for _, j := range selected {
+	first.cut()
+	statuses := make([]model.JobStatus, 0, len(first.jobs))
+	for _, j := range first.jobs {
 		statuses = append(statuses, j.status())
 	}
 	return statuses
