--- a/internal/shard/stateful_test.go
+++ b/internal/shard/stateful_test.go
@@ -281,6 +281,12 @@
 	for len(w.resubmit) > 0 {
 		w.again()
 	}
+	for _, r := range w.requests {
+		if r.template.Kind == model.KindService {
+			_, fx := w.table.Cancel(w.now, []model.RequestKey{r.sub.Key})
+			w.apply(fx)
+		}
+	}
 	for _, d := range w.table.Demand(w.now) {
 		endpoints := make([]string, d.Tasks)
 		for i := range endpoints {
