--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -163,27 +163,25 @@
 	return j.status(), true
 }
 
-// Jobs returns the requests that the filter selects, ordered by submission.
+// Jobs returns the first requests that the filter selects, ordered by submission.
 func (t *Table) Jobs(f Filter) []model.JobStatus {
-	limit := f.Limit
-	if limit <= 0 {
-		limit = DefaultJobsLimit
-	}
-	var selected []model.JobStatus
+	first := firstJobs{limit: f.limit()}
 	for _, s := range t.shards {
 		if s == nil {
 			continue
 		}
 		for _, j := range s.jobs {
-			if status := j.status(); f.selects(&status) {
-				selected = append(selected, status)
+			if first.wants(j) && f.selects(j) {
+				first.add(j)
 			}
 		}
 	}
-	slices.SortFunc(selected, func(a, b model.JobStatus) int {
-		return cmp.Or(a.SubmittedAt.Compare(b.SubmittedAt), strings.Compare(a.Key.String(), b.Key.String()))
-	})
-	return selected[:min(limit, len(selected))]
+	first.cut()
+	statuses := make([]model.JobStatus, 0, len(first.jobs))
+	for _, j := range first.jobs {
+		statuses = append(statuses, j.status())
+	}
+	return statuses
 }
 
 // event adds an entry for the time line.
