--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -27,15 +27,13 @@
 	}
 	publish(nil)
 	var wg sync.WaitGroup
-	var stopLoad atomic.Bool
+	stop := make(chan struct{})
 	wg.Go(func() {
-		for !stopLoad.Load() {
-			h.load(loadOptions{
-				rate: 60, length: time.Second, runMS: 100, seed: 3,
-				templates: []string{"cut-list", "cutting-run"},
-				addresses: func() []string { return *ready.Load() },
-			})
-		}
+		h.load(loadOptions{
+			rate: 60, length: time.Hour, stop: stop, runMS: 100, seed: 3,
+			templates: []string{"cut-list", "cutting-run"},
+			addresses: func() []string { return *ready.Load() },
+		})
 	})
 	time.Sleep(time.Second)
 	for i := range c.entries {
@@ -50,7 +48,7 @@
 		c.waitReady(c.entries[i])
 		publish(nil)
 	}
-	stopLoad.Store(true)
+	close(stop)
 	wg.Wait()
 	h.report(t)
 	h.check(t, c.effects(), nonIdempotentTemplates)
