--- /dev/null
+++ b/internal/balance/spread.go
@@ -0,0 +1,101 @@
+package balance
+
+import (
+	"math/rand"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// Spread returns how many grants of a service to ask of each pool: one pool
+// after the other in random order, zone by zone, so that the replicas of a
+// service share neither rack nor zone while there are others with room.
+func Spread(d model.Demand, pools []model.PoolSummary, rnd *rand.Rand) map[model.PoolID]int {
+	near, far := partition(d, pools, "")
+	cs := append(near, far...)
+	out := make(map[model.PoolID]int)
+	if len(cs) == 0 {
+		return out
+	}
+	order := alternateZones(cs, rnd)
+	for left := d.Count; left > 0; {
+		placed := 0
+		for _, i := range order {
+			if left > 0 && cs[i].units > 0 {
+				cs[i].units--
+				out[cs[i].pool]++
+				placed++
+				left--
+			}
+		}
+		if placed == 0 {
+			// No room anywhere: wait at the pools in the same order.
+			for n := range left {
+				out[cs[order[n%len(order)]].pool]++
+			}
+			break
+		}
+	}
+	return out
+}
+
+// alternateZones returns a random order of the candidates in which zones take turns.
+func alternateZones(cs []candidate, rnd *rand.Rand) []int {
+	byZone := make(map[string][]int)
+	var zones []string
+	for _, i := range rnd.Perm(len(cs)) {
+		z := cs[i].pool.Zone()
+		if byZone[z] == nil {
+			zones = append(zones, z)
+		}
+		byZone[z] = append(byZone[z], i)
+	}
+	var order []int
+	for len(order) < len(cs) {
+		for _, z := range zones {
+			if len(byZone[z]) > 0 {
+				order = append(order, byZone[z][0])
+				byZone[z] = byZone[z][1:]
+			}
+		}
+	}
+	return order
+}
+
+// FitsOnePool reports whether some pool could ever run one grant of the demand.
+func FitsOnePool(d model.Demand, pools []model.PoolSummary) bool {
+	for _, p := range pools {
+		if d.Resources.Fits(p.Biggest) && newCandidate(d, p).total > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Parts returns the pools to hold parts of a gang on, in the one order that all
+// shard owners use, with the number of tasks that the free capacity allows. It
+// is empty when the pools together have no room.
+func Parts(d model.Demand, pools []model.PoolSummary) []Part {
+	one := d
+	one.Tasks = 1
+	left := d.Tasks
+	var out []Part
+	for _, p := range pools {
+		if !d.Resources.Fits(p.Largest) || left == 0 {
+			continue
+		}
+		if n := min(left, newCandidate(one, p).units); n > 0 {
+			out = append(out, Part{Pool: p.Pool, Tasks: n})
+			left -= n
+		}
+	}
+	if left > 0 {
+		return nil
+	}
+	return out
+}
+
+// Part is a share of a gang on one pool.
+type Part struct {
+	Pool  model.PoolID
+	Tasks int
+}
--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -184,6 +184,34 @@
 	c.waitDone(c.entries[0], "price-feed", []string{service}, 20*time.Second)
 }
 
+// Guards against a gang that no single rack can hold and that waits for ever,
+// or of which only the part on one rack starts.
+func TestGangOverSeveralRacks(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, workers: 3, templates: gangTemplates})
+	var ids []string
+	for i := range 4 {
+		id := newID()
+		if code := c.submitJob(c.entries[i%3], "wide-set", id, standin.Work{RunMS: 300}); code != http.StatusAccepted {
+			t.Fatalf("gang: status %d", code)
+		}
+		ids = append(ids, id)
+	}
+	c.waitDone(c.entries[0], "wide-set", ids, 25*time.Second)
+	runs := groupEffects(c.effects())
+	for _, id := range ids {
+		if s := c.jobStatus(c.entries[0], "wide-set", id); s.Outcome != model.OutcomeRan {
+			t.Errorf("%s: %q %q", id, s.Outcome, s.Reason)
+		}
+		endpoints := make(map[string]bool)
+		for _, r := range runs[id] {
+			endpoints[r.endpoint] = true
+		}
+		if len(runs[id]) != 3 || len(endpoints) != 3 {
+			t.Errorf("%s: %d tasks on %d workers", id, len(runs[id]), len(endpoints))
+		}
+	}
+}
+
 const gangTemplates = `workspace = "kalnins"
 weight = 1.0
 
@@ -198,6 +226,17 @@
 memory_mb = 8192
 run_limit = "30s"
 
+[template.wide-set]
+kind = "gang"
+tasks = 3
+urgency = 5
+max_wait = "1m"
+idempotent = true
+flood_share = 1.0
+cores_milli = 20000
+memory_mb = 8192
+run_limit = "30s"
+
 [template.price-feed]
 kind = "service"
 tasks = 3
--- a/internal/e2e/kill_test.go
+++ b/internal/e2e/kill_test.go
@@ -71,3 +71,29 @@
 		return err == nil && len(s.Members) == 3 && sameView(s)
 	})
 }
+
+// Guards against a second run of work that was in flight when its shard owner
+// and pool owner died: every caller repeats its identifier through another
+// process at once.
+func TestRepeatsWhileWorkOfADeadOwnerRuns(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, runners: 6})
+	h := &history{}
+	var wg sync.WaitGroup
+	for i := range 36 {
+		template := []string{"cutting-run", "cut-list"}[i%2]
+		wg.Go(func() {
+			h.caller(loadOptions{runMS: 4000, addresses: c.live}, template, i)
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	c.entries[0].kill()
+	wg.Wait()
+	h.report(t)
+	h.check(t, c.effects(), nonIdempotentTemplates)
+	for id, calls := range h.byID() {
+		last := calls[len(calls)-1]
+		if last.outcome != model.OutcomeRan {
+			t.Errorf("%s %s: last answer %q %q err %v", last.template, id, last.outcome, last.reason, last.err)
+		}
+	}
+}
--- a/internal/entry/acquisition.go
+++ b/internal/entry/acquisition.go
@@ -235,6 +235,7 @@
 	l := a.t.l
 	now := l.now()
 	var recovered []model.ShardID
+	named := make(namedEndpoints)
 	for _, id := range a.shards {
 		best, found := a.best[id]
 		switch {
@@ -242,6 +243,9 @@
 			a.t.hold(now, id, a.view.Number, func() shard.Effects { return l.table.Import(now, *best.snapshot) })
 		case len(a.view.Predecessors) > 0 || found:
 			recovered = append(recovered, id)
+			for _, r := range best.records {
+				named.add(r)
+			}
 			a.t.hold(now, id, a.view.Number, func() shard.Effects { return a.recover(now, id, best.records) })
 		default:
 			a.t.hold(now, id, a.view.Number, func() shard.Effects {
@@ -252,7 +256,7 @@
 	}
 	a.releaseHolders()
 	if len(recovered) > 0 {
-		l.startRecovery(a.view, recovered)
+		l.startRecovery(a.view, recovered, named)
 	}
 }
 
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -62,7 +62,11 @@
 			continue
 		}
 		fitting := matching(summaries, template.PoolPrefix())
-		for pool, count := range balance.Split(dem, fitting, l.n.self.Zone, l.rnd) {
+		if dem.Tasks > 1 && !balance.FitsOnePool(dem, fitting) {
+			l.gangs.place(now, dem, fitting)
+			continue
+		}
+		for pool, count := range l.askPools(template, dem, fitting) {
 			part := dem
 			part.Count = count
 			out[pool] = append(out[pool], part)
@@ -71,6 +75,14 @@
 	return out
 }
 
+// askPools returns how many grants to ask of each pool.
+func (l *loop) askPools(t model.Template, d model.Demand, fitting []model.PoolSummary) map[model.PoolID]int {
+	if t.Kind == model.KindService {
+		return balance.Spread(d, fitting, l.rnd)
+	}
+	return balance.Split(d, fitting, l.n.self.Zone, l.rnd)
+}
+
 func matching(summaries []model.PoolSummary, prefix string) []model.PoolSummary {
 	var out []model.PoolSummary
 	for _, s := range summaries {
--- a/internal/entry/dispatches.go
+++ b/internal/entry/dispatches.go
@@ -33,7 +33,7 @@
 // lostDispatch is an attempt whose dispatch reply did not arrive.
 type lostDispatch struct {
 	pool     model.PoolID
-	owner    string    // incarnation that the dispatch went to
+	endpoint string
 	voidFrom time.Time // from here on the owner refuses a dispatch that comes late
 }
 
@@ -121,8 +121,8 @@
 		return
 	}
 	voidFrom := l.now().Add(e.grant.TTL + grantSlack)
-	for _, a := range e.attempts {
-		l.dispatches.lost[a] = lostDispatch{pool: e.grant.Pool, owner: e.grant.Owner, voidFrom: voidFrom}
+	for i, a := range e.attempts {
+		l.dispatches.lost[a] = lostDispatch{pool: e.grant.Pool, endpoint: e.grant.Endpoints[i], voidFrom: voidFrom}
 	}
 }
 
@@ -197,16 +197,17 @@
 			delete(d.lost, a)
 		case e.reply.Complete:
 			delete(d.lost, a)
-			l.settleOrForward([]model.Settled{l.missing(a, e.reply)})
+			l.settleOrForward([]model.Settled{lost.missing(a, e.reply)})
 		}
 	}
 }
 
-// missing is the end of an attempt that a complete answer does not list: it
-// never started, unless an endpoint of the pool can't be asked.
-func (l *loop) missing(a model.AttemptID, reply AttemptsReply) model.Settled {
-	if len(reply.Unheard) == 0 {
-		return model.Settled{Attempt: a, End: model.AttemptNotStarted}
+// missing is the end of an attempt that a complete answer does not list. An
+// endpoint that has reported under the owner's token takes no start of before,
+// so the attempt never started there. Of any other endpoint it is not known.
+func (d lostDispatch) missing(a model.AttemptID, reply AttemptsReply) model.Settled {
+	if slices.Contains(reply.Reported, d.endpoint) {
+		return model.Settled{Attempt: a, End: model.AttemptNotStarted, Endpoint: d.endpoint}
 	}
-	return model.Settled{Attempt: a, End: model.AttemptUnknown}
+	return model.Settled{Attempt: a, End: model.AttemptUnknown, Endpoint: d.endpoint}
 }
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -50,6 +50,7 @@
 	vmsKnown       bool // the VM list has been read
 
 	demand      *demandState
+	gangs       *gangs
 	demandDirty bool
 	takeover    *takeover
 	outbox      *outbox
@@ -82,6 +83,7 @@
 	l.outbox = newOutbox(l)
 	l.dispatches = newDispatches(l)
 	l.acks = newAcks(l)
+	l.gangs = newGangs(l)
 	return l
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -86,6 +86,7 @@
 	g.Go(func() error { return n.followConfig(ctx) })
 	g.Go(func() error { return n.runDirectory(ctx) })
 	g.Go(func() error { return n.runGossip(ctx) })
+	g.Go(func() error { return n.runSweep(ctx) })
 	go func() {
 		// A part that fails ends the incarnation.
 		<-ctx.Done()
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/agateyard/agateyard/internal/model"
@@ -12,25 +13,41 @@
 // pool that has not heard from all its endpoints.
 const recoveryRetryInterval = 100 * time.Millisecond
 
+// namedEndpoints are the endpoints that recorded intents name, by pool.
+type namedEndpoints map[model.PoolID]map[string]bool
+
+// add takes the endpoints of an intent.
+func (e namedEndpoints) add(r shard.Record) {
+	if r.Intent == nil {
+		return
+	}
+	for _, a := range r.Intent.Attempts {
+		if e[a.Pool] == nil {
+			e[a.Pool] = make(map[string]bool)
+		}
+		e[a.Pool][a.Endpoint] = true
+	}
+}
+
 // startRecovery asks the owners of all pools for attempts of shards whose last
 // owner is dead.
-func (l *loop) startRecovery(v model.View, shards []model.ShardID) {
+func (l *loop) startRecovery(v model.View, shards []model.ShardID, named namedEndpoints) {
 	set := make(map[model.ShardID]bool, len(shards))
 	for _, s := range shards {
 		set[s] = true
 	}
 	l.n.log.WithField("shards", len(shards)).WithField("view", v.Number).Info("shard: recovery started")
 	for _, id := range l.knownPools() {
-		go l.n.recoverPool(id, set)
+		go l.n.recoverPool(id, set, named[id])
 	}
 }
 
 // recoverPool asks until the owner of the pool has a complete answer.
-func (n *Node) recoverPool(id model.PoolID, shards map[model.ShardID]bool) {
+func (n *Node) recoverPool(id model.PoolID, shards map[model.ShardID]bool, named map[string]bool) {
 	for n.ctx.Err() == nil {
 		reply, err := n.askAttempts(n.currentView(), id, shards)
 		if err == nil && reply.Complete {
-			n.post(poolRecovered{pool: id, shards: shards, reply: reply})
+			n.post(poolRecovered{pool: id, shards: shards, named: named, reply: reply})
 			return
 		}
 		select {
@@ -44,9 +61,22 @@
 type poolRecovered struct {
 	pool   model.PoolID
 	shards map[model.ShardID]bool
+	named  map[string]bool // endpoints of recorded intents
 	reply  AttemptsReply
 }
 
+// unaccounted returns the endpoints whose attempts the pool owner can't know.
+// An endpoint of a recorded intent that has left the VM list is among them.
+func (e poolRecovered) unaccounted() []string {
+	out := slices.Clone(e.reply.Unreachable)
+	for endpoint := range e.named {
+		if !slices.Contains(e.reply.Reported, endpoint) && !slices.Contains(out, endpoint) {
+			out = append(out, endpoint)
+		}
+	}
+	return out
+}
+
 func (e poolRecovered) apply(l *loop) {
 	byShard := make(map[model.ShardID][]model.AttemptState)
 	for _, a := range e.reply.Attempts {
@@ -55,6 +85,7 @@
 		}
 	}
 	now := l.now()
+	unaccounted := e.unaccounted()
 	for s := range e.shards {
 		if !l.takeover.open(s) {
 			continue
@@ -64,7 +95,7 @@
 			Pool:        e.pool,
 			Attempts:    byShard[s],
 			Reachable:   true,
-			Unreachable: e.reply.Unheard,
+			Unreachable: unaccounted,
 		}))
 	}
 }
@@ -116,5 +147,8 @@
 		shards[s] = true
 	}
 	states, complete := p.pool.Attempts(shards)
-	e.result <- AttemptsReply{Complete: complete, Attempts: states, Unheard: p.pool.Unreachable()}
+	e.result <- AttemptsReply{
+		Complete: complete, Attempts: states,
+		Reported: p.pool.Reported(), Unreachable: p.pool.Unreachable(),
+	}
 }
--- a/internal/entry/rpcpool.go
+++ b/internal/entry/rpcpool.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-
-	"github.com/agateyard/agateyard/internal/model"
 )
 
 // PoolService serves the calls to a pool owner.
@@ -110,7 +108,7 @@
 	return ask(ctx, n, func(r chan<- HoldReply) event { return holdWanted{args: args, result: r} })
 }
 
-// holdWanted reserves room in an own pool for as many tasks as fit.
+// holdWanted reserves room in an own pool.
 type holdWanted struct {
 	args   HoldArgs
 	result chan<- HoldReply
@@ -122,17 +120,6 @@
 		e.result <- HoldReply{}
 		return
 	}
-	grant, held := holdMost(l, p, e.args)
+	grant, held := p.pool.Hold(l.now(), e.args.From, e.args.Template, e.args.Resources, e.args.Tasks)
 	e.result <- HoldReply{Held: held, Grant: grant}
 }
-
-// holdMost halves the number of tasks until they fit.
-func holdMost(l *loop, p *ownedPool, args HoldArgs) (model.Grant, bool) {
-	for tasks := args.Tasks; tasks > 0; tasks /= 2 {
-		grant, ok := p.pool.Hold(l.now(), args.From, args.Template, args.Resources, tasks)
-		if ok {
-			return grant, true
-		}
-	}
-	return model.Grant{}, false
-}
--- /dev/null
+++ b/internal/entry/sweep.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/journal"
+)
+
+// sweepInterval is the time between two removals of expired tombstones of
+// journals, which are kept for a day.
+const sweepInterval = time.Hour
+
+// runSweep removes tombstones of journals. The first member of the view does it.
+func (n *Node) runSweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		v := n.currentView()
+		if len(v.Members) == 0 || v.Members[0].Incarnation != n.self.Incarnation {
+			continue
+		}
+		if _, err := journal.Sweep(ctx, n.cfg.Store, time.Now()); err != nil {
+			n.log.WithError(err).Warn("journal: tombstones can't be swept")
+		}
+	}
+}
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -61,7 +61,7 @@
 	Pool      model.PoolID
 	Template  model.TemplateID
 	Resources model.Resources
-	Tasks     int // tasks wanted; the grant may cover fewer
+	Tasks     int
 }
 
 // HoldReply answers HoldArgs.
@@ -142,7 +142,9 @@
 	Header
 	Complete bool // every endpoint has reported under the token, or is unreachable
 	Attempts []model.AttemptState
-	Unheard  []string // endpoints that have not reported under the token
+	Reported []string // endpoints that have reported under the token
+	// Unreachable are endpoints that the owner failed to take over.
+	Unreachable []string
 }
 
 // ClaimArgs asks a process to hand over shards.
