--- a/internal/e2e/kill_test.go
+++ b/internal/e2e/kill_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/agateyard/agateyard/internal/endpoint/standin"
 	"github.com/agateyard/agateyard/internal/model"
 )
 
@@ -97,3 +98,35 @@
 		}
 	}
 }
+
+// Guards against a second run of a finished non-idempotent request whose owner
+// died before its caller repeated it: only the journal can tell.
+func TestRepeatsAfterTheOwnerOfFinishedWorkDied(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, runners: 6})
+	h := &history{}
+	ids := make([]string, 60)
+	var wg sync.WaitGroup
+	for i := range ids {
+		ids[i] = newID()
+		wg.Go(func() { h.post(c.entries[i%3].http, "cutting-run", ids[i], standin.Work{RunMS: 20}) })
+	}
+	wg.Wait()
+	// The pool owners forget confirmed ends, and the endpoints with them.
+	time.Sleep(4 * time.Second)
+	c.entries[0].kill()
+	c.eventually(takeoverLimit, "all shards have owners again", func() bool {
+		s, err := c.status(c.entries[1])
+		return err == nil && len(s.Members) == 2 && sameView(s)
+	})
+	for i, id := range ids {
+		wg.Go(func() { h.post(c.entries[1+i%2].http, "cutting-run", id, standin.Work{RunMS: 20}) })
+	}
+	wg.Wait()
+	h.report(t)
+	h.check(t, c.effects(), nonIdempotentTemplates)
+	for _, call := range h.calls {
+		if call.outcome != model.OutcomeRan || call.echo != call.id {
+			t.Errorf("%s: %q %q echo %q err %v", call.id, call.outcome, call.reason, call.echo, call.err)
+		}
+	}
+}
