--- a/internal/bench/queue.go
+++ b/internal/bench/queue.go
@@ -11,7 +11,7 @@
 )
 
 // submitters is the number of connections that fill the queue.
-const submitters = 64
+const submitters = 512
 
 // fillQueue submits jobs that wait. Each entry process assigns identifiers of
 // its own shards, so the jobs are spread evenly.
--- a/internal/entry/digest.go
+++ b/internal/entry/digest.go
@@ -9,19 +9,31 @@
 	"github.com/agateyard/agateyard/internal/model"
 )
 
-// digest tells whether two processes know the same summaries. It does not
-// depend on the order.
-func digest(summaries map[model.PoolID]model.PoolSummary) uint64 {
-	var sum uint64
-	var buf []byte
-	for id, s := range summaries {
-		buf = append(buf[:0], id...)
-		buf = append(buf, 0)
-		buf = append(buf, s.Owner...)
-		buf = binary.BigEndian.AppendUint64(buf, s.Version)
-		sum ^= xxhash.Sum64(buf)
+// summaryDigest returns the part of one summary in the digest. The digest of
+// several is their exclusive or, which does not depend on the order and follows
+// a change without a pass over all of them.
+func summaryDigest(s model.PoolSummary) uint64 {
+	buf := make([]byte, 0, 128)
+	buf = append(buf, s.Pool...)
+	buf = append(buf, 0)
+	buf = append(buf, s.Owner...)
+	buf = binary.BigEndian.AppendUint64(buf, s.Version)
+	return xxhash.Sum64(buf)
+}
+
+// setSummary replaces the summary of a pool.
+func (l *loop) setSummary(id model.PoolID, s model.PoolSummary) {
+	l.dropSummary(id)
+	l.summaries[id] = s
+	l.digest ^= summaryDigest(s)
+}
+
+// dropSummary forgets the summary of a pool.
+func (l *loop) dropSummary(id model.PoolID) {
+	if old, ok := l.summaries[id]; ok {
+		delete(l.summaries, id)
+		l.digest ^= summaryDigest(old)
 	}
-	return sum
 }
 
 // SummariesReply carries all summaries that a process knows.
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -112,7 +112,7 @@
 		Self:           l.n.self,
 		StoreReachable: l.storeReachable,
 		Adopted:        l.takeover.adoptedList(),
-		Digest:         digest(l.summaries),
+		Digest:         l.digest,
 	}}
 	for id := range l.freshSummaries {
 		if s, ok := l.summaries[id]; ok {
@@ -139,7 +139,7 @@
 		l.mergeSummary(s)
 	}
 	l.takeover.peerAdopted(e.args.From, e.args.Adopted)
-	if e.args.Digest != digest(l.summaries) {
+	if e.args.Digest != l.digest {
 		l.fetchSummaries(e.args.From)
 	}
 }
@@ -162,7 +162,7 @@
 	if ok && known.Owner != s.Owner && l.view.PoolOwner(s.Pool) != s.Owner {
 		return
 	}
-	l.summaries[s.Pool] = s
+	l.setSummary(s.Pool, s)
 	l.freshSummaries[s.Pool] = true
 	l.demandDirty = true
 }
@@ -176,7 +176,7 @@
 		if known := l.summaries[id]; known.Owner == s.Owner && known.Version == s.Version {
 			continue
 		}
-		l.summaries[id] = s
+		l.setSummary(id, s)
 		l.freshSummaries[id] = true
 	}
 }
--- a/internal/entry/gossipidle_test.go
+++ b/internal/entry/gossipidle_test.go
@@ -71,22 +71,32 @@
 // Guards against a digest that hides a missed summary, or that differs between
 // processes which know the same.
 func TestDigestTellsMissedSummaries(t *testing.T) {
-	build := func(version uint64, ids ...model.PoolID) map[model.PoolID]model.PoolSummary {
-		out := make(map[model.PoolID]model.PoolSummary)
+	build := func(version uint64, ids ...model.PoolID) *loop {
+		l := &loop{summaries: make(map[model.PoolID]model.PoolSummary)}
 		for _, id := range ids {
-			out[id] = model.PoolSummary{Pool: id, Owner: "o", Version: version}
+			l.setSummary(id, model.PoolSummary{Pool: id, Owner: "o", Version: version})
 		}
-		return out
+		return l
 	}
-	if digest(build(1, "a", "b", "c")) != digest(build(1, "c", "b", "a")) {
+	base := build(1, "a", "b", "c").digest
+	if build(1, "c", "b", "a").digest != base {
 		t.Error("digest depends on the order")
 	}
-	for name, other := range map[string]map[model.PoolID]model.PoolSummary{
+	for name, other := range map[string]*loop{
 		"missing pool": build(1, "a", "b"),
 		"version":      build(2, "a", "b", "c"),
+		"empty":        build(1),
 	} {
-		if digest(build(1, "a", "b", "c")) == digest(other) {
+		if other.digest == base {
 			t.Errorf("%s: same digest", name)
 		}
 	}
+	late := build(1, "a", "b", "c", "d")
+	late.setSummary("b", model.PoolSummary{Pool: "b", Owner: "o", Version: 2})
+	late.dropSummary("d")
+	late.dropSummary("d")
+	late.setSummary("b", model.PoolSummary{Pool: "b", Owner: "o", Version: 1})
+	if late.digest != base {
+		t.Error("digest depends on the history")
+	}
 }
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -42,6 +42,7 @@
 	vmsRead        []platform.VM // the list that vms holds
 	summaries      map[model.PoolID]model.PoolSummary
 	summaryOrder   summaryOrder
+	digest         uint64 // of summaries
 	freshSummaries map[model.PoolID]bool
 	templates      map[model.TemplateID]model.Template
 	waiters        map[shard.WaiterID]chan model.Reply
--- a/internal/entry/viewchange.go
+++ b/internal/entry/viewchange.go
@@ -58,7 +58,7 @@
 	}
 	for id, s := range l.summaries {
 		if v.PoolOwner(id) != s.Owner {
-			delete(l.summaries, id)
+			l.dropSummary(id)
 		}
 	}
 }
