--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -26,7 +26,7 @@
 	near, far := partition(d, pools, zone)
 	left := fill(d.Count, near, rnd, out)
 	left = fill(left, far, rnd, out)
-	queue(left, near, far, rnd, out)
+	queue(left, overask, append(near, far...), rnd, out)
 	return out
 }
 
@@ -111,23 +111,20 @@
 	return count
 }
 
-// queue asks for grants that wait for capacity to become free. Pools of the
-// own zone are preferred while their backlog is no longer than elsewhere.
-func queue(count int, near, far []candidate, rnd *rand.Rand, out map[model.PoolID]int) {
-	all := append(append([]candidate(nil), near...), far...)
+// queue asks for grants that wait for capacity to become free, each of up to
+// ask different pools with a short backlog.
+func queue(count, ask int, all []candidate, rnd *rand.Rand, out map[model.PoolID]int) {
 	if count == 0 || len(all) == 0 {
 		return
 	}
 	chunk := max(1, (count+chunks-1)/chunks)
 	for count > 0 {
 		n := min(chunk, count)
-		first := lighter(all, -1, rnd)
-		askMore(&all[first], n, out)
-		if len(all) > 1 {
-			second := lighter(all, first, rnd)
-			for range overask - 1 {
-				askMore(&all[second], n, out)
-			}
+		for asked := range min(ask, len(all)) {
+			// Asked pools move to the front, so that none is chosen twice.
+			at := asked + lighter(all[asked:], rnd)
+			all[asked], all[at] = all[at], all[asked]
+			askMore(&all[asked], n, out)
 		}
 		count -= n
 	}
@@ -138,16 +135,9 @@
 	c.load += float64(n) / float64(c.total)
 }
 
-// lighter returns the less loaded of two random candidates other than skip.
-func lighter(cs []candidate, skip int, rnd *rand.Rand) int {
-	pick := func() int {
-		i := rnd.Intn(len(cs))
-		if i == skip {
-			i = (i + 1) % len(cs)
-		}
-		return i
-	}
-	a, b := pick(), pick()
+// lighter returns the less loaded of two random candidates.
+func lighter(cs []candidate, rnd *rand.Rand) int {
+	a, b := rnd.Intn(len(cs)), rnd.Intn(len(cs))
 	if cs[b].load < cs[a].load {
 		return b
 	}
