entry: repeat requests to stop an attempt until its end is known

Cause: a cancellation that overtook the dispatch of its attempt found nothing at the pool owner and was never repeated; the task ran on for its 60 s. Ruled out: the shard table, which had asked once; the worker, which was never asked. The race could not be brought about on loopback at will (TestCancelRacesWithStart passes with and without the change). Conclusion: the end no longer depends on the order of two messages.

--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -135,6 +135,23 @@
 	c.waitDone(c.entries[0], "nesting", []string{id}, 15*time.Second)
 }
 
+// Guards against a job that runs on because its cancellation overtook its
+// dispatch on the way to the pool owner.
+func TestCancelRacesWithStart(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, workers: 6})
+	var ids []string
+	for i := range 150 {
+		id := newID()
+		if c.submitJob(c.entries[i%3], "nesting", id, standin.Work{RunMS: 60_000}) != http.StatusAccepted {
+			continue
+		}
+		ids = append(ids, id)
+		time.Sleep(time.Duration(i%8) * time.Millisecond)
+		c.cancelMany("nesting", []string{id})
+	}
+	c.waitDone(c.entries[0], "nesting", ids, 10*time.Second)
+}
+
 func (c *cell) cancelMany(template string, ids []string) {
 	c.t.Helper()
 	type item struct {
--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -17,7 +17,12 @@
 		panic(err)
 	}
 	binDir = dir
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/agateyard-entry", "../../cmd/agateyard-standin")
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	if os.Getenv("AGATEYARD_E2E_RACE") != "" {
+		args = append(args, "-race")
+	}
+	args = append(args, "../../cmd/agateyard-entry", "../../cmd/agateyard-standin")
+	build := exec.Command("go", args...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Printf("build failed: %v\n%s", err, out)
 		os.Exit(1)
--- a/internal/e2e/proc_test.go
+++ b/internal/e2e/proc_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -40,6 +41,9 @@
 	t.Cleanup(func() {
 		p.signal(syscall.SIGCONT)
 		p.kill()
+		if data, err := os.ReadFile(p.log); err == nil && bytes.Contains(data, []byte("DATA RACE")) {
+			t.Errorf("%s: data race:\n%s", p.name, data)
+		}
 	})
 	return p
 }
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/shard"
 	"github.com/agateyard/agateyard/internal/timeline"
@@ -81,18 +83,30 @@
 	l.returnGrants(unused)
 }
 
-// cancelAttempts asks pool owners to stop attempts.
+// cancelAttempts asks pool owners to stop attempts, until their ends are known.
 func (l *loop) cancelAttempts(cancels []shard.CancelAttempt) {
+	if len(cancels) == 0 {
+		return
+	}
+	l.stops.add(l.now(), cancels)
 	byPool := make(map[model.PoolID][]model.AttemptID)
 	for _, c := range cancels {
-		if c.Pool != "" {
-			byPool[c.Pool] = append(byPool[c.Pool], c.Attempt)
-			continue
-		}
+		byPool[c.Pool] = append(byPool[c.Pool], c.Attempt)
+	}
+	l.requestStops(byPool)
+}
+
+// requestStops sends the requests. Attempts of an unknown pool go to all pools.
+func (l *loop) requestStops(byPool map[model.PoolID][]model.AttemptID) {
+	if len(byPool) == 0 {
+		return
+	}
+	if unknown := byPool[""]; len(unknown) > 0 {
 		for id := range l.summaries {
-			byPool[id] = append(byPool[id], c.Attempt)
+			byPool[id] = append(byPool[id], unknown...)
 		}
 	}
+	delete(byPool, "")
 	for id, attempts := range byPool {
 		owner := l.view.PoolOwner(id)
 		if owner == l.n.self.Incarnation {
@@ -130,6 +144,13 @@
 			l.outbox.add(nil, "", s)
 			continue
 		}
-		l.applyShard(l.table.Settle(now, s))
+		l.settleShard(now, s)
 	}
 }
+
+// settleShard takes the end of an attempt of a held shard.
+func (l *loop) settleShard(now time.Time, s model.Settled) {
+	delete(l.dispatches.lost, s.Attempt)
+	l.stops.ended(s.Attempt)
+	l.applyShard(l.table.Settle(now, s))
+}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -57,6 +57,7 @@
 	outbox      *outbox
 	dispatches  *dispatches
 	acks        *acks
+	stops       *stops
 	compaction  compaction
 	capacityAt  time.Time
 	fetchedAt   time.Time // last fetch of all summaries of a peer
@@ -85,6 +86,7 @@
 	l.dispatches = newDispatches(l)
 	l.acks = newAcks(l)
 	l.gangs = newGangs(l)
+	l.stops = newStops()
 	return l
 }
 
@@ -165,6 +167,7 @@
 	}
 	l.outbox.retry(now)
 	l.acks.flush(now)
+	l.requestStops(l.stops.retry(now, l.takeover.settles))
 	l.dispatches.resolve(now)
 	l.takeover.tick(now)
 	l.compaction.due(l)
--- a/internal/entry/rpcshard.go
+++ b/internal/entry/rpcshard.go
@@ -88,8 +88,7 @@
 	}
 	l.acks.expect(e.settled, e.result)
 	for _, s := range e.settled {
-		delete(l.dispatches.lost, s.Attempt)
-		l.applyShard(l.table.Settle(l.now(), s))
+		l.settleShard(l.now(), s)
 	}
 }
 
