e2e: test the cut of links between entry processes; add rpc_listen_address

An entry process announced the address on which it listens, so no proxy could stand between two of them. The optional setting rpc_listen_address separates the two; its default is rpc_address.

--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -26,6 +26,7 @@
 	runners   int // of service orders, spread over the zones
 	workers   int
 	templates string // TOML of workspace kalnins
+	links     bool   // entry processes reach each other through cell.links
 }
 
 // cell is a running cell of separate processes.
@@ -37,6 +38,7 @@
 	admins   []string
 	mu       sync.Mutex // guards entries
 	entries  []*entryProc
+	links    *links // nil without the option
 }
 
 // entryProc is one entry process of a cell.
@@ -112,6 +114,9 @@
 			c.dumpLogs()
 		}
 	})
+	if o.links {
+		c.links = newLinks(t)
+	}
 	c.startPlatform()
 	c.startEndpoints()
 	for i := range o.entries {
@@ -191,10 +196,18 @@
 	e.conf = filepath.Join(c.dir, name+".toml")
 	settings := fmt.Sprintf("name = %q\nzone = %q\nhttp_address = %q\nrpc_address = %q\nplatform_url = %q\n\n[stop]\ndrain_delay = \"300ms\"\ntimeout = \"30s\"\n",
 		name, zoneName(i%c.opts.zones), e.http, e.rpc, c.platform)
+	listen := e.rpc
+	if c.links != nil {
+		listen = freeAddress(c.t)
+		settings = fmt.Sprintf("rpc_listen_address = %q\n", listen) + settings
+	}
 	if err := os.WriteFile(e.conf, []byte(settings), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
 	e.proc = start(c.t, c.dir, name, "agateyard-entry", "--config", e.conf)
+	if c.links != nil {
+		c.links.serve(e, listen)
+	}
 	return e
 }
 
--- a/internal/e2e/history_test.go
+++ b/internal/e2e/history_test.go
@@ -22,6 +22,7 @@
 type call struct {
 	id       string
 	template string
+	address  string        // of the entry process
 	outcome  model.Outcome // empty: no answer reached the caller
 	reason   string
 	status   int
@@ -65,7 +66,7 @@
 func (h *history) post(address, template, id string, work standin.Work) call {
 	work.Echo = id
 	body, _ := json.Marshal(work)
-	c := call{id: id, template: template, began: time.Now()}
+	c := call{id: id, template: template, address: address, began: time.Now()}
 	url := "http://" + address + "/v1/workspaces/kalnins/templates/" + template + "/requests"
 	req, _ := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -30,9 +30,9 @@
 	conns map[net.Conn]*Node
 }
 
-// NewProcess listens for other entry processes at the RPC address of the settings.
+// NewProcess listens for other entry processes at the RPC listen address of the settings.
 func NewProcess(cfg Config) (*Process, error) {
-	l, err := net.Listen("tcp", cfg.Settings.RPCAddress)
+	l, err := net.Listen("tcp", cfg.Settings.RPCListenAddress)
 	if err != nil {
 		return nil, oops.In("entry").Wrapf(err, "listen for entry processes")
 	}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -18,13 +18,16 @@
 	Name        string // of the process, for logs and the time line
 	Zone        string // availability zone
 	HTTPAddress string // ip:port for callers and operators
-	RPCAddress  string // ip:port for other entry processes
-	PlatformURL string // base URL of the key-value service and the VM list
-	Log         Log
-	Timeline    Timeline
-	Limits      Limits
-	Stop        Stop
-	Retention   Retention
+	RPCAddress  string // ip:port at which other entry processes reach this one
+	// RPCListenAddress is the ip:port to listen on for other entry processes. It
+	// differs from RPCAddress where a proxy or address translation lies between.
+	RPCListenAddress string
+	PlatformURL      string // base URL of the key-value service and the VM list
+	Log              Log
+	Timeline         Timeline
+	Limits           Limits
+	Stop             Stop
+	Retention        Retention
 }
 
 // Log says what is logged and how.
@@ -83,11 +86,12 @@
 
 // entryFile is the TOML form. A pointer tells an absent key from a zero.
 type entryFile struct {
-	Name        string `toml:"name"`
-	Zone        string `toml:"zone"`
-	HTTPAddress string `toml:"http_address"`
-	RPCAddress  string `toml:"rpc_address"`
-	PlatformURL string `toml:"platform_url"`
+	Name        string  `toml:"name"`
+	Zone        string  `toml:"zone"`
+	HTTPAddress string  `toml:"http_address"`
+	RPCAddress  string  `toml:"rpc_address"`
+	RPCListen   *string `toml:"rpc_listen_address"`
+	PlatformURL string  `toml:"platform_url"`
 	Log         struct {
 		Level  *string `toml:"level"`
 		Format *string `toml:"format"`
@@ -149,6 +153,13 @@
 	if e.HTTPAddress != "" && e.HTTPAddress == e.RPCAddress {
 		c.Report("rpc_address", "must differ from http_address")
 	}
+	e.RPCListenAddress = e.RPCAddress
+	if raw.RPCListen != nil {
+		e.RPCListenAddress = c.address("rpc_listen_address", *raw.RPCListen)
+		if e.HTTPAddress != "" && e.HTTPAddress == e.RPCListenAddress {
+			c.Report("rpc_listen_address", "must differ from http_address")
+		}
+	}
 	e.PlatformURL = c.url("platform_url", raw.PlatformURL)
 }
 
