--- a/internal/e2e/history_test.go
+++ b/internal/e2e/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -64,11 +65,16 @@
 
 // post sends a synchronous request and records it.
 func (h *history) post(address, template, id string, work standin.Work) call {
+	return h.postContext(context.Background(), address, template, id, work)
+}
+
+// postContext is post by a caller that gives up when ctx ends.
+func (h *history) postContext(ctx context.Context, address, template, id string, work standin.Work) call {
 	work.Echo = id
 	body, _ := json.Marshal(work)
 	c := call{id: id, template: template, address: address, began: time.Now()}
 	url := "http://" + address + "/v1/workspaces/kalnins/templates/" + template + "/requests"
-	req, _ := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(gateway.HeaderIdempotencyKey, id)
 	resp, err := client.Do(req)
--- a/internal/e2e/links_test.go
+++ b/internal/e2e/links_test.go
@@ -21,6 +21,7 @@
 	mu      sync.Mutex
 	entries []*entryProc
 	pairs   map[linkPair]*faultproxy.Proxy
+	faults  func(linkPair) faultproxy.Settings // in force, for new pairs as well
 }
 
 // linkPair is the way of connections that one process opens to another.
@@ -28,6 +29,7 @@
 
 func newLinks(t *testing.T) *links {
 	l := &links{t: t, pairs: make(map[linkPair]*faultproxy.Proxy)}
+	l.faults = func(linkPair) faultproxy.Settings { return faultproxy.Settings{} }
 	t.Cleanup(func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -96,7 +98,7 @@
 	if p := l.pairs[key]; p != nil {
 		return p, nil
 	}
-	p, err := faultproxy.Listen("127.0.0.1:0", listen, faultproxy.Settings{}, 1)
+	p, err := faultproxy.Listen("127.0.0.1:0", listen, l.faults(key), 1)
 	if err == nil {
 		l.pairs[key] = p
 	}
@@ -158,6 +160,7 @@
 func (l *links) set(settings func(linkPair) faultproxy.Settings) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.faults = settings
 	for pair, p := range l.pairs {
 		if err := p.Set(settings(pair)); err != nil {
 			l.t.Error(err)
