--- a/internal/shard/scheduling_test.go
+++ b/internal/shard/scheduling_test.go
@@ -221,3 +221,46 @@
 	jobs := f.table.Jobs(Filter{Workspace: "w", Template: "job"})
 	f.check(!slices.ContainsFunc(jobs, func(s model.JobStatus) bool { return s.Key == key }), "a released job came back")
 }
+
+// TestRanSurvivesTakeover guards against a not-run of an accepted request whose
+// first round ended, was acknowledged and was to be repeated when its owner died.
+func TestRanSurvivesTakeover(t *testing.T) {
+	for _, kind := range []model.Kind{model.KindJob, model.KindService} {
+		f := newFixture(t, Config{})
+		f.change("job", func(t *model.Template) { t.Kind = kind })
+		key := f.key("job", "")
+		journal := f.submit(key).Records
+		f.table.AcceptanceDurable(f.now, key)
+		journal = append(journal, f.ended(f.start("job", "e1").Attempt, 500, "").Records...)
+
+		f.now = f.now.Add(time.Minute)
+		f.table = New(Config{}, f.rnd)
+		f.table.SetTemplates(f.now, f.templates)
+		f.own(Recovery{TakenAt: f.now})
+		for _, r := range journal {
+			f.table.Replay(f.now, recode(t, r))
+		}
+		f.table.Replayed(f.now, key.Shard())
+		results, _ := f.table.Cancel(f.now, []model.RequestKey{key})
+		f.check(results[0].Outcome == model.OutcomeRan, "%s: %+v", kind, results[0])
+	}
+}
+
+// TestResentOrder guards against a handover that reverses the order of requests
+// with one ordering key, because their callers sent them again in another order.
+func TestResentOrder(t *testing.T) {
+	f := newFixture(t, Config{})
+	var keys []model.RequestKey
+	for range 3 {
+		keys = append(keys, f.key("ask-ordered", "a"))
+		f.now = f.now.Add(time.Second)
+	}
+	for _, i := range []int{1, 2, 0} {
+		f.table.Submit(f.now, model.Submission{Key: keys[i], Resent: true}, WaiterID(i))
+	}
+	for _, key := range keys {
+		s := f.start("ask-ordered", "e1")
+		f.check(s.Key == key, "started %v, want %v", s.Key, key)
+		f.ended(s.Attempt, 200, "")
+	}
+}
