Record that a cancelled service has run when its first replica ends

The stand-in of the stateful test dropped the callbacks of the records of an import, so that a not-run outcome among them was never confirmed; it makes them now.

--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -201,6 +201,10 @@
 // concludeReplica restarts a replica of a service, or ends it after a cancel.
 func (t *Table) concludeReplica(now time.Time, u *unit, end model.Settled, first bool, fx *Effects) {
 	j := u.job
+	if first && j.last != nil {
+		// One record is enough to know that the service has run.
+		t.recordConcluded(now, u, end, fx)
+	}
 	if j.cancelled {
 		u.state = unitOver
 		t.finishStopped(now, j, fx)
@@ -217,10 +221,6 @@
 		// Only the last endpoint is avoided: a service outlives every list of failures.
 		u.failed = []string{end.Endpoint}
 	}
-	if first && j.last != nil {
-		// One record is enough to know that the service has run.
-		t.recordConcluded(now, u, end, fx)
-	}
 	if j.shard.frozen {
 		return
 	}
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -499,7 +499,6 @@
 		}
 	}
 	w.flush(len(w.journal))
-	w.callbacks = nil
 	if len(old.attempts)+len(old.intents)+len(old.jobTimers.items) > 0 {
 		w.t.Fatalf("dropped shards left state behind")
 	}
