--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -25,6 +25,10 @@
 
 // freezeJob stops the work of one request.
 func (t *Table) freezeJob(now time.Time, j *job, fx *Effects) {
+	if j.cancelled && !j.replayed && (j.phase == phaseAccepting || j.phase == phaseHeld) {
+		t.giveUpCancelled(now, j, fx)
+		return
+	}
 	for _, w := range j.waiters {
 		fx.answer(w.id, model.Reply{Reason: model.ReasonMoved})
 	}
--- a/internal/shard/recover.go
+++ b/internal/shard/recover.go
@@ -121,8 +121,9 @@
 		t.lateEnd(now, j, *state.Settled, fx)
 		return
 	}
-	if state.Running && j.phase != phaseDone {
-		// The request was started here because its identifier was taken for a new one.
+	if state.Running && (j.phase != phaseDone || j.cancelled) {
+		// The request was started here because its identifier was taken for a
+		// new one, or it was cancelled before this attempt was known.
 		fx.event("duplicate-attempt", j.key, state.Attempt, string(pool))
 		fx.Cancels = append(fx.Cancels, CancelAttempt{Attempt: state.Attempt, Pool: pool, Endpoint: state.Endpoint})
 	}
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -8,7 +8,7 @@
 
 // activate makes the idle units of a queued request ready when it is its turn.
 func (t *Table) activate(now time.Time, j *job) {
-	if j.phase != phaseQueued || j.shard.frozen || !j.hasTurn() {
+	if j.phase != phaseQueued || j.cancelled || j.shard.frozen || !j.hasTurn() {
 		return
 	}
 	for i := range j.units {
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -230,12 +230,9 @@
 
 // finishStopped finishes a cancelled service when its last replica is over.
 func (t *Table) finishStopped(now time.Time, j *job, fx *Effects) {
-	for i := range j.units {
-		if j.units[i].state != unitOver {
-			return
-		}
+	if !j.released() {
+		t.finishWithLast(now, j, fx)
 	}
-	t.finishWithLast(now, j, fx)
 }
 
 // settleUnknown takes the end of an attempt that is not live here.
--- a/internal/shard/stateful_test.go
+++ b/internal/shard/stateful_test.go
@@ -180,6 +180,7 @@
 	r := w.requests[rapid.IntRange(0, len(w.requests)-1).Draw(t, "request")]
 	results, fx := w.table.Cancel(w.now, []model.RequestKey{r.sub.Key})
 	w.apply(fx)
+	r.stopped = r.stopped || results[0].Found
 	if results[0].Outcome == model.OutcomeNotRun && len(r.ran) > 0 {
 		t.Fatalf("cancel says not-run of %v, which was executed", r.sub.Key)
 	}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -113,6 +113,10 @@
 		t.finish(now, j, r.reply(), nil, fx)
 		return
 	}
+	if j.cancelled && !j.replayed {
+		t.giveUpCancelled(now, j, fx)
+		return
+	}
 	for _, w := range j.waiters {
 		fx.answer(w.id, model.Reply{
 			Outcome: model.OutcomeUnknown, Reason: model.ReasonRecovering,
@@ -127,6 +131,17 @@
 	t.updateWake(j)
 }
 
+// giveUpCancelled finishes a cancelled request of which it is not known whether
+// it ran. Its record stays, because it would run in spite of the cancel when it is sent again.
+func (t *Table) giveUpCancelled(now time.Time, j *job, fx *Effects) {
+	for _, f := range j.shard.found[j.hash] {
+		if f.state.Settled == nil {
+			fx.Cancels = append(fx.Cancels, CancelAttempt{Attempt: f.state.Attempt, Pool: f.pool, Endpoint: f.state.Endpoint})
+		}
+	}
+	t.finish(now, j, model.Reply{Outcome: model.OutcomeUnknown, Reason: model.ReasonCancelled}, nil, fx)
+}
+
 // forgetFound drops ends without a request after the retention.
 func (t *Table) forgetFound(now time.Time, fx *Effects) {
 	for len(t.foundAges) > 0 && !now.Before(t.foundAges[0].at.Add(t.cfg.Retention)) {
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -77,6 +77,7 @@
 	notRun   bool
 	unknown  bool
 	accepted bool
+	stopped  bool // cancelled at the present owner or an earlier one that handed over
 	number   int // order of submission in the epoch
 }
 
@@ -147,6 +148,9 @@
 	}
 	for _, s := range fx.Starts {
 		w.checkOrder(s)
+		if w.request(s.Key).stopped {
+			w.t.Fatalf("%v starts after its cancellation", s.Key)
+		}
 		w.unsent = append(w.unsent, s)
 	}
 	for _, id := range fx.Acks {
@@ -435,7 +439,7 @@
 		}
 	}
 	for _, r := range w.requests {
-		r.number = 0
+		r.number, r.stopped = 0, false
 	}
 }
 
