--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -78,7 +78,7 @@
 	unknown  bool
 	accepted bool
 	stopped  bool // cancelled at the present owner or an earlier one that handed over
-	number   int // order of submission in the epoch
+	number   int  // order of submission in the epoch
 }
 
 // entry is a record in the journal.
