--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -64,7 +64,8 @@
 		switch {
 		case j.phase == phaseDone && !j.journaled():
 			snapshot.Answers = append(snapshot.Answers, outcomeRecord(j))
-		case j.phase == phaseQueued && (j.released() || j.last != nil):
+		case j.phase == phaseQueued && (j.released() || j.last != nil),
+			j.phase == phaseHeld && j.replayed && !j.journaled():
 			snapshot.Live = append(snapshot.Live, liveJob(j))
 		}
 	}
--- a/internal/shard/replay.go
+++ b/internal/shard/replay.go
@@ -41,9 +41,12 @@
 func (t *Table) replayedJob(now time.Time, s *shardState, r Record) *job {
 	j := s.jobs[r.Key.Hash()]
 	switch {
-	case j == nil && (r.Kind == RecordCancel || r.Kind == RecordEnd):
-		// They follow the record of the request itself, which was not written.
-		return nil
+	case r.Kind == RecordCancel || r.Kind == RecordEnd:
+		// They don't make a request known: without its own record it left no state.
+		if j == nil || j.phase != phaseHeld || j.bodyHash != r.BodyHash {
+			return nil
+		}
+		return j
 	case j == nil:
 		return t.newReplayedJob(s, r)
 	case j.phase == phaseDone && r.Kind == RecordAcceptance:
