--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -201,6 +201,10 @@
 // concludeReplica restarts a replica of a service, or ends it after a cancel.
 func (t *Table) concludeReplica(now time.Time, u *unit, end model.Settled, first bool, fx *Effects) {
 	j := u.job
+	if first && j.last != nil {
+		// One record is enough to know that the service has run.
+		t.recordConcluded(now, u, end, fx)
+	}
 	if j.cancelled {
 		u.state = unitOver
 		t.finishStopped(now, j, fx)
@@ -217,10 +221,6 @@
 		// Only the last endpoint is avoided: a service outlives every list of failures.
 		u.failed = []string{end.Endpoint}
 	}
-	if first && j.last != nil {
-		// One record is enough to know that the service has run.
-		t.recordConcluded(now, u, end, fx)
-	}
 	if j.shard.frozen {
 		return
 	}
@@ -230,12 +230,9 @@
 
 // finishStopped finishes a cancelled service when its last replica is over.
 func (t *Table) finishStopped(now time.Time, j *job, fx *Effects) {
-	for i := range j.units {
-		if j.units[i].state != unitOver {
-			return
-		}
+	if !j.released() {
+		t.finishWithLast(now, j, fx)
 	}
-	t.finishWithLast(now, j, fx)
 }
 
 // settleUnknown takes the end of an attempt that is not live here.
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -77,7 +77,8 @@
 	notRun   bool
 	unknown  bool
 	accepted bool
-	number   int // order of submission in the epoch
+	stopped  bool // cancelled at the present owner or an earlier one that handed over
+	number   int  // order of submission in the epoch
 }
 
 // entry is a record in the journal.
@@ -147,6 +148,9 @@
 	}
 	for _, s := range fx.Starts {
 		w.checkOrder(s)
+		if w.request(s.Key).stopped {
+			w.t.Fatalf("%v starts after its cancellation", s.Key)
+		}
 		w.unsent = append(w.unsent, s)
 	}
 	for _, id := range fx.Acks {
@@ -435,7 +439,7 @@
 		}
 	}
 	for _, r := range w.requests {
-		r.number = 0
+		r.number, r.stopped = 0, false
 	}
 }
 
@@ -499,7 +503,6 @@
 		}
 	}
 	w.flush(len(w.journal))
-	w.callbacks = nil
 	if len(old.attempts)+len(old.intents)+len(old.jobTimers.items) > 0 {
 		w.t.Fatalf("dropped shards left state behind")
 	}
