--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -224,6 +224,11 @@
 
 // submit sends a request with a new waiter.
 func (w *world) submit(r *request) {
+	if _, known := w.table.Status(r.sub.Key); !known && r.number != 0 {
+		// Its record is gone with its last answer, so this is a new arrival.
+		w.arrivals++
+		r.number = w.arrivals
+	}
 	w.waiter++
 	w.waiters[w.waiter] = r
 	w.apply(w.table.Submit(w.now, r.sub, w.waiter))
