shard: bound a flood by capacity and run time before its rate is measured

Change: the predicted wait then follows from the whole capacity, the mean measured run time and the number of shard owners. Unit test: at 10 starts a second and owner and a wait of 20 s, 180 to 220 of 1,000 are taken; before, 1,000.

--- a/internal/entry/viewchange.go
+++ b/internal/entry/viewchange.go
@@ -37,6 +37,7 @@
 	l.n.view.Store(&v)
 	l.n.peers.update(v)
 	l.n.journal.SetMembers(max(1, len(v.Members)))
+	l.table.SetMembers(len(v.Members))
 	l.n.log.WithField("view", v.Number).WithField("members", len(v.Members)).Info("entry: view in force")
 	l.demand.forget(v)
 	l.dropMembers(old, v)
--- a/internal/shard/admission.go
+++ b/internal/shard/admission.go
@@ -20,19 +20,24 @@
 // ahead that the free capacity does not cover, divided by the measured rate of
 // the class. The rate is measured under the contention of equally and more
 // urgent work and within the share of the template, so that the flood of one
-// template does not refuse the requests of another. Without a measured rate, only more
-// urgent work counts, at its rate; without that the wait is taken as zero.
+// template does not refuse the requests of another. Without a measured rate, as
+// at the beginning of a flood, it is the rate of the whole capacity at the
+// measured run time; without that only more urgent work counts.
 func (t *Table) predictWait(now time.Time, template *templateState, c class) time.Duration {
-	free := t.capacities[template.PoolPrefix()].starts(c)
+	capacity := t.capacities[template.PoolPrefix()]
+	free, ahead := capacity.starts(c), 1
 	q := template.queue(c)
-	if q == nil {
-		return t.urgentWait(now, template, free)
+	if q != nil {
+		ahead += q.size()
+		if rate, known := q.meter.estimate(now); known {
+			return drainTime(ahead-free, rate)
+		}
 	}
-	rate, known := q.meter.estimate(now)
-	if !known {
-		return t.urgentWait(now, template, free)
+	wait := t.urgentWait(now, template, free)
+	if rate := capacity.rate(c, template.meanRun) / float64(max(1, t.members)); rate > 0 {
+		wait = max(wait, drainTime(ahead-free, rate))
 	}
-	return drainTime(q.size()+1-free, rate)
+	return wait
 }
 
 // urgentWait returns the time until the more urgent work for the same pools has started.
--- a/internal/shard/capacity.go
+++ b/internal/shard/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/agateyard/agateyard/internal/model"
 )
@@ -14,6 +15,16 @@
 	biggest model.Resources // greatest total of one endpoint, per field
 }
 
+// rate returns the starts per second of the class when the whole capacity serves
+// it, or 0 when the run time is not known.
+func (c capacity) rate(want class, run time.Duration) float64 {
+	if run <= 0 {
+		return 0
+	}
+	whole := capacity{free: c.total}
+	return float64(whole.starts(want)) / run.Seconds()
+}
+
 // capacityOf sums the pools with the prefix.
 func capacityOf(pools []model.PoolSummary, prefix string) capacity {
 	var c capacity
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -25,6 +25,9 @@
 	if s.Endpoint == "" {
 		s.Endpoint = a.endpoint
 	}
+	if s.End == model.AttemptEnded && s.RunMS > 0 {
+		u.job.template.observeRun(time.Duration(s.RunMS) * time.Millisecond)
+	}
 	delete(t.attempts, a.id)
 	u.dropLive(a.id)
 	u.ends = append(u.ends, s)
--- a/internal/shard/shed_test.go
+++ b/internal/shard/shed_test.go
@@ -88,3 +88,25 @@
 		t.Fatalf("rate %.0f/s, known %v; 50/s were served", rate, known)
 	}
 }
+
+// Guards against a flood that is taken in full until its rate is measured: the
+// capacity and the run time of earlier work bound it from the first request on.
+func TestFloodIsBoundedBeforeItsRateIsMeasured(t *testing.T) {
+	f := newFixture(t, Config{})
+	f.table.SetMembers(4)
+	slots := model.Resources{Slots: 8}
+	f.table.SetCapacity(f.now, []model.PoolSummary{{Pool: runnerPool, Total: slots, Biggest: slots, Endpoint: 1}})
+	f.change("ask", func(t *model.Template) { t.Resources = model.Resources{Slots: 1} })
+	f.submit(f.key("ask", ""))
+	start := f.start("ask", "e1")
+	f.advance(200 * time.Millisecond)
+	f.table.Settle(f.now, model.Settled{Attempt: start.Attempt, End: model.AttemptEnded, HasAnswer: true, RunMS: 200})
+	taken := 0
+	for range 1000 {
+		taken += 1 - len(f.submit(f.key("ask", "")).Answers)
+	}
+	// 8 slots at 200 ms are 40 starts a second, 10 for each of 4 owners; 20 s of wait take 200.
+	if taken < 180 || taken > 220 {
+		t.Fatalf("%d taken", taken)
+	}
+}
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -16,6 +16,7 @@
 	rnd         *rand.Rand
 	seq         uint64
 	journalDown bool
+	members     int // shard owners of the cell, which share the capacity
 	shards      [model.ShardCount]*shardState
 	templates   map[model.TemplateID]*templateState
 	ordered     []*templateState // by name, for a reproducible order
@@ -107,6 +108,10 @@
 	}
 }
 
+// SetMembers sets the number of shard owners of the cell, among which capacity
+// is taken to be shared evenly.
+func (t *Table) SetMembers(n int) { t.members = n }
+
 // SetJournal tells whether the journal can be written. While it can't, work
 // that needs the journal is refused at submission with ReasonStoreDown.
 func (t *Table) SetJournal(_ time.Time, writable bool) { t.journalDown = !writable }
--- a/internal/shard/template_state.go
+++ b/internal/shard/template_state.go
@@ -16,6 +16,19 @@
 	bytes   int64 // of their bodies
 	starts  decaying
 	retries decaying
+	meanRun time.Duration // moving average of measured runs; 0 before the first
+}
+
+// runWeight is the weight of the last run in the average.
+const runWeight = 0.05
+
+// observeRun takes the run time of an attempt that ended.
+func (t *templateState) observeRun(run time.Duration) {
+	if t.meanRun == 0 {
+		t.meanRun = run
+		return
+	}
+	t.meanRun += time.Duration(runWeight * float64(run-t.meanRun))
 }
 
 // queue returns the queue of the class, or nil.
