--- a/internal/bench/templates.go
+++ b/internal/bench/templates.go
@@ -1,8 +1,8 @@
 package bench
 
 // templates are the templates of the measured load. Jobs of the template
-// "waiting" never start while the bench runs: no worker has its accelerators
-// free, but the cell can't refuse it, since it knows of no endpoint.
+// "waiting" stay queued in a cell without workers: as long as no endpoint is
+// known, no job counts as infeasible.
 const templates = `workspace = "bench"
 weight = 1.0
 
