--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,4 +12,5 @@
     skip=(-skip "^($(echo "$names" | paste -sd'|'))\$")
   fi
 fi
-exec go test -count=1 -timeout 15m "${skip[@]}" "$@" ./...
+# The package under test may be given as PACKAGES; flags pass through.
+exec go test -count=1 -timeout 20m "${skip[@]}" "$@" ${PACKAGES:-./...}
