Let accepted jobs wait for the retry budget, and ask further pools for repeats

Cause: when the retry budget of a template was used up, an accepted job ended as unknown (retries-spent); a repeat avoids the endpoint that failed it, while its demand kept going to the pool of that endpoint. Ruled out: the retry limit of the template, which was not reached. Change: an accepted job backs off for 3 s or more instead of ending; demand tells how much of it are repeats, for which further pools are asked. Conclusion: an accepted job ends without an answer only at its retry limit.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -80,7 +80,11 @@
 	if t.Kind == model.KindService {
 		return balance.Spread(d, fitting, l.rnd)
 	}
-	return balance.Split(d, fitting, l.n.self.Zone, l.rnd)
+	out := balance.Split(d, fitting, l.n.self.Zone, l.rnd)
+	if d.Retried > 0 {
+		balance.Widen(out, d, fitting, l.rnd)
+	}
+	return out
 }
 
 func matching(summaries []model.PoolSummary, prefix string) []model.PoolSummary {
--- a/internal/model/pool.go
+++ b/internal/model/pool.go
@@ -32,6 +32,7 @@
 	Resources Resources // of one task
 	Tasks     int       // tasks that one grant must cover: all tasks of a gang, else 1
 	Count     int       // grants wanted
+	Retried   int       // of Count, for repeats that don't take the endpoints that failed them
 	Oldest    time.Time // arrival of the oldest
 }
 
--- a/internal/shard/rank.go
+++ b/internal/shard/rank.go
@@ -61,6 +61,7 @@
 			Resources: r.queue.class.resources,
 			Tasks:     r.queue.class.tasks,
 			Count:     r.queue.size(),
+			Retried:   r.queue.retried.Len(),
 			Oldest:    r.oldest,
 		})
 	}
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -173,10 +173,18 @@
 // maxFailedEndpoints bounds the list of endpoints that a request avoids.
 const maxFailedEndpoints = 32
 
+// budgetPause is the first backoff of an accepted job whose template has used up
+// its retry budget. It spreads the repeats of a failed worker over seconds.
+const budgetPause = 3 * time.Second
+
 // retry prepares a repeat of an idempotent request, or returns false.
 func (t *Table) retry(now time.Time, u *unit, ends []model.Settled) bool {
 	j := u.job
-	if !j.idempotent || !j.hasBody || u.retries >= j.template.RetryLimit || !j.template.mayRetry(now, &t.cfg) {
+	if !j.idempotent || !j.hasBody || u.retries >= j.template.RetryLimit {
+		return false
+	}
+	budget := j.template.mayRetry(now, &t.cfg)
+	if !budget && !j.accepted {
 		return false
 	}
 	u.retries++
@@ -191,7 +199,13 @@
 	if j.shard.frozen {
 		return true
 	}
-	t.backOff(now, u, t.cfg.RetryBase, u.retries-1, t.cfg.RetryMax)
+	base := t.cfg.RetryBase
+	if !budget {
+		// An accepted job has to run. It waits until the budget has recovered
+		// rather than ending without an answer.
+		base = budgetPause
+	}
+	t.backOff(now, u, base, u.retries-1, max(base, t.cfg.RetryMax))
 	// The repeat has a wait of its own; the run of the earlier attempt does not count against it.
 	j.limitWait(u.notBefore)
 	t.updateWake(j)
