--- /dev/null
+++ b/internal/balance/main_test.go
@@ -0,0 +1,13 @@
+package balance
+
+import (
+	"os"
+	"testing"
+
+	"github.com/agateyard/agateyard/internal/testseed"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Rapid()
+	os.Exit(m.Run())
+}
--- a/internal/e2e/rolling_test.go
+++ b/internal/e2e/rolling_test.go
@@ -9,49 +9,55 @@
 	"github.com/agateyard/agateyard/internal/model"
 )
 
-// rollingLimit bounds the replacement of all processes of a cell of 9.
-const rollingLimit = 60 * time.Second
+const (
+	// rollingLimit bounds the replacement of all processes of a cell.
+	rollingLimit = 60 * time.Second
+	// stopLimit bounds the stop of one process.
+	stopLimit = 30 * time.Second
+)
+
+// Guards against a planned stop that cuts off requests: every process is
+// replaced in turn under load, and no caller may see an error.
+func TestRollingReplacementUnderLoad(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, runners: 6})
+	rollingReplacement(t, c, 60, 3)
+}
 
 // Guards against a planned stop that cuts off requests in a cell of the size of
 // today: successors of successors, and pools that move within a zone whose
 // processes all leave in turn.
 func TestRollingReplacementOfNine(t *testing.T) {
-	const seed = 51
-	t.Logf("seed %d", seed)
 	c := newCell(t, cellOptions{entries: 9, zones: 3, runners: 12})
+	rollingReplacement(t, c, 100, 51)
+}
+
+// rollingReplacement replaces every entry process in turn under load.
+func rollingReplacement(t *testing.T, c *cell, rate int, seed int64) {
+	t.Helper()
+	t.Logf("seed %d", seed)
 	h := &history{}
 	var ready atomic.Pointer[[]string]
-	publish := func(skip *entryProc) {
-		var out []string
-		for _, e := range c.entries {
-			if e != skip {
-				out = append(out, e.http)
-			}
-		}
-		ready.Store(&out)
-	}
-	publish(nil)
+	ready.Store(c.balanced(nil))
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
 	wg.Go(func() {
 		h.load(loadOptions{
-			rate: 100, length: rollingLimit, stop: stop, runMS: 100, seed: seed,
+			rate: rate, length: rollingLimit, stop: stop, runMS: 100, seed: seed,
 			templates: []string{"cut-list", "cutting-run"},
 			addresses: func() []string { return *ready.Load() },
 		})
 	})
 	time.Sleep(time.Second)
 	began := time.Now()
-	for i := range c.entries {
-		old := c.entries[i]
-		publish(old)
-		if err := old.terminate(15 * time.Second); err != nil {
+	for i, old := range c.entries {
+		ready.Store(c.balanced(old))
+		if err := old.terminate(stopLimit); err != nil {
 			t.Errorf("%s: stop failed: %v", old.name, err)
 		}
 		stopped := time.Since(began)
 		c.entries[i] = c.startEntry(i)
 		c.waitReady(c.entries[i])
-		publish(nil)
+		ready.Store(c.balanced(nil))
 		t.Logf("%s stopped at %v, its successor ready at %v", old.name, stopped.Round(time.Millisecond), time.Since(began).Round(time.Millisecond))
 	}
 	took := time.Since(began)
@@ -68,3 +74,15 @@
 		}
 	}
 }
+
+// balanced returns the addresses that a load balancer uses while one process is
+// not ready.
+func (c *cell) balanced(skip *entryProc) *[]string {
+	var out []string
+	for _, e := range c.entries {
+		if e != skip {
+			out = append(out, e.http)
+		}
+	}
+	return &out
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -20,19 +19,11 @@
 
 	"github.com/agateyard/agateyard/internal/configstore"
 	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/testseed"
 )
 
-// seed makes random tests repeatable. -rapid.seed overrides it.
-const seed = "20261203"
-
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set(seed); err != nil {
-			panic(err)
-		}
-	}
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	testseed.Rapid()
 	goleak.VerifyTestMain(m)
 }
 
--- a/internal/journal/main_test.go
+++ b/internal/journal/main_test.go
@@ -1,25 +1,16 @@
 package journal
 
 import (
-	"flag"
-	"fmt"
 	"os"
 	"testing"
 
 	"github.com/sirupsen/logrus"
-)
 
-// testSeed starts rapid unless -rapid.seed is given.
-const testSeed = "20261203"
+	"github.com/agateyard/agateyard/internal/testseed"
+)
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := flag.Set("rapid.seed", testSeed); err != nil {
-			panic(err)
-		}
-	}
-	fmt.Println("rapid.seed:", flag.Lookup("rapid.seed").Value)
+	testseed.Rapid()
 	logrus.SetLevel(logrus.ErrorLevel)
 	os.Exit(m.Run())
 }
--- a/internal/settings/main_test.go
+++ b/internal/settings/main_test.go
@@ -1,22 +1,13 @@
 package settings
 
 import (
-	"flag"
-	"fmt"
 	"os"
 	"testing"
-)
 
-// seed makes random tests repeatable. -rapid.seed overrides it.
-const seed = "20261203"
+	"github.com/agateyard/agateyard/internal/testseed"
+)
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set(seed); err != nil {
-			panic(err)
-		}
-	}
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	testseed.Rapid()
 	os.Exit(m.Run())
 }
