Name the instance of endpoints in grants and intents, ask new pool owners about running attempts

Cause: a runner that had performed a cutting run and then restarted listed nothing; the successor of the dead owner took the recorded intent for never started and dispatched it again. A task whose pool owner died with its endpoint was never settled. Change: only an endpoint of the instance that the grant named proves that an attempt did not start; else the outcome is unknown. After a pool has changed hands the shard owner asks the new owner about every attempt that runs there. Conclusion: at most once holds over the restart of endpoints during a takeover.

--- a/internal/e2e/kill_test.go
+++ b/internal/e2e/kill_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -130,3 +131,32 @@
 		}
 	}
 }
+
+// Guards against a second run of non-idempotent work that had its effect while
+// its owner was dead, at endpoints that restarted and forgot it before the
+// successor asked them.
+func TestRunnersRestartBeforeTheSuccessorAsks(t *testing.T) {
+	c := newCell(t, cellOptions{entries: 3, zones: 3, runners: 6})
+	h := &history{}
+	var wg sync.WaitGroup
+	for i := range 36 {
+		wg.Go(func() {
+			h.caller(loadOptions{runMS: 1000, addresses: c.live}, "cutting-run", i)
+		})
+	}
+	time.Sleep(600 * time.Millisecond)
+	c.entries[0].kill()
+	time.Sleep(time.Second)
+	for i := range 6 {
+		c.restartEndpoint(fmt.Sprintf("runner-orders-%04d", i))
+	}
+	wg.Wait()
+	h.report(t)
+	h.check(t, c.effects(), nonIdempotentTemplates)
+	for id, calls := range h.byID() {
+		last := calls[len(calls)-1]
+		if last.outcome != model.OutcomeRan && last.outcome != model.OutcomeUnknown {
+			t.Errorf("%s: last answer %q %q err %v", id, last.outcome, last.reason, last.err)
+		}
+	}
+}
--- a/internal/entry/dispatches.go
+++ b/internal/entry/dispatches.go
@@ -18,6 +18,8 @@
 	// grantSlack beyond the time limit of a grant, after which a dispatch that
 	// is still on its way can't start anything.
 	grantSlack = time.Second
+	// ownerGrace is the time for replies that the old owner of a pool has sent.
+	ownerGrace = 2 * time.Second
 	// dispatchSlack is added to the run limit for the time limit of a dispatch.
 	dispatchSlack = 5 * time.Second
 )
@@ -34,6 +36,8 @@
 type lostDispatch struct {
 	pool     model.PoolID
 	endpoint string
+	instance string    // of the endpoint when the grant was issued
+	started  bool      // the start was confirmed; only the end is not known
 	voidFrom time.Time // from here on the owner refuses a dispatch that comes late
 }
 
@@ -122,7 +126,34 @@
 	}
 	voidFrom := l.now().Add(e.grant.TTL + grantSlack)
 	for i, a := range e.attempts {
-		l.dispatches.lost[a] = lostDispatch{pool: e.grant.Pool, endpoint: e.grant.Endpoints[i], voidFrom: voidFrom}
+		l.dispatches.lost[a] = lostDispatch{
+			pool: e.grant.Pool, endpoint: e.grant.Endpoints[i], instance: instanceAt(e.grant, i), voidFrom: voidFrom,
+		}
+	}
+}
+
+// instanceAt returns the instance of the i-th endpoint of a grant.
+func instanceAt(g model.Grant, i int) string {
+	if i < len(g.Instances) {
+		return g.Instances[i]
+	}
+	return ""
+}
+
+// ownersChanged asks the new owners of pools about the attempts that run there.
+// An end that the old owner knew and had not told would be lost otherwise.
+func (d *dispatches) ownersChanged(old, v model.View) {
+	now := d.l.now()
+	live := d.l.table.Live(func(id model.PoolID) bool { return old.PoolOwner(id) != v.PoolOwner(id) })
+	for pool, attempts := range live {
+		for _, a := range attempts {
+			if _, known := d.lost[a.Attempt]; known {
+				continue
+			}
+			d.lost[a.Attempt] = lostDispatch{
+				pool: pool, endpoint: a.Endpoint, instance: a.Instance, started: true, voidFrom: now.Add(ownerGrace),
+			}
+		}
 	}
 }
 
@@ -204,9 +235,10 @@
 
 // missing is the end of an attempt that a complete answer does not list. An
 // endpoint that has reported under the owner's token takes no start of before,
-// so the attempt never started there. Of any other endpoint it is not known.
+// so the attempt never started there, unless the endpoint has restarted since
+// the grant and forgotten it. Of any other endpoint it is not known.
 func (d lostDispatch) missing(a model.AttemptID, reply AttemptsReply) model.Settled {
-	if slices.Contains(reply.Reported, d.endpoint) {
+	if instance, ok := reply.Reported[d.endpoint]; ok && instance == d.instance && !d.started {
 		return model.Settled{Attempt: a, End: model.AttemptNotStarted, Endpoint: d.endpoint}
 	}
 	return model.Settled{Attempt: a, End: model.AttemptUnknown, Endpoint: d.endpoint}
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -13,8 +13,14 @@
 // pool that has not heard from all its endpoints.
 const recoveryRetryInterval = 100 * time.Millisecond
 
-// namedEndpoints are the endpoints that recorded intents name, by pool.
-type namedEndpoints map[model.PoolID]map[string]bool
+// namedEndpoints are the endpoints and instances that recorded intents name, by pool.
+type namedEndpoints map[model.PoolID]map[namedEndpoint]bool
+
+// namedEndpoint is an endpoint of a recorded intent.
+type namedEndpoint struct {
+	endpoint string
+	instance string
+}
 
 // add takes the endpoints of an intent.
 func (e namedEndpoints) add(r shard.Record) {
@@ -23,9 +29,9 @@
 	}
 	for _, a := range r.Intent.Attempts {
 		if e[a.Pool] == nil {
-			e[a.Pool] = make(map[string]bool)
+			e[a.Pool] = make(map[namedEndpoint]bool)
 		}
-		e[a.Pool][a.Endpoint] = true
+		e[a.Pool][namedEndpoint{endpoint: a.Endpoint, instance: a.Instance}] = true
 	}
 }
 
@@ -43,7 +49,7 @@
 }
 
 // recoverPool asks until the owner of the pool has a complete answer.
-func (n *Node) recoverPool(id model.PoolID, shards map[model.ShardID]bool, named map[string]bool) {
+func (n *Node) recoverPool(id model.PoolID, shards map[model.ShardID]bool, named map[namedEndpoint]bool) {
 	for n.ctx.Err() == nil {
 		reply, err := n.askAttempts(n.currentView(), id, shards)
 		if err == nil && reply.Complete {
@@ -61,17 +67,20 @@
 type poolRecovered struct {
 	pool   model.PoolID
 	shards map[model.ShardID]bool
-	named  map[string]bool // endpoints of recorded intents
+	named  map[namedEndpoint]bool // of recorded intents
 	reply  AttemptsReply
 }
 
-// unaccounted returns the endpoints whose attempts the pool owner can't know.
-// An endpoint of a recorded intent that has left the VM list is among them.
+// unaccounted returns the endpoints whose attempts the pool owner can't know:
+// those that it can't reach, and those of recorded intents that have left the VM
+// list or have restarted since, and so forgotten what they ran.
 func (e poolRecovered) unaccounted() []string {
 	out := slices.Clone(e.reply.Unreachable)
-	for endpoint := range e.named {
-		if !slices.Contains(e.reply.Reported, endpoint) && !slices.Contains(out, endpoint) {
-			out = append(out, endpoint)
+	for n := range e.named {
+		instance, reported := e.reply.Reported[n.endpoint]
+		same := reported && instance == n.instance
+		if !same && !slices.Contains(out, n.endpoint) {
+			out = append(out, n.endpoint)
 		}
 	}
 	return out
@@ -149,6 +158,6 @@
 	states, complete := p.pool.Attempts(shards)
 	e.result <- AttemptsReply{
 		Complete: complete, Attempts: states,
-		Reported: p.pool.Reported(), Unreachable: p.pool.Unreachable(),
+		Reported: p.pool.Instances(), Unreachable: p.pool.Unreachable(),
 	}
 }
--- a/internal/entry/viewchange.go
+++ b/internal/entry/viewchange.go
@@ -43,6 +43,7 @@
 	l.dropMembers(old, v)
 	l.refreshPools()
 	l.takeover.install(v)
+	l.dispatches.ownersChanged(old, v)
 	l.n.viewNews.notify()
 }
 
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -142,7 +142,7 @@
 	Header
 	Complete bool // every endpoint has reported under the token, or is unreachable
 	Attempts []model.AttemptState
-	Reported []string // endpoints that have reported under the token
+	Reported map[string]string // instances of endpoints that have reported under the token
 	// Unreachable are endpoints that the owner failed to take over.
 	Unreachable []string
 }
--- a/internal/model/pool.go
+++ b/internal/model/pool.go
@@ -44,6 +44,7 @@
 	Template  TemplateID
 	Resources Resources // of one task
 	Endpoints []string  // endpoint of each task; one entry unless it covers a gang
+	Instances []string  // instance of each endpoint when the grant was issued
 	Hold      bool      // part of a gang that spans pools
 	TTL       time.Duration
 }
--- a/internal/pool/grants.go
+++ b/internal/pool/grants.go
@@ -13,14 +13,16 @@
 func (p *Pool) issue(now time.Time, key classKey, to string, ttl time.Duration) *issuedGrant {
 	p.lastGrant++
 	names := make([]string, len(p.chosen))
+	instances := make([]string, len(p.chosen))
 	for i, e := range p.chosen {
 		names[i] = e.id
+		instances[i] = e.instance
 	}
 	g := &issuedGrant{
 		grant: model.Grant{
 			ID: p.lastGrant, Pool: p.id, Owner: p.owner,
 			Template: key.template, Resources: key.resources,
-			Endpoints: names, TTL: ttl,
+			Endpoints: names, Instances: instances, TTL: ttl,
 		},
 		to:        to,
 		template:  p.template(key.template),
--- a/internal/pool/membership.go
+++ b/internal/pool/membership.go
@@ -95,6 +95,19 @@
 	return p.names(func(e *endpointState) bool { return e.reported })
 }
 
+// Instances returns the instance of each endpoint of Reported. Only an endpoint
+// of the same instance as when an attempt was dispatched can prove that the
+// attempt did not start.
+func (p *Pool) Instances() map[string]string {
+	out := make(map[string]string)
+	for _, e := range p.ordered {
+		if e.reported {
+			out[e.id] = e.instance
+		}
+	}
+	return out
+}
+
 // Unreachable returns the endpoints that this owner has tried and failed to
 // take over, in order. What an earlier owner dispatched to them is unknown.
 func (p *Pool) Unreachable() []string {
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -80,6 +80,7 @@
 	Task     int             `json:"task"`
 	Pool     model.PoolID    `json:"pool"`
 	Endpoint string          `json:"endpoint"`
+	Instance string          `json:"instance,omitempty"` // of the endpoint when the grant was issued
 }
 
 // Outcome is the content of a RecordOutcome.
--- a/internal/shard/records_of.go
+++ b/internal/shard/records_of.go
@@ -44,7 +44,7 @@
 func liveAttempts(u *unit) []IntentAttempt {
 	attempts := make([]IntentAttempt, 0, len(u.live))
 	for _, a := range u.live {
-		attempts = append(attempts, IntentAttempt{Attempt: a.id, Task: a.task, Pool: a.pool, Endpoint: a.endpoint})
+		attempts = append(attempts, IntentAttempt{Attempt: a.id, Task: a.task, Pool: a.pool, Endpoint: a.endpoint, Instance: a.instance()})
 	}
 	return attempts
 }
--- a/internal/shard/unit.go
+++ b/internal/shard/unit.go
@@ -92,3 +92,14 @@
 	}
 	return false
 }
+
+// instance returns the instance of the endpoint that the grant named, "" when
+// the grant is not known.
+func (a *attempt) instance() string {
+	for i, e := range a.grant.Endpoints {
+		if e == a.endpoint && i < len(a.grant.Instances) {
+			return a.grant.Instances[i]
+		}
+	}
+	return ""
+}
