--- a/cmd/agateyard-entry/serve.go
+++ b/cmd/agateyard-entry/serve.go
@@ -82,6 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
+	registry.MustRegister(entry.NewCollector(process))
+	registry.MustRegister(store.Collectors()...)
 	api := gateway.New(gateway.Options{
 		Scheduler: process,
 		Config:    configstore.NewStore(store, cache, log),
--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/agateyard/agateyard/internal/endpoint/standin"
 	"github.com/agateyard/agateyard/internal/gateway"
 	"github.com/agateyard/agateyard/internal/model"
@@ -100,16 +103,26 @@
 }
 
 // Guards against a wave of cancellations that stops other work or leaves jobs
-// that run although they were answered as not-run.
+// that run although they were answered as not-run. AGATEYARD_E2E_CANCELS changes
+// the number of jobs, up to 10,000.
 func TestWaveOfCancellations(t *testing.T) {
 	c := newCell(t, cellOptions{entries: 3, zones: 3, workers: 3})
 	var ids []string
-	for i := range 300 {
-		id := newID()
-		if c.submitJob(c.entries[i%3], "nesting", id, standin.Work{RunMS: 60_000}) == http.StatusAccepted {
-			ids = append(ids, id)
-		}
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(64)
+	for i := range int(envInt("AGATEYARD_E2E_CANCELS", 300)) {
+		g.Go(func() error {
+			id := newID()
+			if c.submitJob(c.entries[i%3], "nesting", id, standin.Work{RunMS: 60_000}) == http.StatusAccepted {
+				mu.Lock()
+				defer mu.Unlock()
+				ids = append(ids, id)
+			}
+			return nil
+		})
 	}
+	_ = g.Wait() // the submissions report by themselves
 	began := time.Now()
 	c.cancelMany("nesting", ids)
 	t.Logf("%d cancelled in %v", len(ids), time.Since(began).Round(time.Millisecond))
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"bytes"
+	"io"
 	"sync"
 	"testing"
 
@@ -26,4 +28,21 @@
 	}
 	wg.Wait()
 	h.check(t, c.effects(), nonIdempotentTemplates)
+	c.checkMetrics()
+}
+
+// checkMetrics guards against a scrape that fails or lacks a part of the process.
+func (c *cell) checkMetrics() {
+	c.t.Helper()
+	resp, err := client.Get("http://" + c.entries[0].http + "/metrics")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	for _, name := range []string{"agateyard_view_number 1", "agateyard_shards_owned", "agateyard_pool_free", "agateyard_http_requests_total", "agateyard_platform_", "process_cpu_seconds_total"} {
+		if !bytes.Contains(text, []byte(name)) {
+			c.t.Errorf("status %s, no %s in the metrics", resp.Status, name)
+		}
+	}
 }
--- a/internal/e2e/store_test.go
+++ b/internal/e2e/store_test.go
@@ -15,20 +15,22 @@
 
 // Guards against an outage of the store that stops idempotent work, that lets
 // non-idempotent work run without a record, or that ends in a burst of calls.
+// AGATEYARD_E2E_OUTAGE changes its length in seconds.
 func TestStoreOutage(t *testing.T) {
+	outage := time.Duration(envInt("AGATEYARD_E2E_OUTAGE", 8)) * time.Second
 	c := newCell(t, cellOptions{entries: 3, zones: 3, runners: 6})
 	h := &history{}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		h.load(loadOptions{
-			rate: 60, length: 16 * time.Second, runMS: 20, seed: 4, addresses: c.live,
+			rate: 60, length: outage + 8*time.Second, runMS: 20, seed: 4, addresses: c.live,
 			templates: []string{"cut-list", "cutting-run"},
 		})
 	})
 	time.Sleep(2 * time.Second)
 	began := time.Now()
 	c.setPlatformFaults(platformstandin.Faults{Outage: true})
-	time.Sleep(8 * time.Second)
+	time.Sleep(outage)
 	ended := time.Now()
 	before := c.counters()
 	c.setPlatformFaults(platformstandin.Faults{})
