--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -44,6 +44,11 @@
 
 // install follows a new view.
 func (t *takeover) install(v model.View) {
+	for id := range t.peers {
+		if !v.Has(id) {
+			delete(t.peers, id)
+		}
+	}
 	now := t.l.now()
 	var missing []model.ShardID
 	for s := range model.ShardID(model.ShardCount) {
--- a/internal/model/view.go
+++ b/internal/model/view.go
@@ -1,6 +1,10 @@
 package model
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Member is one live entry process.
 type Member struct {
@@ -29,6 +33,12 @@
 	return Member{}, false
 }
 
+// Has reports whether the incarnation is a member or still hands over.
+func (v View) Has(incarnation string) bool {
+	_, member := v.Find(incarnation)
+	return member || slices.Contains(v.Leaving, incarnation)
+}
+
 // ShardOwner returns the incarnation that owns the shard, or "" in an empty view.
 func (v View) ShardOwner(s ShardID) string {
 	return v.highest("shard", string([]byte{byte(s >> 8), byte(s)}), "")
