entry: state demand as soon as the pause between two statements ends

Cause: work that came within 2 ms of the last statement of demand waited for the next event or tick, up to 20 ms. Change: a timer ends the pause.

--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -98,6 +98,10 @@
 	interval := tickInterval
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	// demandDue ends the pause between two statements of demand. Without it, work
+	// that came within the pause would wait for the next event or tick.
+	demandDue := time.NewTimer(demandInterval)
+	defer demandDue.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -107,8 +111,12 @@
 			l.drain()
 		case <-ticker.C:
 			l.tick()
+		case <-demandDue.C:
 		}
 		l.settle()
+		if l.demandDirty {
+			demandDue.Reset(demandInterval)
+		}
 		if next := l.tickAfter(); next != interval {
 			interval = next
 			ticker.Reset(interval)
