entry: one way to send and to serve messages that need no answer

Change: notify, accept and takeBack; behaviour stays as it is. Checked: lint, internal/entry, and 8 tests of internal/e2e (kill, rolling replacement, gangs, cancellations, restarts), uncached, all pass.

--- a/internal/entry/acks.go
+++ b/internal/entry/acks.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -151,13 +150,7 @@
 
 // sendDelivered confirms ends. When it gets lost, the pool owner delivers them again.
 func (n *Node) sendDelivered(to string, id model.PoolID, attempts []model.AttemptID) {
-	ctx, cancel := context.WithTimeout(n.ctx, demandTimeout)
-	defer cancel()
-	var reply Empty
-	args := DeliveredArgs{Header: n.header(), Pool: id, Attempts: attempts}
-	if err := n.peers.call(ctx, to, connControl, "Pool.Delivered", args, &reply); err == nil {
-		n.observe(reply.Header)
-	}
+	n.notify(n.ctx, to, "Pool.Delivered", DeliveredArgs{Header: n.header(), Pool: id, Attempts: attempts})
 }
 
 // deliveredEvent hands confirmations of another process to the loop.
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -216,13 +216,8 @@
 }
 
 func (s *demandSender) send(ctx context.Context, args DemandArgs) {
-	call, cancel := context.WithTimeout(ctx, demandTimeout)
-	defer cancel()
 	args.Header = s.n.header()
-	var reply Empty
-	if err := s.n.peers.call(call, s.to, connControl, "Pool.Demand", args, &reply); err == nil {
-		s.n.observe(reply.Header)
-	}
+	s.n.notify(ctx, s.to, "Pool.Demand", args)
 }
 
 func (s *demandSender) stop() { s.cancel() }
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -52,21 +52,28 @@
 
 // returnGrants gives unused grants back to their pool owners.
 func (l *loop) returnGrants(grants []model.Grant) {
-	now := l.now()
-	remote := make(map[string][]GrantRef)
+	byOwner := make(map[string][]GrantRef)
 	for _, g := range grants {
-		if g.Owner != l.n.self.Incarnation {
-			remote[g.Owner] = append(remote[g.Owner], GrantRef{Pool: g.Pool, ID: g.ID})
+		byOwner[g.Owner] = append(byOwner[g.Owner], GrantRef{Pool: g.Pool, ID: g.ID})
+	}
+	for owner, refs := range byOwner {
+		if owner == l.n.self.Incarnation {
+			l.takeBack(refs)
 			continue
 		}
+		go l.n.sendReturns(owner, refs)
+	}
+}
+
+// takeBack frees unused grants of own pools.
+func (l *loop) takeBack(grants []GrantRef) {
+	now := l.now()
+	for _, g := range grants {
 		if p, ok := l.pools[g.Pool]; ok {
 			p.pool.Return(now, g.ID)
 			p.dirty = true
 		}
 	}
-	for to, refs := range remote {
-		go l.n.sendReturns(to, refs)
-	}
 }
 
 // bindGrants gives each grant to the best job at this moment.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -190,8 +190,3 @@
 	})
 	return timeline.Merge(lists...), nil
 }
-
-// Template returns the template in force.
-func (n *Node) Template(id model.TemplateID) (model.Template, bool) {
-	return n.config.Template(id)
-}
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -145,13 +145,7 @@
 
 // sendGrants delivers grants. Lost ones become void at the pool by themselves.
 func (n *Node) sendGrants(to string, grants []model.Grant) {
-	ctx, cancel := context.WithTimeout(n.ctx, demandTimeout)
-	defer cancel()
-	var reply Empty
-	args := GrantsArgs{Header: n.header(), Grants: grants}
-	if err := n.peers.call(ctx, to, connControl, "Shard.Grants", args, &reply); err == nil {
-		n.observe(reply.Header)
-	}
+	n.notify(n.ctx, to, "Shard.Grants", GrantsArgs{Header: n.header(), Grants: grants})
 }
 
 // sendOrder sends a command that the pool decided on to an endpoint.
--- a/internal/entry/rpcpool.go
+++ b/internal/entry/rpcpool.go
@@ -9,10 +9,7 @@
 
 // Demand takes the demand of a shard owner.
 func (s *PoolService) Demand(args DemandArgs, reply *Empty) error {
-	s.n.observe(args.Header)
-	s.n.post(demandStated{args: args})
-	reply.Header = s.n.header()
-	return nil
+	return s.n.accept(args.Header, demandStated{args: args}, reply)
 }
 
 // demandStated hands demand to the own pools.
@@ -29,10 +26,7 @@
 
 // Return takes unused grants back.
 func (s *PoolService) Return(args ReturnArgs, reply *Empty) error {
-	s.n.observe(args.Header)
-	s.n.post(grantsReturned{grants: args.Grants})
-	reply.Header = s.n.header()
-	return nil
+	return s.n.accept(args.Header, grantsReturned{grants: args.Grants}, reply)
 }
 
 // grantsReturned hands unused grants to the own pools.
@@ -40,15 +34,7 @@
 	grants []GrantRef
 }
 
-func (e grantsReturned) apply(l *loop) {
-	now := l.now()
-	for _, g := range e.grants {
-		if p, ok := l.pools[g.Pool]; ok {
-			p.pool.Return(now, g.ID)
-			p.dirty = true
-		}
-	}
-}
+func (e grantsReturned) apply(l *loop) { l.takeBack(e.grants) }
 
 // Dispatch starts the attempts of a grant. An error means that nothing has started.
 func (s *PoolService) Dispatch(args DispatchArgs, reply *DispatchReply) error {
@@ -60,18 +46,12 @@
 
 // Delivered takes the confirmation of ends.
 func (s *PoolService) Delivered(args DeliveredArgs, reply *Empty) error {
-	s.n.observe(args.Header)
-	s.n.post(deliveredEvent{args: args})
-	reply.Header = s.n.header()
-	return nil
+	return s.n.accept(args.Header, deliveredEvent{args: args}, reply)
 }
 
 // Stop cancels attempts.
 func (s *PoolService) Stop(args StopAttemptsArgs, reply *Empty) error {
-	s.n.observe(args.Header)
-	s.n.post(stopWanted{args: args})
-	reply.Header = s.n.header()
-	return nil
+	return s.n.accept(args.Header, stopWanted{args: args}, reply)
 }
 
 // stopWanted cancels attempts of an own pool.
--- a/internal/entry/rpcshard.go
+++ b/internal/entry/rpcshard.go
@@ -51,10 +51,7 @@
 
 // Grants takes grants of pool owners.
 func (s *ShardService) Grants(args GrantsArgs, reply *Empty) error {
-	s.n.observe(args.Header)
-	s.n.post(grantsArrived{grants: args.Grants})
-	reply.Header = s.n.header()
-	return nil
+	return s.n.accept(args.Header, grantsArrived{grants: args.Grants}, reply)
 }
 
 // grantsArrived hands grants of another process to the shard table.
@@ -132,10 +129,7 @@
 
 // Released drops shards whose state the sender has recorded.
 func (s *ShardService) Released(args ReleasedArgs, reply *Empty) error {
-	s.n.observe(args.Header)
-	s.n.post(released{shards: args.Shards})
-	reply.Header = s.n.header()
-	return nil
+	return s.n.accept(args.Header, released{shards: args.Shards}, reply)
 }
 
 // released drops handed-over shards.
--- a/internal/entry/senders.go
+++ b/internal/entry/senders.go
@@ -10,24 +10,12 @@
 
 // sendReturns gives grants back. A lost message is harmless: the grants become void.
 func (n *Node) sendReturns(to string, refs []GrantRef) {
-	ctx, cancel := context.WithTimeout(n.ctx, demandTimeout)
-	defer cancel()
-	var reply Empty
-	args := ReturnArgs{Header: n.header(), Grants: refs}
-	if err := n.peers.call(ctx, to, connControl, "Pool.Return", args, &reply); err == nil {
-		n.observe(reply.Header)
-	}
+	n.notify(n.ctx, to, "Pool.Return", ReturnArgs{Header: n.header(), Grants: refs})
 }
 
 // sendStops asks a pool owner to cancel attempts.
 func (n *Node) sendStops(to string, id model.PoolID, attempts []model.AttemptID) {
-	ctx, cancel := context.WithTimeout(n.ctx, demandTimeout)
-	defer cancel()
-	var reply Empty
-	args := StopAttemptsArgs{Header: n.header(), Pool: id, Attempts: attempts}
-	if err := n.peers.call(ctx, to, connControl, "Pool.Stop", args, &reply); err == nil {
-		n.observe(reply.Header)
-	}
+	n.notify(n.ctx, to, "Pool.Stop", StopAttemptsArgs{Header: n.header(), Pool: id, Attempts: attempts})
 }
 
 // cancelAttempt sends a cancel command and posts its result.
