scheduler: gangs ask about more runners at once

Change: a gang asks about runners with room for 16 times its size instead of 4. Test that failed first: TestGangKnowsEnoughRunners.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -19,8 +19,9 @@
 const (
 	// adviceSurplus is how much more room is asked about than is needed, as others may take some of it meanwhile.
 	adviceSurplus = 1.3
-	// gangSurplus is the same for a gang, which has to find its room on the good runners at one moment.
-	gangSurplus = 4
+	// gangSurplus is the same for a gang, which has to find its room on the good runners at one moment, or runs there that
+	// it may preempt. Asking again while it waits costs more than asking widely at first.
+	gangSurplus = 16
 	// gangPatience is how long a gang waits for room on the runners that it has asked about before it asks about more.
 	// It doubles with each call, as calls are dear while everybody waits for room.
 	gangPatience = 2 * time.Second
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -100,3 +100,38 @@
 		}
 	}
 }
+
+// TestGangKnowsEnoughRunners guards against a gang that has asked about too few runners to find one from which enough may
+// be preempted: the pattern is a full fleet of which a quarter holds a task that saves its progress.
+func TestGangKnowsEnoughRunners(t *testing.T) {
+	w := loadWorld(14, 64)
+	w.queues[1].Advice = &AdvicePolicy{Decide: 100 * time.Millisecond, PerRunner: 5 * time.Millisecond, Valid: 2500 * time.Millisecond}
+	w.sched.SetQueues(w.queues)
+	for i, r := range w.sched.sortedRunners() {
+		info := w.runners[r.ID].info
+		if i%4 == 1 { // half of the runners that are good for anything
+			info.Labels = append(info.Labels, "saver")
+		}
+		w.runners[r.ID].info = info
+		w.sched.RunnerListed(info)
+	}
+	narrow := model.Resources{CoresMilli: 2000}
+	w.send("fill", "f000000000000001", job.Step{
+		Count: 16, Need: narrow, Estimate: 10_000, Checkpoints: true, MaxPerRunner: 1, RequiredLabel: "saver",
+	})
+	w.run(500 * time.Millisecond)
+	w.send("fill", "f000000000000002", job.Step{Count: 32*4 - 16, Need: narrow, Estimate: 10_000})
+	w.run(1500 * time.Millisecond)
+	if used := w.sched.Stats().UsedCPU; used != 32*8000 {
+		t.Fatalf("%d thousandths of a core are in use, want all of the good half", used)
+	}
+	const gang = "g000000000000001"
+	w.send("gang", gang, job.Step{Count: 10, Need: narrow, Estimate: 2000, Gang: true})
+	w.run(3400 * time.Millisecond)
+	if _, ok := w.began[gang]; !ok {
+		t.Error("the gang has not begun within the 3.4s that its objective leaves")
+	}
+	for _, broken := range w.broken {
+		t.Error(broken)
+	}
+}
