--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -295,23 +295,38 @@
 	ended  chan struct{}
 }
 
+// testDeps are those of a process whose cell has neither runners nor advice.
+func testDeps() Deps {
+	return Deps{
+		Runners: instantRunners{}, Advisor: noAdvice{}, Directory: emptyDirectory{}, Log: discardLog{},
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+	}
+}
+
 // newTestNode returns a process that has not been started.
 func newTestNode(store *memoryStore, address string, weight int, seeds ...string) *testNode {
+	return newTestNodeWith(testDeps(), store, address, weight, seeds...)
+}
+
+func newTestNodeWith(deps Deps, store *memoryStore, address string, weight int, seeds ...string) *testNode {
 	tn := &testNode{store: &lossyStore{memoryStore: store}, ended: make(chan struct{})}
+	deps.Store = tn.store
 	tn.Node = New(Options{
 		Name: address, Address: address, Weight: weight, Seeds: seeds,
 		Scheduler: scheduler.Config{RunLease: 4 * time.Second, OwnerLease: OwnerLease, StatusKept: testStatusKept},
-	}, Deps{
-		Store: tn.store, Runners: instantRunners{}, Advisor: noAdvice{}, Directory: emptyDirectory{}, Log: discardLog{},
-		Metrics: NewMetrics(prometheus.NewRegistry()),
-	})
+	}, deps)
 	return tn
 }
 
 func startNode(t *testing.T, store *memoryStore, weight int, seeds ...string) *testNode {
+	t.Helper()
+	return startNodeWith(t, testDeps(), store, weight, seeds...)
+}
+
+func startNodeWith(t *testing.T, deps Deps, store *memoryStore, weight int, seeds ...string) *testNode {
 	t.Helper()
 	l := httptest.NewUnstartedServer(nil).Listener // a free port that is held from here on
-	tn := newTestNode(store, l.Addr().String(), weight, seeds...)
+	tn := newTestNodeWith(deps, store, l.Addr().String(), weight, seeds...)
 	ctx, cancel := context.WithCancel(context.Background())
 	tn.cancel = cancel
 	go func() {
