control: runners that are gone leave the record that a successor reads

Cause: the record of runners in use was written only when a runner was added. A runner that left stayed in it, and a new owner lets jobs of before wait until every recorded runner has answered or its lease and its owner's must be over, 7.9 s. Ruled out: advice (its backlog was empty), room. Change: once a second the owner drops runners that nothing can run on any more from the record. They are forgotten locally before the write, so that one that comes back meanwhile is recorded before it is used.

--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -155,6 +155,7 @@
 	}
 	for _, key := range c.Deletes {
 		delete(m.items, key)
+		m.history = append(m.history, Item{Key: key, Rev: m.rev, Deleted: true})
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
--- a/internal/control/fleet_record.go
+++ b/internal/control/fleet_record.go
@@ -10,12 +10,17 @@
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
+// pruneInterval is how often runners that are gone are taken out of the record, so that no successor waits for them.
+const pruneInterval = time.Second
+
 // fleetRecord keeps the runners that owners have used in the store. A runner is used only after it is recorded, so that
 // a successor knows every place where a run may exist.
 type fleetRecord struct {
 	o        *owner
 	rev      int64
-	recorded map[string]string // address by identifier
+	recorded map[string]string // address by identifier; the store may hold more
+	outdated bool              // the store holds runners that are gone
+	pruneAt  time.Duration
 	waiting  map[string]scheduler.RunnerInfo
 	writing  bool
 	retryAt  time.Duration
@@ -64,14 +69,34 @@
 	f.o.sched.RunnerDelisted(id)
 }
 
+// prune drops the runners that nothing can run on any more and returns the others. A runner that comes back, even while
+// the record is being written, is recorded anew before it is used.
+func (f *fleetRecord) prune() map[string]string {
+	watched := map[string]string{}
+	for _, ref := range f.o.sched.Watched() {
+		watched[ref.ID] = ref.Addr
+	}
+	for id := range f.recorded {
+		if _, ok := watched[id]; !ok {
+			delete(f.recorded, id)
+			f.outdated = true
+		}
+	}
+	f.pruneAt = f.o.seen + pruneInterval
+	return watched
+}
+
 // write records the runners that wait, and forgets those that nothing can run on any more.
 func (f *fleetRecord) write() {
-	if f.writing || len(f.waiting) == 0 || f.o.seen < f.retryAt {
+	if f.writing || f.o.seen < f.retryAt {
 		return
 	}
-	next := map[string]string{}
-	for _, ref := range f.o.sched.Watched() {
-		next[ref.ID] = ref.Addr
+	if len(f.waiting) == 0 && !f.outdated && f.o.seen < f.pruneAt {
+		return
+	}
+	next := f.prune()
+	if len(f.waiting) == 0 && !f.outdated {
+		return
 	}
 	added := maps.Clone(f.waiting)
 	for id, info := range added {
@@ -112,7 +137,7 @@
 		f.retryAt = f.o.seen + storeRetry
 		return
 	}
-	f.rev, f.recorded = rev, next
+	f.rev, f.recorded, f.outdated = rev, next, false
 	for id, info := range added {
 		if latest, ok := f.waiting[id]; ok && latest.Addr == info.Addr {
 			delete(f.waiting, id)
--- a/internal/control/working_runners_test.go
+++ b/internal/control/working_runners_test.go
@@ -17,6 +17,7 @@
 	mu      sync.Mutex
 	refuse  bool // starts
 	endless bool
+	gone    map[string]bool                   // runners that answer nothing any more
 	running map[string][]scheduler.RunningRun // by runner
 	ended   map[string][]scheduler.EndedRun
 	ends    map[string]int64
@@ -25,7 +26,7 @@
 
 func newWorkingRunners() *workingRunners {
 	return &workingRunners{
-		running: map[string][]scheduler.RunningRun{}, ended: map[string][]scheduler.EndedRun{}, ends: map[string]int64{},
+		gone: map[string]bool{}, running: map[string][]scheduler.RunningRun{}, ended: map[string][]scheduler.EndedRun{}, ends: map[string]int64{},
 	}
 }
 
@@ -36,6 +37,13 @@
 	w.refuse, w.endless = refuse, endless
 }
 
+// remove takes a runner away for good.
+func (w *workingRunners) remove(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gone[id] = true
+}
+
 func (w *workingRunners) Start(_ context.Context, r scheduler.RunnerRef, o StartOrder) (scheduler.StartOutcome, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -72,6 +80,9 @@
 	time.Sleep(min(l.Wait, 20*time.Millisecond))
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.gone[r.ID] {
+		return scheduler.Report{}, errors.New("no answer")
+	}
 	w.clock++
 	rep := scheduler.Report{Runner: r.ID, Addr: r.Addr, Born: 1, Clock: w.clock}
 	rep.Running = append(rep.Running, w.running[r.ID]...)
