scheduler: a gang asks about more runners soon while advice is idle

Ruled out: the record of runners that are gone (mended before, LOST came again), preemption (such gangs don't preempt). Change: while at least half of the machines have no call under way, a gang asks again after 1 s, about runners for twice its size; otherwise the wait doubles as before. Test that failed first: TestGangAsksOnWhileAdviceIsIdle.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -25,6 +25,9 @@
 	// gangPatience is how long a gang waits for room on the runners that it has asked about before it asks about more.
 	// It doubles with each call, as calls are dear while everybody waits for room.
 	gangPatience = 2 * time.Second
+	// idlePatience is the same while few calls are made. With a call of 1.1 s and a renewal of 0.7 s a gang that could
+	// run on runners that it doesn't know begins within the 3 s that work with room for it may wait.
+	idlePatience = time.Second
 	// maxPatience bounds the doubling.
 	maxPatience = 2
 	// gatherFleet is how long a new owner waits for most of the runners to answer before it asks about any.
@@ -112,10 +115,14 @@
 		wanted = 0 // the predecessor had asked about enough
 	}
 	if wanted <= 0 {
-		if s.now-st.advice.askedAt < gangPatience<<min(st.advice.calls, maxPatience) {
+		switch waited := s.now - st.advice.askedAt; {
+		case s.desk.Idle() && waited >= idlePatience:
+			wanted = 2 * float64(len(st.tasks))
+		case waited >= gangPatience<<min(st.advice.calls, maxPatience):
+			wanted = float64(len(st.tasks)) / 2
+		default:
 			return nil
 		}
-		wanted = float64(len(st.tasks)) / 2
 	}
 	wanted /= s.goodShare(st)
 	var refs []RunnerRef
--- a/internal/scheduler/advice_desk.go
+++ b/internal/scheduler/advice_desk.go
@@ -82,6 +82,11 @@
 	return ok
 }
 
+// Idle reports whether at least half of the machines have no call under way.
+func (d *AdviceDesk) Idle() bool {
+	return 2*len(d.backlog) <= len(d.machines)
+}
+
 // Done takes the end of a call into account.
 func (d *AdviceDesk) Done(machine string, expected, now time.Duration, failed bool) {
 	d.backlog[machine] -= expected
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -190,3 +190,36 @@
 		t.Error(broken)
 	}
 }
+
+// TestGangAsksOnWhileAdviceIsIdle guards against a gang that stands still although most of the fleet is free, since the few
+// runners that its predecessor has recorded are busy and it waits ever longer before it asks about others (LOST, Kalnins
+// grown scale-2, seed 559595792794): the pattern is the end of a backlog after a takeover.
+func TestGangAsksOnWhileAdviceIsIdle(t *testing.T) {
+	w := loadWorld(17, 128)
+	w.queues[1].Advice = &AdvicePolicy{Decide: 100 * time.Millisecond, PerRunner: 5 * time.Millisecond, Valid: 1500 * time.Millisecond}
+	w.sched.SetQueues(w.queues)
+	const gang = "g000000000000001"
+	w.send("fill", "f000000000000001", job.Step{Count: 64 * 4, Need: model.Resources{CoresMilli: 2000}, Estimate: 5000})
+	w.run(500 * time.Millisecond)
+	w.send("gang", gang, job.Step{Count: 6, Need: model.Resources{CoresMilli: 8000}, Estimate: 2000, Gang: true})
+	w.run(2 * time.Second)
+	progress := w.records[gang].Progress
+	if len(progress) == 0 || len(progress[0].Good) < 7 {
+		t.Fatalf("the gang's good runners aren't recorded: %+v", progress)
+	}
+	progress[0].Good = progress[0].Good[:7]
+	for _, id := range progress[0].Good {
+		for _, x := range w.runners[id].runs {
+			x.endsAt = w.now + time.Minute
+		}
+	}
+	w.takeover()
+	w.run(3500 * time.Millisecond) // the other runners are free half a second before
+	if used, capacity := w.sched.Stats().UsedCPU, w.sched.Stats().CapacityCPU; used > capacity/4 {
+		t.Fatalf("%d of %d thousandths of a core are in use, want most of the fleet free", used, capacity)
+	}
+	w.run(2500 * time.Millisecond)
+	if _, ok := w.began[gang]; !ok {
+		t.Error("the gang has not begun 3s after most of the fleet became free")
+	}
+}
