--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -150,13 +150,7 @@
 	if asked > 0 {
 		t.Errorf("the successor asks about runners that its predecessor knew (%d times seen)", asked)
 	}
-	w.run(30 * time.Second)
-	if left := w.sched.Stats().ActiveJobs; left > 0 {
-		t.Errorf("%d jobs have not ended", left)
-	}
-	for _, broken := range w.broken {
-		t.Error(broken)
-	}
+	w.mustFinish(t, 30*time.Second)
 }
 
 // TestLateUrgentJobsBesideInTimeWork guards against urgent jobs that starve once they are late: the pattern is a burst of
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -31,13 +31,7 @@
 	if wait := began - sent; wait > 500*time.Millisecond {
 		t.Errorf("the gang waits %s", wait)
 	}
-	w.run(90 * time.Second)
-	if left := w.sched.Stats().ActiveJobs; left > 0 {
-		t.Errorf("%d jobs have not ended", left)
-	}
-	for _, broken := range w.broken {
-		t.Error(broken)
-	}
+	w.mustFinish(t, 90*time.Second)
 }
 
 // TestNothingIsPreemptedInVain guards against preemptions that cost work or come too late to help: runs that don't save, that
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
@@ -312,3 +313,15 @@
 func containsStart(line, task string) bool {
 	return strings.Contains(line, "StartRun") && strings.Contains(line, "Task:"+task+" ")
 }
+
+// mustFinish gives the jobs time to end and checks that they did, and that no promise was broken.
+func (w *world) mustFinish(t *testing.T, within time.Duration) {
+	t.Helper()
+	w.run(within)
+	if left := w.sched.Stats().ActiveJobs; left > 0 {
+		t.Errorf("%d jobs have not ended", left)
+	}
+	for _, broken := range w.broken {
+		t.Error(broken)
+	}
+}
