scheduler: gangs ask again early only while most cores are free

Change: they do so only while half of the usable cores or more are free, which is when a gang could run elsewhere. TestGangAsksOnWhileAdviceIsIdle stands.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -25,7 +25,7 @@
 	// gangPatience is how long a gang waits for room on the runners that it has asked about before it asks about more.
 	// It doubles with each call, as calls are dear while everybody waits for room.
 	gangPatience = 2 * time.Second
-	// idlePatience is the same while few calls are made. With a call of 1.1 s and a renewal of 0.7 s a gang that could
+	// idlePatience is the same while few calls are made and most cores are free. With a call of 1.1 s and a renewal of 0.7 s a gang that could
 	// run on runners that it doesn't know begins within the 3 s that work with room for it may wait.
 	idlePatience = time.Second
 	// maxPatience bounds the doubling.
@@ -116,7 +116,7 @@
 	}
 	if wanted <= 0 {
 		switch waited := s.now - st.advice.askedAt; {
-		case s.desk.Idle() && waited >= idlePatience:
+		case s.mostlyFree && s.desk.Idle() && waited >= idlePatience:
 			wanted = 2 * float64(len(st.tasks))
 		case waited >= gangPatience<<min(st.advice.calls, maxPatience):
 			wanted = float64(len(st.tasks)) / 2
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -54,16 +54,19 @@
 func (s *Scheduler) measureFree(runners []*runner) {
 	s.mostFree = model.Resources{}
 	s.byRoom = s.byRoom[:0]
+	var used, capacity int64
 	for _, r := range runners {
 		if !r.usable() {
 			continue
 		}
 		s.byRoom = append(s.byRoom, r)
 		free := r.free()
+		used, capacity = used+r.used.CoresMilli, capacity+r.Capacity.CoresMilli
 		s.mostFree.CoresMilli = max(s.mostFree.CoresMilli, free.CoresMilli)
 		s.mostFree.MemoryMB = max(s.mostFree.MemoryMB, free.MemoryMB)
 		s.mostFree.Accelerators = max(s.mostFree.Accelerators, free.Accelerators)
 	}
+	s.mostlyFree = 2*used <= capacity
 	slices.SortStableFunc(s.byRoom, func(x, y *runner) int { return cmp.Compare(y.free().CoresMilli, x.free().CoresMilli) })
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,33 +12,34 @@
 
 // Scheduler is the state of one owner: jobs, runners and the runs between them.
 type Scheduler struct {
-	cfg       Config
-	now       time.Duration // steady clock that also counts suspension
-	wall      time.Time
-	runBase   int // runs of this owner have higher numbers than those of its predecessors
-	queues    map[string]Queue
-	jobs      map[string]*jobState
-	runners   map[string]*runner
-	stages    map[job.StepID]*stage
-	models    map[string]*runtimeModel // by queue
-	desk      *AdviceDesk
-	open      []*stage // stages with waiting tasks
-	timed     []*jobState
-	dirty     map[string]*jobState
-	shares    map[string]float64 // of good runners, by queue
-	byRoom    []*runner          // usable runners, those with the most free cores first
-	effects   []Effect
-	nextSlot  int
-	passes    int
-	lastFull  time.Duration // last pass over all stages
-	fleet     int           // version of the set of runners and their lives
-	scratch   []*runner
-	mostFree  model.Resources
-	order     []*runner // the runners by identifier; nil if it has to be made anew
-	takenOver time.Duration
-	needsPass bool
-	expired   []string    // jobs whose records may be deleted
-	finals    []*jobState // in the order in which they ended
+	cfg        Config
+	now        time.Duration // steady clock that also counts suspension
+	wall       time.Time
+	runBase    int // runs of this owner have higher numbers than those of its predecessors
+	queues     map[string]Queue
+	jobs       map[string]*jobState
+	runners    map[string]*runner
+	stages     map[job.StepID]*stage
+	models     map[string]*runtimeModel // by queue
+	desk       *AdviceDesk
+	open       []*stage // stages with waiting tasks
+	timed      []*jobState
+	dirty      map[string]*jobState
+	shares     map[string]float64 // of good runners, by queue
+	byRoom     []*runner          // usable runners, those with the most free cores first
+	effects    []Effect
+	nextSlot   int
+	passes     int
+	lastFull   time.Duration // last pass over all stages
+	fleet      int           // version of the set of runners and their lives
+	scratch    []*runner
+	mostFree   model.Resources
+	mostlyFree bool      // half of the usable cores or more are free
+	order      []*runner // the runners by identifier; nil if it has to be made anew
+	takenOver  time.Duration
+	needsPass  bool
+	expired    []string    // jobs whose records may be deleted
+	finals     []*jobState // in the order in which they ended
 }
 
 // runsPerOwner separates the run numbers of successive owners: more starts of one task than this are not made
