--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -25,8 +25,8 @@
 	// gangPatience is how long a gang waits for room on the runners that it has asked about before it asks about more.
 	// It doubles with each call, as calls are dear while everybody waits for room.
 	gangPatience = 2 * time.Second
-	// idlePatience is the same while few calls are made and most cores are free. With a call of 1.1 s and a renewal of 0.7 s a gang that could
-	// run on runners that it doesn't know begins within the 3 s that work with room for it may wait.
+	// idlePatience is the same while few calls are made and most cores are free. With a call of 1.1 s and a renewal of
+	// 0.7 s a gang that could run on runners that it doesn't know begins within the 3 s that work with room may wait.
 	idlePatience = time.Second
 	// maxPatience bounds the doubling.
 	maxPatience = 2
