scheduler: one way to give held room back, one check of a ticket, one look for runs to preempt

Four loops gave held room back, by runner or all of it: releaseHeld. ticketOutlasts repeated ticketValid with a later time. A flag per run repeated what the stage's roomBy says, as the members of a gang wait together. What could be preempted was worked out twice, for runners with and without a valid ticket, in each failed try. Decisions stay as they are.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -273,7 +273,7 @@
 	if st.adviceIsDear() && st.job.stored && len(good) > 0 && !st.finished() {
 		s.changed(st.job)
 	}
-	s.releaseNotGood(st)
+	s.releaseHeld(st, "no ticket", func(r *runner) bool { return !s.allowed(st, r) })
 	s.startHeld(st)
 	s.needsPass = true
 }
@@ -286,19 +286,6 @@
 	}
 	st.advice.pending--
 	st.advice.retryAt = s.now + adviceRetry
-	for _, t := range st.tasks {
-		if t.current != nil && t.current.state == runHeld {
-			s.stop(t.current, "no ticket")
-		}
-	}
+	s.releaseHeld(st, "no ticket", anyRunner)
 	s.needsPass = true
 }
-
-// releaseNotGood gives back room that is held on runners that may not run the stage.
-func (s *Scheduler) releaseNotGood(st *stage) {
-	for _, t := range st.tasks {
-		if x := t.current; x != nil && x.state == runHeld && !s.allowed(st, x.runner) {
-			s.stop(x, "no ticket")
-		}
-	}
-}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -27,7 +27,7 @@
 
 // holdGang charges the room of all members. They share the number of their run.
 func (s *Scheduler) holdGang(st *stage, slots []gangSlot) {
-	st.claim = nil
+	st.claim, st.roomBy = nil, 0
 	number := 0
 	for _, t := range st.tasks {
 		number = max(number, s.nextRun(t))
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -207,7 +207,8 @@
 	if st.held == 0 {
 		return
 	}
-	s.releaseUnusable(st)
+	// They may have begun to leave or fallen silent meanwhile.
+	s.releaseHeld(st, "the runner can't be used any more", func(r *runner) bool { return !r.usable() })
 	var held []*run
 	for _, t := range st.tasks {
 		if t.current != nil && t.current.state == runHeld {
@@ -219,7 +220,7 @@
 	}
 	if !st.roomIsFree() {
 		if s.now > st.roomBy {
-			s.releaseOverdue(st)
+			s.releaseHeld(st, "preempted runs have not ended", anyRunner) // the rest stands idle
 		}
 		return
 	}
@@ -234,21 +235,23 @@
 		return
 	}
 	for _, x := range held {
-		if s.ticketValid(st, x.runner) {
+		if s.ticketValid(st, x.runner, s.now) {
 			s.start(x, "best fit")
 		}
 	}
 }
 
-// releaseUnusable gives back room that is held on runners which have begun to leave or fallen silent meanwhile.
-func (s *Scheduler) releaseUnusable(st *stage) {
+// releaseHeld gives back the room that a stage holds on the runners that match.
+func (s *Scheduler) releaseHeld(st *stage, reason string, match func(*runner) bool) {
 	for _, t := range st.tasks {
-		if x := t.current; x != nil && x.state == runHeld && !x.runner.usable() {
-			s.stop(x, "the runner can't be used any more")
+		if x := t.current; x != nil && x.state == runHeld && match(x.runner) {
+			s.stop(x, reason)
 		}
 	}
 }
 
+func anyRunner(*runner) bool { return true }
+
 // staleTickets returns the runners of held runs that need a new ticket. A gang starts at once, so that all its tickets
 // have to outlive the call that renews one of them.
 func (s *Scheduler) staleTickets(st *stage, held []*run) []RunnerRef {
@@ -303,10 +306,11 @@
 	return refs
 }
 
-func (s *Scheduler) ticketValid(st *stage, r *runner) bool {
+// ticketValid reports whether a start that is sent to the runner at the given time needs no other ticket.
+func (s *Scheduler) ticketValid(st *stage, r *runner, at time.Duration) bool {
 	if st.job.queue.Advice == nil {
 		return true
 	}
 	ticket, good := st.advice.ticketOf(r)
-	return good && ticket.valid(s.now)
+	return good && ticket.valid(at)
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -42,9 +42,13 @@
 	if rank.class == classHopeless {
 		return false
 	}
-	plan := s.planPreemption(st, rank, candidates, true)
+	options := s.preemptions(st, rank, candidates)
+	ticketed := slices.DeleteFunc(slices.Clone(options), func(p preemption) bool {
+		return !s.ticketValid(st, p.slot.runner, s.now+s.preemptionTime())
+	})
+	plan := s.planPreemption(st, rank, ticketed)
 	if plan == nil {
-		s.renewForPreemption(st, s.planPreemption(st, rank, candidates, false))
+		s.renewForPreemption(st, s.planPreemption(st, rank, options))
 		return false
 	}
 	slots := make([]gangSlot, 0, len(plan))
@@ -55,9 +59,6 @@
 		}
 	}
 	s.holdGang(st, slots)
-	for _, t := range st.tasks {
-		t.current.awaitsRoom = true
-	}
 	st.roomBy = s.now + s.preemptionTime()
 	return true
 }
@@ -67,12 +68,11 @@
 	return s.cfg.StopTimeout + preemptionTransit
 }
 
-// planPreemption chooses runners and victims for all tasks of a gang, those first that cost the least work; nil if there is
-// not enough room. With ticketed, only runners count whose tickets outlast the preemption.
-func (s *Scheduler) planPreemption(st *stage, rank ranked, candidates []*runner, ticketed bool) []preemption {
+// preemptions returns what could be preempted for a gang on each runner, what costs the least work first.
+func (s *Scheduler) preemptions(st *stage, rank ranked, candidates []*runner) []preemption {
 	var options []preemption
 	for _, r := range candidates {
-		if r.claimedBy != nil && r.claimedBy != st || ticketed && !s.ticketOutlasts(st, r, s.preemptionTime()) {
+		if r.claimedBy != nil && r.claimedBy != st {
 			continue
 		}
 		if p := s.preemptionOn(st, rank, r, st.perRunner(len(st.tasks))); p.slot.count > 0 {
@@ -85,6 +85,11 @@
 			cmp.Compare(b.slot.count, a.slot.count),
 		)
 	})
+	return options
+}
+
+// planPreemption takes the first options that hold all tasks of a gang; nil if there is not enough room.
+func (s *Scheduler) planPreemption(st *stage, rank ranked, options []preemption) []preemption {
 	left := len(st.tasks)
 	for i, p := range options {
 		if p.slot.count > left {
@@ -167,30 +172,15 @@
 	s.ask(st, refs[:min(len(refs), maxAdviceRunners)], false)
 }
 
-// ticketOutlasts reports whether a start can still be sent to the runner after the given time.
-func (s *Scheduler) ticketOutlasts(st *stage, r *runner, d time.Duration) bool {
-	if st.job.queue.Advice == nil {
-		return true
-	}
-	t, good := st.advice.ticketOf(r)
-	return good && t.valid(s.now+d)
-}
-
 // roomIsFree reports whether the runs that were preempted for a stage's held runs are over.
 func (st *stage) roomIsFree() bool {
+	if st.roomBy == 0 {
+		return true
+	}
 	for _, t := range st.tasks {
-		if x := t.current; x != nil && x.awaitsRoom && !x.runner.used.Fits(x.runner.Capacity) {
+		if x := t.current; x != nil && !x.runner.used.Fits(x.runner.Capacity) {
 			return false
 		}
 	}
 	return true
 }
-
-// releaseOverdue gives held room back if the preempted runs have not ended in time, as the rest of it stands idle.
-func (s *Scheduler) releaseOverdue(st *stage) {
-	for _, t := range st.tasks {
-		if t.current != nil && t.current.state == runHeld {
-			s.stop(t.current, "preempted runs have not ended")
-		}
-	}
-}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -17,20 +17,19 @@
 
 // run is one try of a task on a runner. Its room is charged while the run exists.
 type run struct {
-	task       *task
-	number     int
-	runner     *runner
-	charge     model.Resources
-	state      runState
-	reason     string        // why it is stopped
-	ordered    time.Duration // when the start was ordered
-	arrived    time.Duration // when the start was known to have arrived; 0 if it isn't known
-	stopSent   time.Duration
-	stopped    time.Duration // when the stop was answered; 0 if it wasn't
-	awaitsRoom bool          // held, and starts only once the runs that were preempted for it are over
-	resumed    bool          // it began from a checkpoint, or under another owner
-	idle       int           // reports in a row without use of the processor
-	lastLook   time.Duration
+	task     *task
+	number   int
+	runner   *runner
+	charge   model.Resources
+	state    runState
+	reason   string        // why it is stopped
+	ordered  time.Duration // when the start was ordered
+	arrived  time.Duration // when the start was known to have arrived; 0 if it isn't known
+	stopSent time.Duration
+	stopped  time.Duration // when the stop was answered; 0 if it wasn't
+	resumed  bool          // it began from a checkpoint, or under another owner
+	idle     int           // reports in a row without use of the processor
+	lastLook time.Duration
 }
 
 func (r *run) key() runKey {
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -18,7 +18,7 @@
 	advice    stageAdvice
 	claim     []*runner     // runners that a gang gathers room on
 	preemptAt time.Duration // earliest time to look for runs to preempt again
-	roomBy    time.Duration // the runs that were preempted for held runs are over by then
+	roomBy    time.Duration // the runs that were preempted for held runs are over by then; 0 if none were
 	rest      time.Duration // declared chain of work from here on
 }
 
