control: only the owner refuses a submission

Cause: a process that had sent nothing to the owner answered a submission with 503 "not stored", also when its deadline had passed at arrival or the owner's event loop was busy. An earlier submission of the same job through another process may have been stored by then, so the refusal could be false. Change: only an owner that has looked refuses; any other end is 504. Without an owner the 504 comes after 2 s, and at once if the deadline has passed.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -78,7 +78,7 @@
 const (
 	OutcomeUnknown Outcome = iota
 	OutcomeStored
-	OutcomeRefused // certain: not stored
+	OutcomeRefused // certain: not stored, by this or an earlier request for the job
 	OutcomeNoJob
 	OutcomeNotOwner // certain: nothing done, the process is not the owner
 )
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -65,7 +65,7 @@
 	case <-o.ctx.Done():
 		return OutcomeNotOwner
 	case <-timer.C:
-		return OutcomeRefused // certain: the event was never queued
+		return OutcomeNotOwner // the event was never queued
 	}
 	select {
 	case outcome := <-done:
@@ -114,12 +114,12 @@
 	replyMargin = 150 * time.Millisecond
 	// ownerCallTimeout bounds one call to the owner, after which the call is repeated.
 	ownerCallTimeout = 1500 * time.Millisecond
-	// noOwnerTimeout is how long a request waits for an owner before it is refused. A takeover usually takes less.
+	// noOwnerTimeout is how long a request waits for an owner before it is given up. A takeover usually takes less.
 	noOwnerTimeout = 2 * time.Second
 )
 
 // Submit stores a job at the owner, locally or in another process. OutcomeRefused means that it was certainly not stored,
-// OutcomeUnknown that it may have been.
+// by this submission or an earlier one; OutcomeUnknown that it may have been.
 func (n *Node) Submit(ctx context.Context, spec job.Spec) Outcome {
 	return n.callOwner(ctx, func(ctx context.Context, o OwnerInfo, within time.Duration) (Outcome, error) {
 		if local := n.ownership.Load(); local != nil {
@@ -144,9 +144,10 @@
 }
 
 // callOwner sends a request to the current owner and repeats it until an owner has reported its outcome, ctx is done, or
-// the request is refused for lack of an owner. The request must be idempotent.
+// no owner could be called within noOwnerTimeout. Only an owner can refuse a request: other processes don't know what
+// became of an earlier request for the same job. The request must be idempotent.
 func (n *Node) callOwner(ctx context.Context, send func(context.Context, OwnerInfo, time.Duration) (Outcome, error)) Outcome {
-	result := OutcomeRefused // until a request has been sent
+	mayBeStored := false // a request was sent whose outcome is not known
 	started := n.clock.Now()
 	for ctx.Err() == nil {
 		o, changed := n.view.currentOwner()
@@ -159,17 +160,16 @@
 			outcome, err := send(callCtx, o, within)
 			cancel()
 			switch {
+			case err == nil && outcome == OutcomeRefused && mayBeStored:
+				return OutcomeUnknown
 			case err == nil && outcome != OutcomeUnknown && outcome != OutcomeNotOwner:
-				if outcome == OutcomeRefused && result == OutcomeUnknown {
-					return OutcomeUnknown // an earlier attempt may have been stored
-				}
 				return outcome
 			case err != nil && !errors.Is(err, errNotConnected) || err == nil && outcome == OutcomeUnknown:
-				result = OutcomeUnknown
+				mayBeStored = true
 			}
 		}
-		if result == OutcomeRefused && n.clock.Now()-started > noOwnerTimeout {
-			return result
+		if !mayBeStored && n.clock.Now()-started > noOwnerTimeout {
+			return OutcomeUnknown
 		}
 		select {
 		case <-changed:
@@ -177,7 +177,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return result
+	return OutcomeUnknown
 }
 
 // State returns a job's state. found is false if there is no such job; err is set if the state can't be determined now.
