control: runner calls of a large cell go through the other processes

Change: beyond an eighth of its descriptors the owner sends its polls, starts and stops through processes in the runners' zones (internal/relay assigns them, pure). Requests carry the owner's fence and the absolute end of the lease, so a call that is made late extends nothing. A process that no longer pings, breaks or runs out of descriptors blames no runner. Failures of the own process are told apart (LocalFailure): a start that was not sent is sent again under its number, a poll is repeated, the store's health is unchanged. Idle connections to runners are bounded together. Also: a missing claim ends the ownership; a paused owner no longer spins; a deletion that finds another owner's claim steps down.

--- a/cmd/agateyard-scheduler/serve.go
+++ b/cmd/agateyard-scheduler/serve.go
@@ -66,7 +66,7 @@
 	registry := prometheus.NewRegistry()
 	metrics := control.NewMetrics(registry)
 	node := control.New(options, control.Deps{
-		Store: platform.NewStore(settings.Platform.Addr), Runners: platform.NewRunners(),
+		Store: platform.NewStore(settings.Platform.Addr), Runners: platform.NewRunners(settings.Limits.MaxFDs),
 		Advisor: platform.NewAdvisor(settings.Advice), Directory: platform.Directory{}, Log: log, Metrics: metrics,
 	})
 	p := &process{settings: settings, node: node, log: log}
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -47,19 +47,15 @@
 func (o *ownership) start(e scheduler.StartRun) {
 	request := StartRequest{
 		Task: e.Task, Run: e.Run, Payload: e.Payload, Ticket: e.Ticket, Checkpoint: e.Checkpoint,
-		Fence: o.info.Rev, Lease: o.n.opt.Scheduler.RunLease,
+		Fence: o.info.Rev, LeaseEnd: o.n.dep.Runners.LeaseEnd(e.Runner, o.n.opt.Scheduler.RunLease),
 	}
 	o.n.dep.Log.Log("start", logrus.Fields{
 		"task": e.Task.String(), "run": e.Run, "runner": e.Runner.ID, "born": e.Runner.Incarnation, "fence": o.info.Rev,
 		"checkpoint": e.Checkpoint, "reason": e.Reason,
 	})
 	sent := o.loopTime
-	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, runnerCallTimeout)
-		defer cancel()
-		outcome, err := o.n.dep.Runners.Start(ctx, e.Runner, request)
-		o.post(func() { o.startAnswered(e, outcome, err, sent) })
-	}()
+	args := RelayArgs{Runner: e.Runner, Fence: o.info.Rev, Within: runnerCallTimeout, Start: &request}
+	o.calls.send(args, func(reply RelayReply, err error) { o.startAnswered(e, reply.Outcome, err, sent) })
 }
 
 func (o *ownership) startAnswered(e scheduler.StartRun, outcome scheduler.StartOutcome, err error, sent time.Duration) {
@@ -80,19 +76,18 @@
 	o.n.dep.Log.Log("stop", logrus.Fields{
 		"task": e.Task.String(), "run": e.Run, "runner": e.Runner.ID, "fence": o.info.Rev, "reason": e.Reason,
 	})
-	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, runnerCallTimeout)
-		defer cancel()
-		err := o.n.dep.Runners.Stop(ctx, e.Runner, e.Task, e.Run, o.info.Rev)
-		o.post(func() {
-			if errors.Is(err, ErrFenced) {
-				o.handleFenced("stop")
-			}
-			if err == nil {
-				o.sched.StopAnswered(e.Runner.ID, e.Task, e.Run)
-			}
-		})
-	}()
+	args := RelayArgs{
+		Runner: e.Runner, Fence: o.info.Rev, Within: runnerCallTimeout,
+		Stop: &StopRequest{Task: e.Task, Run: e.Run, Fence: o.info.Rev},
+	}
+	o.calls.send(args, func(_ RelayReply, err error) {
+		if errors.Is(err, ErrFenced) {
+			o.handleFenced("stop")
+		}
+		if err == nil {
+			o.sched.StopAnswered(e.Runner.ID, e.Task, e.Run)
+		}
+	})
 }
 
 func (o *ownership) requestAdvice(e scheduler.RequestAdvice) {
--- a/internal/control/fake_runners_test.go
+++ b/internal/control/fake_runners_test.go
@@ -63,19 +63,25 @@
 	w.ended[id] = append(w.ended[id], scheduler.EndedRun{Seq: w.lastEnd[id], Task: task, Run: run, Outcome: outcome})
 }
 
-func (w *fakeRunners) Stop(_ context.Context, r scheduler.RunnerRef, task job.TaskID, run int, _ int64) error {
+func (w *fakeRunners) Stop(_ context.Context, r scheduler.RunnerRef, req StopRequest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, x := range w.running[r.ID] {
-		if x.Task == task && x.Run == run {
+		if x.Task == req.Task && x.Run == req.Run {
 			w.running[r.ID] = append(w.running[r.ID][:i:i], w.running[r.ID][i+1:]...)
-			w.endRun(r.ID, task, run, scheduler.EndStopped)
+			w.endRun(r.ID, req.Task, req.Run, scheduler.EndStopped)
 			break
 		}
 	}
 	return nil
 }
 
+func (w *fakeRunners) LeaseEnd(_ scheduler.RunnerRef, lease time.Duration) int64 {
+	return lease.Milliseconds()
+}
+
+func (w *fakeRunners) RecordClock(scheduler.RunnerRef, int64, int64) {}
+
 func (w *fakeRunners) Poll(_ context.Context, r scheduler.RunnerRef, req PollRequest) (scheduler.Report, error) {
 	time.Sleep(min(req.Wait, 20*time.Millisecond))
 	w.mu.Lock()
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -251,9 +251,11 @@
 	return scheduler.StartRefused, nil
 }
 
-func (noRunners) Stop(context.Context, scheduler.RunnerRef, job.TaskID, int, int64) error {
-	return nil
-}
+func (noRunners) Stop(context.Context, scheduler.RunnerRef, StopRequest) error { return nil }
+
+func (noRunners) LeaseEnd(scheduler.RunnerRef, time.Duration) int64 { return 0 }
+
+func (noRunners) RecordClock(scheduler.RunnerRef, int64, int64) {}
 
 func (noRunners) Poll(context.Context, scheduler.RunnerRef, PollRequest) (scheduler.Report, error) {
 	return scheduler.Report{}, errors.New("the cell has no runners")
@@ -311,12 +313,15 @@
 }
 
 func newTestNodeWith(deps Deps, store *memoryStore, address string, weight int, seeds ...string) *testNode {
+	return newTestNodeOf(deps, store, Options{Address: address, Weight: weight, Seeds: seeds})
+}
+
+func newTestNodeOf(deps Deps, store *memoryStore, opt Options) *testNode {
 	tn := &testNode{store: &partitionableStore{memoryStore: store}, ended: make(chan struct{})}
 	deps.Store = tn.store
-	tn.Node = New(Options{
-		Name: address, Address: address, Weight: weight, Seeds: seeds,
-		Scheduler: scheduler.Config{RunLease: 4 * time.Second, OwnerLease: OwnerLease, StatusRetention: testStatusRetention},
-	}, deps)
+	opt.Name = opt.Address
+	opt.Scheduler = scheduler.Config{RunLease: 4 * time.Second, OwnerLease: OwnerLease, StatusRetention: testStatusRetention}
+	tn.Node = New(opt, deps)
 	return tn
 }
 
@@ -326,9 +331,21 @@
 }
 
 func startNodeWith(t *testing.T, deps Deps, store *memoryStore, weight int, seeds ...string) *testNode {
+	t.Helper()
+	return startNodeOf(t, deps, store, Options{Weight: weight, Seeds: seeds})
+}
+
+// startNodeLimited starts a node with a descriptor limit.
+func startNodeLimited(t *testing.T, deps Deps, store *memoryStore, descriptors int) *testNode {
+	t.Helper()
+	return startNodeOf(t, deps, store, Options{Weight: testWeight, DescriptorLimit: descriptors})
+}
+
+func startNodeOf(t *testing.T, deps Deps, store *memoryStore, opt Options) *testNode {
 	t.Helper()
 	l := httptest.NewUnstartedServer(nil).Listener // reserves a free port
-	tn := newTestNodeWith(deps, store, l.Addr().String(), weight, seeds...)
+	opt.Address = l.Addr().String()
+	tn := newTestNodeOf(deps, store, opt)
 	ctx, cancel := context.WithCancel(context.Background())
 	tn.cancel = cancel
 	go func() {
--- a/internal/control/interfaces.go
+++ b/internal/control/interfaces.go
@@ -74,14 +74,14 @@
 	Ticket     string
 	Checkpoint string
 	Fence      int64
-	Lease      time.Duration
+	LeaseEnd   int64 // end of the lease of all runs there, in milliseconds on the runner's clock
 }
 
-// PollRequest asks a runner for its current and ended runs. It renews the lease of the runs if Lease isn't 0.
+// PollRequest asks a runner for its current and ended runs. It renews the lease of the runs if LeaseEnd isn't 0.
 type PollRequest struct {
 	Fence        int64
-	Acknowledged int64 // the runner may discard run ends up to this number
-	Lease        time.Duration
+	Acknowledged int64         // the runner may discard run ends up to this number
+	LeaseEnd     int64         // in milliseconds on the runner's clock
 	Wait         time.Duration // how long the runner may wait for a run to end before it answers
 }
 
@@ -91,8 +91,12 @@
 // Runners sends requests to runners.
 type Runners interface {
 	Start(ctx context.Context, r scheduler.RunnerRef, req StartRequest) (scheduler.StartOutcome, error)
-	Stop(ctx context.Context, r scheduler.RunnerRef, task job.TaskID, run int, fence int64) error
+	Stop(ctx context.Context, r scheduler.RunnerRef, req StopRequest) error
 	Poll(ctx context.Context, r scheduler.RunnerRef, req PollRequest) (scheduler.Report, error)
+	// LeaseEnd returns when a lease that starts now ends, on the runner's clock; 0 if the clock is not known.
+	LeaseEnd(r scheduler.RunnerRef, lease time.Duration) int64
+	// RecordClock records a reading of the runner's clock that another process has received.
+	RecordClock(r scheduler.RunnerRef, incarnation, reading int64)
 }
 
 // Advisor is the client of the advice service, which decides which runners are eligible for a step.
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -69,6 +69,8 @@
 	result := "ok"
 	if errors.Is(err, ErrNotApplied) {
 		result = "refused"
+	} else if LocalFailure(err) {
+		result = "not-sent"
 	} else if err != nil {
 		result = "failed"
 	}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -10,12 +10,15 @@
 
 // Options are the settings of a process.
 type Options struct {
-	Name      string
-	Zone      string
-	Address   string // where peers call this process
-	Seeds     []string
-	Weight    int // CPU available to this process, in millicores
-	Scheduler scheduler.Config
+	Name    string
+	Zone    string
+	Address string // where peers call this process
+	Seeds   []string
+	Weight  int // CPU available to this process, in millicores
+	// DescriptorLimit is the number of file descriptors that this process may have open. It bounds the connections to
+	// runners; 0 means no limit.
+	DescriptorLimit int
+	Scheduler       scheduler.Config
 }
 
 // Validate returns all errors of the options, joined into one.
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateyard/agateyard/internal/ctxtime"
+	"github.com/agateyard/agateyard/internal/relay"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
@@ -47,6 +48,7 @@
 	sched  *scheduler.Scheduler
 	writer *recordWriter
 	poller *runnerPoller
+	calls  *runnerCalls
 
 	usedRunners    *usedRunners // the runners that owners have used, as stored
 	lastStats      time.Duration
@@ -81,6 +83,8 @@
 	o.sched = scheduler.New(n.opt.Scheduler, info.Term, now, n.clock.Wall())
 	o.writer = newRecordWriter(o)
 	o.poller = newRunnerPoller(o)
+	o.calls = newRunnerCalls(o)
+	o.passInterval = minPassInterval
 	o.usedRunners = newUsedRunners(o)
 	n.ownership.Store(o)
 	n.begunTerm.Store(info.Term)
@@ -143,7 +147,7 @@
 		case <-passTimer.C:
 			o.processEvents(func() {})
 		}
-		if o.sched.NeedsPass() {
+		if o.sched.NeedsPass() && !o.paused {
 			passTimer.Reset(o.passInterval)
 		}
 	}
@@ -187,6 +191,7 @@
 	o.sched.Tick()
 	o.sched.Dispatcher().SetMachines(o.adviceMachines())
 	o.removeDue()
+	o.calls.update(o.sched.RunnerCount())
 	o.poller.pollDue()
 	o.usedRunners.write()
 	o.writer.deleteExpired()
@@ -223,7 +228,11 @@
 			item, found, err := o.n.dep.Store.Get(ctx, ownerKey)
 			cancel()
 			o.n.recordStoreCall("get", err)
-			if err == nil && found && item.Rev != o.info.Rev {
+			if err == nil && !found {
+				o.stepDown("the claim is gone")
+				return
+			}
+			if err == nil && item.Rev != o.info.Rev {
 				o.n.applyOwnerItem(item)
 				o.stepDown("replaced while it was paused")
 				return
@@ -296,6 +305,21 @@
 	close(o.ended)
 }
 
+// relayCandidates returns the other processes that have pinged this owner recently.
+func (o *ownership) relayCandidates() []relay.Process {
+	zones := o.n.view.zones()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []relay.Process
+	for incarnation, ping := range o.lastPings {
+		zone, member := zones[incarnation]
+		if member && !ping.leaving && o.loopTime-ping.at < ownerSilenceLimit && ping.address != o.n.opt.Address {
+			out = append(out, relay.Process{Address: ping.address, Zone: zone})
+		}
+	}
+	return out
+}
+
 // adviceMachines returns the sorted addresses of the machines that may call the advice service: this one and those whose
 // process has pinged it recently, whether or not the store lists them as members.
 func (o *ownership) adviceMachines() []string {
--- a/internal/control/record_writer.go
+++ b/internal/control/record_writer.go
@@ -81,6 +81,10 @@
 		_, err := w.o.n.dep.Store.Commit(ctx, c)
 		w.o.post(func() {
 			w.deleting = false
+			var conflict *Conflict
+			if errors.As(err, &conflict) && w.o.claimLost(conflict) {
+				return
+			}
 			if err != nil {
 				w.o.n.dep.Log.Log("not-forgotten", logrus.Fields{"records": len(expired), "error": err.Error()})
 			}
--- /dev/null
+++ b/internal/control/relay_server.go
@@ -0,0 +1,33 @@
+package control
+
+import (
+	"context"
+	"errors"
+
+	"github.com/agateyard/agateyard/internal/scheduler"
+)
+
+// Relay calls a runner for the owner. The request is complete: its fence and the end of its lease are the owner's, so a
+// call that is made late, after this process was paused, is refused by the runner or extends no lease.
+func (p *Peer) Relay(args RelayArgs, reply *RelayReply) error {
+	if o, _ := p.n.view.currentOwner(); o.Rev > args.Fence {
+		*reply = RelayReply{Fenced: true, Error: ErrFenced.Error(), Outcome: scheduler.StartRefused}
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
+	defer cancel()
+	runners := p.n.dep.Runners
+	var err error
+	switch {
+	case args.Start != nil:
+		reply.Outcome, err = runners.Start(ctx, args.Runner, *args.Start)
+	case args.Stop != nil:
+		err = runners.Stop(ctx, args.Runner, *args.Stop)
+	case args.Poll != nil:
+		reply.Report, err = runners.Poll(ctx, args.Runner, *args.Poll)
+	}
+	if err != nil {
+		reply.Error, reply.Fenced, reply.Local = err.Error(), errors.Is(err, ErrFenced), LocalFailure(err)
+	}
+	return nil
+}
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -68,6 +67,7 @@
 	for id := range p.states {
 		if !present[id] {
 			delete(p.states, id)
+			p.o.calls.release(id)
 		}
 	}
 }
@@ -88,7 +88,7 @@
 		req.Acknowledged = o.sched.Acknowledged(st.ref.ID)
 	}
 	if st.answered {
-		req.Lease = o.n.opt.Scheduler.RunLease
+		req.LeaseEnd = o.n.dep.Runners.LeaseEnd(st.ref, o.n.opt.Scheduler.RunLease)
 		o.sched.LeaseSent(st.ref.ID)
 	} else {
 		req.Wait = 0 // get the state first; no lease is renewed for a runner that may be unreachable
@@ -113,13 +113,11 @@
 // send polls a runner in the background and passes the report to the event loop.
 func (p *runnerPoller) send(ref scheduler.RunnerRef, req PollRequest, done func(scheduler.Report, error)) {
 	sent := p.o.loopTime
-	go func() {
-		ctx, cancel := context.WithTimeout(p.o.ctx, req.Wait+pollTimeoutMargin)
-		defer cancel()
-		report, err := p.o.n.dep.Runners.Poll(ctx, ref, req)
-		report.RequestedAt = sent
-		p.o.post(func() { done(report, err) })
-	}()
+	args := RelayArgs{Runner: ref, Fence: req.Fence, Within: req.Wait + pollTimeoutMargin, Poll: &req}
+	p.o.calls.send(args, func(reply RelayReply, err error) {
+		reply.Report.RequestedAt = sent
+		done(reply.Report, err)
+	})
 }
 
 func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, report scheduler.Report, err error) {
@@ -129,6 +127,14 @@
 		st.nextAt = p.o.loopTime + failedPollRetry
 		return
 	}
+	if errors.Is(err, errRelay) && p.states[ref.ID] == st {
+		p.poll(st) // by another way
+		return
+	}
+	if LocalFailure(err) {
+		st.nextAt = p.o.loopTime + failedPollRetry
+		return
+	}
 	if err != nil {
 		st.answered = false
 		st.nextAt = p.o.loopTime + failedPollRetry
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -109,6 +109,17 @@
 	return out
 }
 
+// zones returns the availability zones of the members by incarnation.
+func (v *view) zones() map[string]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make(map[string]string, len(v.members))
+	for _, m := range v.members {
+		out[m.Incarnation] = m.Zone
+	}
+	return out
+}
+
 func (v *view) setPending(p map[string]int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -27,31 +27,33 @@
 
 // appendRecord writes one record. Intents and acceptances fail if the write does
 // not succeed within recordWriteTimeout; other records wait for the store.
-func (l *loop) appendRecord(r shard.Record) {
+func (l *loop) appendRecord(r shard.Record) { l.appendRecordAs(r, l.acks.assignSeq()) }
+
+// appendRecordAs writes a record under a sequence number that has been assigned.
+func (l *loop) appendRecordAs(r shard.Record, seq uint64) {
 	var deadline time.Time
 	if c := r.Callback(); c == shard.CallbackIntent || c == shard.CallbackAcceptance {
 		deadline = l.now().Add(recordWriteTimeout)
 	}
-	l.appendEntry(journalEntry{Record: &r}, deadline, func(err error, seq uint64) event {
+	l.appendEntry(journalEntry{Record: &r}, deadline, func(err error) event {
 		return recordWritten{record: r, seq: seq, err: err}
 	})
 }
 
 // appendEntry writes one entry, and then posts the event that newEvent returns.
-func (l *loop) appendEntry(e journalEntry, deadline time.Time, newEvent func(err error, seq uint64) event) {
+func (l *loop) appendEntry(e journalEntry, deadline time.Time, newEvent func(err error) event) {
 	data, err := e.encode()
 	if err != nil {
 		l.n.log.WithError(err).Error("journal: can't encode an entry")
 		return
 	}
 	n := l.n
-	seq := l.acks.assignSeq()
 	l.compaction.grow(len(data))
 	n.journal.Append(data, deadline, func(err error) {
 		if errors.Is(err, journal.ErrSealed) {
 			n.stopReplaced()
 		}
-		n.post(newEvent(err, seq))
+		n.post(newEvent(err))
 	})
 }
 
@@ -72,7 +74,7 @@
 func (e recordWritten) apply(l *loop) {
 	if e.err != nil && e.mustRewrite() {
 		n := l.n
-		time.AfterFunc(rewriteDelay, func() { n.post(recordRewrite{record: e.record, replaces: e.seq}) })
+		time.AfterFunc(rewriteDelay, func() { n.post(recordRewrite{record: e.record, seq: e.seq}) })
 		return
 	}
 	l.acks.markWritten(e.seq)
@@ -102,18 +104,14 @@
 	}
 }
 
-// recordRewrite writes a record again.
+// recordRewrite writes a record again. The record keeps its sequence number, so that
+// completions that wait for it are confirmed only once it is written.
 type recordRewrite struct {
-	record   shard.Record
-	replaces uint64
+	record shard.Record
+	seq    uint64
 }
 
-func (e recordRewrite) apply(l *loop) {
-	l.appendRecord(e.record)
-	// Completions that wait only for the old entry are confirmed here, before the new
-	// entry is written: durable ignores entries that were appended after their batch.
-	l.acks.markWritten(e.replaces)
-}
+func (e recordRewrite) apply(l *loop) { l.appendRecordAs(e.record, e.seq) }
 
 // intentWritten starts the attempts of a recorded intent, or withdraws the intent
 // if the write failed. The failed write may still reach the journal. That is
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -98,7 +98,8 @@
 // to the journal before the records that load returns.
 func (t *takeover) takeOwnership(now time.Time, s model.ShardID, epoch uint64, load func() shard.Effects) {
 	t.held[s] = epoch
-	t.l.appendEntry(journalEntry{Own: &ownership{Shard: s, Epoch: epoch}}, time.Time{}, func(_ error, seq uint64) event {
+	seq := t.l.acks.assignSeq()
+	t.l.appendEntry(journalEntry{Own: &ownership{Shard: s, Epoch: epoch}}, time.Time{}, func(error) event {
 		return ownershipWritten{seq: seq}
 	})
 	t.l.applyShard(load())
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -132,8 +132,10 @@
 	wanted /= s.eligibleShare(st)
 	var refs []RunnerRef
 	found := 0
+	quarantined := false
 	for _, r := range s.byFreeCores {
 		if !s.unqueried(st, r) {
+			quarantined = quarantined || !r.health.admits(s.now)
 			continue
 		}
 		copies := need.Copies(r.Capacity, limit)
@@ -146,7 +148,7 @@
 			return refs
 		}
 	}
-	if len(refs) == 0 {
+	if len(refs) == 0 && !quarantined {
 		st.advice.exhaustedVersion = s.fleetVersion // no runner that is usable now and large enough is left to query
 	}
 	return refs
--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -18,10 +18,11 @@
 		s.emit(RunnerChanged{Runner: info.ID, Change: "moved", Detail: info.Addr})
 		r.reported = false
 	}
-	if !info.Draining {
+	switch at := s.now + info.TerminatesIn; {
+	case !info.Draining:
 		r.terminatesAt = 0
-	} else if info.TerminatesIn > 0 {
-		r.terminatesAt = s.now + info.TerminatesIn
+	case info.TerminatesIn > 0 && (r.terminatesAt == 0 || at < r.terminatesAt):
+		r.terminatesAt = at // an entry that is read again later must not move the end
 	}
 	r.RunnerInfo = info
 	r.listed = true
@@ -53,6 +54,17 @@
 	s.needsPass = true
 }
 
+// RunnerCount returns the number of known runners.
+func (s *Scheduler) RunnerCount() int { return len(s.runners) }
+
+// RunnerZone returns the availability zone of a runner; "" if it is not known.
+func (s *Scheduler) RunnerZone(id string) string {
+	if r := s.runners[id]; r != nil {
+		return r.Zone
+	}
+	return ""
+}
+
 // RunnersToPoll returns the runners that have to be polled: those that are listed and those that may still have runs.
 func (s *Scheduler) RunnersToPoll() []RunnerRef {
 	var out []RunnerRef
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -35,8 +35,7 @@
 }
 
 // TestNoUselessPreemption guards against preemptions that lose work or free capacity too late: runs that save no
-// checkpoints or that are about to end. In the case "no slack", the runs are also about to end when the gang arrives, so
-// it doesn't check minPreemptionSlack.
+// checkpoints, that are about to end, or whose job has no time to spare.
 func TestNoUselessPreemption(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -44,10 +43,14 @@
 	}{
 		{"no checkpoints", job.Step{Estimate: 10_000}},
 		{"about to end", job.Step{Estimate: 2400, Checkpoints: true}},
-		{"no slack", job.Step{Estimate: 1000, Checkpoints: true}},
+		{"no slack", job.Step{Estimate: 6000, Checkpoints: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sim := newMixedSimulation(12, 8)
+			if c.name == "no slack" { // 6 s of work and an objective of 10 s: from 2 s on less than 3 s are left to spare
+				sim.queues[2].Stretch, sim.queues[2].Objective = 1, 4*time.Second
+				sim.sched.SetQueues(sim.queues)
+			}
 			step := c.step
 			step.Count, step.Need = 4, model.Resources{CoresMilli: 2000}
 			for i := range 8 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 	runnersByID    []*runner       // cached list of the runners, sorted by identifier; nil if outdated
 	takenOverAt    time.Duration
 	needsPass      bool
+	unsent         []*run      // runs whose start requests this process could not send
 	expired        []string    // jobs whose records may be deleted
 	finalJobs      []*jobState // in the order in which they finished
 }
@@ -103,6 +104,7 @@
 func (s *Scheduler) Tick() {
 	s.openDueOccurrences()
 	s.expireLeases()
+	s.resendStarts()
 	s.resendStops()
 	s.evacuateRuns()
 	s.removeExpiredJobs()
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -35,6 +35,7 @@
 	estimate    int64                    // declared run time of random jobs, milliseconds
 	failOneIn   int                      // one of this many runs fails; 0: none
 	firstStarts map[string]time.Duration // start of the first run, by job
+	noSendUntil time.Duration            // until then the owner can send no start request
 }
 
 type timedEvent struct {
@@ -221,6 +222,10 @@
 }
 
 func (sim *simulation) start(sched *Scheduler, e StartRun) {
+	if sim.now < sim.noSendUntil {
+		sim.afterFunc(0, func() { sched.StartAnswered(e.Runner.ID, e.Task, e.Run, StartNotSent) })
+		return
+	}
 	r := sim.runners[e.Runner.ID]
 	term := sim.term
 	lost := sim.faults && sim.rng.Intn(20) == 0 || r.unreachable
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -14,6 +14,7 @@
 	StartTicketInvalid              // the run was not started: the ticket isn't valid
 	StartUnhealthy                  // the run was not started: the runner accepts no connection or no work
 	StartUnknown                    // no valid response: the run may exist or start later
+	StartNotSent                    // this process could not send the request, which says nothing about the runner
 )
 
 // start sends the start request of a reserved run.
@@ -23,9 +24,14 @@
 	t.stage.reservedCount--
 	x.startSentAt = s.now
 	t.lastRun = max(t.lastRun, x.number)
-	ticket, _ := t.stage.advice.ticketOf(x.runner)
 	t.stage.job.started = true
 	x.resumed = s.checkpointOf(t) != ""
+	s.sendStart(x, reason)
+}
+
+func (s *Scheduler) sendStart(x *run, reason string) {
+	t := x.task
+	ticket, _ := t.stage.advice.ticketOf(x.runner)
 	s.emit(StartRun{
 		Runner: x.runner.ref(), Task: t.id(), Run: x.number, Payload: t.stage.job.spec.Payload,
 		Ticket: ticket.value, Checkpoint: s.checkpointOf(t), Reason: reason,
@@ -80,6 +86,22 @@
 		s.startRefused(x, "runner unhealthy")
 	case StartRefused:
 		s.startRefused(x, "refused")
+	case StartNotSent:
+		s.unsent = append(s.unsent, x)
+	}
+}
+
+// resendStarts sends the start requests again that this process could not send, unless the run was stopped meanwhile. The
+// run keeps its number and its capacity, so a gang stays complete.
+func (s *Scheduler) resendStarts() {
+	unsent := s.unsent
+	s.unsent = nil
+	for _, x := range unsent {
+		if x.runner.runs[x.key()] != x || x.state != runStarting {
+			continue
+		}
+		x.startSentAt = s.now
+		s.sendStart(x, "not sent before")
 	}
 }
 
@@ -115,6 +137,7 @@
 
 var outcomeNames = map[StartOutcome]string{
 	StartOK: "ok", StartRefused: "refused", StartTicketInvalid: "no-ticket", StartUnhealthy: "unhealthy", StartUnknown: "unknown",
+	StartNotSent: "not-sent",
 }
 
 // String returns the outcome's name for logs and metrics.
