decisionlog: jobs that end badly keep all their lines

Cause: the limit of 200 lines a second counted per event, so in a flood single starts of a failed job were missing. Change: beyond the limit lines are held by job and written if it fails or is late; one job in 16 keeps all lines. Lines carry the process's name and a text. job-ended says how late the job is. Tests of the flood failed before.

--- a/cmd/agateyard-scheduler/serve.go
+++ b/cmd/agateyard-scheduler/serve.go
@@ -62,7 +62,7 @@
 	logger := logrus.New()
 	logger.SetOutput(sink)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	log := decisionlog.NewLimiter(logger)
+	log := decisionlog.NewLimiter(logger, settings.NodeName)
 	registry := prometheus.NewRegistry()
 	metrics := control.NewMetrics(registry)
 	node := control.New(options, control.Deps{
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateyard/agateyard/internal/decisionlog"
+	"github.com/agateyard/agateyard/internal/job"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
@@ -33,7 +34,10 @@
 		o.requestAdvice(e)
 	case scheduler.JobFinished:
 		o.n.dep.Metrics.jobEnded(e.State)
-		o.n.dep.Log.Log("job-ended", logrus.Fields{"job": e.Job, "queue": e.Queue, "state": e.State, "reason": e.Reason})
+		o.n.dep.Log.Log("job-ended", logrus.Fields{
+			"job": e.Job, "queue": e.Queue, "state": e.State, "reason": e.Reason, "late_ms": e.Late.Milliseconds(),
+		})
+		o.n.dep.Log.EndJob(e.Job, e.State == job.Failed || e.Late > 0)
 	case scheduler.RunEnded:
 		o.n.dep.Metrics.runEnded(e.Outcome, e.After)
 		o.n.dep.Log.Log("run-ended", logrus.Fields{
--- a/internal/control/decision_lines_test.go
+++ b/internal/control/decision_lines_test.go
@@ -30,6 +30,8 @@
 	r.lines = append(r.lines, recordedLine{event, fields})
 }
 
+func (r *recordingLog) EndJob(string, bool) {}
+
 // fieldNames returns the sorted field names of the first line of an event at or after index from; ok is false if there is
 // none.
 func (r *recordingLog) fieldNames(event string, from int) (names string, ok bool) {
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -284,6 +284,7 @@
 type discardLog struct{}
 
 func (discardLog) Log(string, logrus.Fields) {}
+func (discardLog) EndJob(string, bool)       {}
 
 // testStatusRetention is the retention of final job states in these tests.
 var testStatusRetention = time.Minute
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -14,6 +14,8 @@
 // Logger writes one structured log line per decision. It never blocks.
 type Logger interface {
 	Log(event string, fields logrus.Fields)
+	// EndJob ends the lines about a job. Those of a job that ended badly are all kept.
+	EndJob(job string, badly bool)
 }
 
 // Deps are the services that a process uses.
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 )
 
@@ -56,12 +57,12 @@
 	log := logrus.New()
 	log.SetOutput(&out)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	l := NewLimiter(log)
+	l := NewLimiter(log, "vm-1")
 	now := time.Unix(1000, 0)
 	l.now = func() time.Time { return now }
 	const flood = 20_000
 	for range flood {
-		l.Log("start", logrus.Fields{"task": "x"})
+		l.Log("start", logrus.Fields{"runner": "x"})
 	}
 	l.Log("owner", logrus.Fields{"term": 2})
 	if got := strings.Count(out.String(), `"event":"start"`); got != linesPerSecond {
@@ -71,9 +72,99 @@
 		t.Error("another event is suppressed by the flood")
 	}
 	now = now.Add(time.Second)
-	l.Log("start", logrus.Fields{"task": "y"})
+	l.Log("start", logrus.Fields{"runner": "y"})
 	want := fmt.Sprintf(`"lines":%d`, flood-linesPerSecond)
 	if !strings.Contains(out.String(), want) || !strings.Contains(out.String(), `"of":"start"`) {
 		t.Errorf("the suppressed lines are not reported: want %s", want)
 	}
 }
+
+// floodedLimiter returns a limiter at its limit of lines of the event start in this second, and its output.
+func floodedLimiter() (*Limiter, *bytes.Buffer) {
+	out := &bytes.Buffer{}
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	l := NewLimiter(log, "vm-1")
+	l.now = func() time.Time { return time.Unix(1000, 0) }
+	for range linesPerSecond {
+		l.Log("start", logrus.Fields{"runner": "x"})
+	}
+	return l, out
+}
+
+// unsampledJob returns the n-th job that is not sampled.
+func unsampledJob(n int) string {
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("%016x", i)
+		if xxhash.Sum64String(id)%sampledJobs == 0 {
+			continue
+		}
+		if n--; n < 0 {
+			return id
+		}
+	}
+}
+
+// TestJobThatEndsBadlyKeepsItsLines guards against a failed job whose starts are missing from the log because they fell
+// into a second with many lines (pattern: hundreds of starts a second).
+func TestJobThatEndsBadlyKeepsItsLines(t *testing.T) {
+	l, out := floodedLimiter()
+	bad, good := unsampledJob(0), unsampledJob(1)
+	for run := 1; run <= 3; run++ {
+		l.Log("start", logrus.Fields{"task": bad + ".0.0.0", "run": run})
+		l.Log("start", logrus.Fields{"task": good + ".0.0.0", "run": run})
+	}
+	if strings.Contains(out.String(), bad) || strings.Contains(out.String(), good) {
+		t.Fatal("lines beyond the limit are written before their job has ended")
+	}
+	l.EndJob(good, false)
+	l.EndJob(bad, true)
+	if got := strings.Count(out.String(), bad+".0.0.0"); got != 3 {
+		t.Errorf("%d starts of the job that ended badly, want 3", got)
+	}
+	if strings.Contains(out.String(), good) {
+		t.Error("the lines of the other job are written")
+	}
+	if !strings.Contains(out.String(), `"event":"job-lines-kept","job":"`+bad+`","level":"info","lines":3,"msg":"job lines kept","process":"vm-1"`) {
+		t.Errorf("the kept lines are not announced: %s", out.String()[max(0, out.Len()-400):])
+	}
+	l.now = func() time.Time { return time.Unix(1001, 0) }
+	l.Log("owner", nil)
+	if !strings.Contains(out.String(), `"event":"lines-suppressed","level":"info","lines":3`) {
+		t.Error("the dropped lines of the other job are not counted")
+	}
+}
+
+// TestSampledJobsKeepAllLines guards against a flood in which no job has a whole history.
+func TestSampledJobsKeepAllLines(t *testing.T) {
+	l, out := floodedLimiter()
+	const jobs = 1600
+	for i := range jobs {
+		l.Log("start", logrus.Fields{"task": fmt.Sprintf("%016x.0.0.0", i)})
+	}
+	written := strings.Count(out.String(), ".0.0.0")
+	if written < jobs/sampledJobs/2 || written > jobs/sampledJobs*2 {
+		t.Errorf("%d of %d jobs are written, want about one in %d", written, jobs, sampledJobs)
+	}
+}
+
+// TestHeldLinesAreBounded guards against memory that grows with the lines of jobs that never end.
+func TestHeldLinesAreBounded(t *testing.T) {
+	h := newHeldLines()
+	dropped := 0
+	const lines = 4 * maxHeldLines
+	for i := range lines {
+		job := fmt.Sprint(i / 3)
+		dropped += len(h.add(heldLine{job: job}))
+		if i%7 == 0 {
+			dropped += len(h.take(job))
+		}
+	}
+	if h.lines > maxHeldLines || dropped+h.lines != lines {
+		t.Errorf("%d lines are held, %d dropped, of %d", h.lines, dropped, lines)
+	}
+	if len(h.order) > 4*maxHeldLines {
+		t.Errorf("%d entries in the order of jobs", len(h.order))
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -65,6 +65,10 @@
 func (t *Timeline) add(source string, fields map[string]any) {
 	at, _ := fields["time"].(string)
 	event, _ := fields["event"].(string)
+	if process, ok := fields["process"].(string); ok {
+		source = process
+		delete(fields, "process")
+	}
 	l := line{source: source, time: at, event: event, fields: fields}
 	for _, name := range []string{"job", "task", "step"} {
 		if value, ok := fields[name].(string); ok && strings.HasPrefix(value, t.id) {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -14,7 +14,7 @@
 {"event":"answer","job":"00000000000000bb","time":"2026-01-01T00:00:01.3Z"}
 `
 	second := `{"event":"job-ended","job":"00000000000000aa","state":"done","time":"2026-01-01T00:00:04Z"}
-{"event":"start","task":"00000000000000aa.0.0.1","run":1,"time":"2026-01-01T00:00:01.5Z"}
+{"event":"start","task":"00000000000000aa.0.0.1","run":1,"process":"vm-b","time":"2026-01-01T00:00:01.5Z"}
 {"event":"claimed","term":2,"time":"2026-01-01T00:00:02Z"}
 {"event":"claimed","term":3,"time":"2026-01-01T00:00:09Z"}
 {"event":"advice","step":"00000000000000aa.0.0","good":3,"time":"2026-01-01T00:00:01.1Z"}
--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -49,6 +49,7 @@
 	Queue  string
 	State  job.State
 	Reason string
+	Late   time.Duration // how long after its objective the job has ended; 0 if it is in time or has several occurrences
 }
 
 // RunEnded reports the end of a run and its outcome.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -105,7 +105,11 @@
 	}
 	s.removeClosedStages()
 	s.stateChanged(j)
-	s.emit(JobFinished{Job: j.spec.ID, Queue: j.spec.Queue, State: state, Reason: reason})
+	finished := JobFinished{Job: j.spec.ID, Queue: j.spec.Queue, State: state, Reason: reason}
+	if j.spec.Occurrences == 0 && state == job.Done {
+		finished.Late = max(0, s.now-j.arrivedAt-j.objective)
+	}
+	s.emit(finished)
 	s.needsPass = true
 }
 
