gateway: a refusal before the ordering key is read doesn't say not-run

Cause: the shard of an earlier submission is not known before the ordering key is read or if the template was removed, and the lookup reported no record, so the refusal said not-run although the earlier submission may have run. Change: the outcome is unknown then, unless the caller supplied no identifier.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -266,6 +266,26 @@
 	}
 }
 
+// Guards against a caller that is told "not-run" although an earlier submission of the
+// request ran: the refused one was not read up to its ordering key, so the record of the
+// earlier one can't be found.
+func TestRefusalBeforeOrderingKeyIsRead(t *testing.T) {
+	for name, request := range map[string]string{
+		"bad wait":         "POST /v1/workspaces/kalnins/templates/ordered/requests\nIdempotency-Key: k\nAgateyard-Max-Wait: soon",
+		"bad encoding":     "POST /v1/workspaces/kalnins/templates/ordered/requests\nIdempotency-Key: k\nContent-Encoding: gzip",
+		"removed template": "POST /v1/workspaces/kalnins/templates/none/requests\nIdempotency-Key: k",
+		"body too large":   "POST /v1/workspaces/kalnins/templates/ordered/requests\nIdempotency-Key: k\n\n" + strings.Repeat("x", 2<<20),
+	} {
+		a := newAPI(t)
+		if got := a.send(t, request); !strings.Contains(got, "Agateyard-Outcome: unknown") {
+			t.Errorf("%s: %.300s", name, got)
+		}
+		if got := a.send(t, strings.Replace(request, "Idempotency-Key: k", "X-Other: k", 1)); !strings.Contains(got, "Agateyard-Outcome: not-run") {
+			t.Errorf("%s, first submission: %.300s", name, got)
+		}
+	}
+}
+
 // Guards against submissions and revisions that are missing in the metrics or the
 // timeline.
 func TestObservability(t *testing.T) {
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -265,7 +265,8 @@
 // refuse responds to a submission that the gateway does not forward to the scheduler.
 // This submission did not run, but an earlier one with the same identifier may have. If
 // the shard owner has a record of that one, the outcome is the one in the record, or
-// unknown if it has none yet. If the owner can't be reached, the outcome is unknown:
+// unknown if it has none yet. If the owner is not known or can't be reached, the
+// outcome is unknown:
 // "not-run" could make the caller run the work a second time. Otherwise it is "not-run".
 // An outcome that the problem already has is kept.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, in *incoming, p *Problem) {
@@ -304,17 +305,27 @@
 	return false
 }
 
+// errShardNotKnown means that no shard owner can be asked for an earlier submission,
+// because the ordering key of the request has not been read.
+var errShardNotKnown = errors.New("the ordering key has not been read")
+
 // previousStatus returns the status of an earlier submission with the same identifier.
-// It returns false if the caller supplied no identifier, or if the template has an
-// ordering key that has not been read, because the shard is then not known.
+// It returns false if the caller supplied no identifier. If the template is not known,
+// it may have had an ordering key, so only a record that is found says anything.
 func (s *Server) previousStatus(ctx context.Context, in *incoming) (model.JobStatus, bool, error) {
-	keyKnown := in.orderingKeyRead || in.template.OrderingKey == ""
-	if !in.idSupplied || !keyKnown {
+	if !in.idSupplied {
 		return model.JobStatus{}, false, nil
 	}
+	if !in.orderingKeyRead && in.template.OrderingKey != "" {
+		return model.JobStatus{}, false, errShardNotKnown
+	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	return s.opts.Scheduler.Status(ctx, in.submission.Key)
+	status, found, err := s.opts.Scheduler.Status(ctx, in.submission.Key)
+	if err == nil && !found && in.template.Kind == "" {
+		err = errShardNotKnown
+	}
+	return status, found, err
 }
 
 // alreadySubmitted reports whether the shard owner has a record of the request.
