pool: an undelivered end is acknowledged after the record's retention, not after a minute

Cause: SettledTTL (1 min) also bounded how long an undelivered end was kept at its endpoint, and records of attempts that may be listed again were kept for 15 min whatever retention.record said. Test failed first.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -6,6 +6,7 @@
 	"github.com/agateyard/agateyard/internal/configstore"
 	"github.com/agateyard/agateyard/internal/endpoint"
 	"github.com/agateyard/agateyard/internal/platform"
+	"github.com/agateyard/agateyard/internal/pool"
 	"github.com/agateyard/agateyard/internal/settings"
 	"github.com/agateyard/agateyard/internal/shard"
 	"github.com/agateyard/agateyard/internal/timeline"
@@ -22,6 +23,12 @@
 	NewClient func(address string) endpoint.Client
 }
 
+func (c Config) poolConfig() pool.Config {
+	cfg := pool.DefaultConfig()
+	cfg.RecordRetention = c.Settings.Retention.Record
+	return cfg
+}
+
 func (c Config) shardConfig() shard.Config {
 	return shard.Config{
 		QueueEntries: c.Settings.Limits.QueueEntries,
--- a/internal/entry/owned_pool.go
+++ b/internal/entry/owned_pool.go
@@ -25,7 +25,7 @@
 		sessions: make(map[string]*session),
 		demand:   make(map[string]bool),
 	}
-	p.pool = pool.New(id, l.n.self.Incarnation, p.token, pool.DefaultConfig(), l.rnd)
+	p.pool = pool.New(id, l.n.self.Incarnation, p.token, l.n.cfg.poolConfig(), l.rnd)
 	p.pool.SetTemplates(l.now(), l.templates)
 	return p
 }
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -14,7 +14,8 @@
 	StartMargin          time.Duration // added to StartWindow before a start is considered impossible; covers clock drift
 	LeaseTTL             time.Duration // lease of an endpoint
 	LeaseMargin          time.Duration // waited after LeaseTTL before work is considered stopped
-	SettledTTL           time.Duration // minimum retention of settled attempts; also how long an undelivered end is not acknowledged
+	SettledTTL           time.Duration // minimum retention of settled attempts
+	RecordRetention      time.Duration // retention of the at-most-once record: how long an undelivered end is not acknowledged, and an attempt that may be listed again is kept
 	SuspectAfter         int           // consecutive failed session calls after which an endpoint gets no grants
 	MaxLostReplies       int           // consecutive lost replies after which no session calls are sent to an endpoint with attempts until its lease has expired
 	ShortRun             time.Duration // longest run time, at highQuantile, with which work that is not idempotent or runs in a runner pool may borrow beyond its flood share
@@ -40,6 +41,7 @@
 		LeaseTTL:             endpoint.LeaseTTL,
 		LeaseMargin:          2 * time.Second,
 		SettledTTL:           time.Minute,
+		RecordRetention:      15 * time.Minute,
 		SuspectAfter:         2,
 		MaxLostReplies:       5,
 		ShortRun:             500 * time.Millisecond,
--- a/internal/pool/doc.go
+++ b/internal/pool/doc.go
@@ -25,7 +25,7 @@
 //   - Settled attempts: deliver Effects.Settled to the shard owner in To or, if To
 //     is empty or that process has left, to the owner of the attempt's shard. Call
 //     MarkDelivered once the receiver has confirmed. The record of an undelivered
-//     end is not acknowledged to the endpoint before Config.SettledTTL, so that the
+//     end is not acknowledged to the endpoint before Config.RecordRetention, so that the
 //     next pool owner finds it there.
 //   - Time: call Tick at least every 100 ms, and Schedule after every change of
 //     demand or capacity.
--- a/internal/pool/membership.go
+++ b/internal/pool/membership.go
@@ -66,7 +66,7 @@
 }
 
 // dropRemoved takes a removed endpoint on which nothing is charged out of the pool.
-// It is kept in p.dropped for unreportedRetention.
+// It is kept in p.dropped for RecordRetention.
 func (p *Pool) dropRemoved(now time.Time, e *endpointState) {
 	if !e.removed || len(e.attempts) > 0 || len(e.grants) > 0 {
 		return
@@ -82,10 +82,10 @@
 	p.changes++
 }
 
-// discardDropped deletes dropped endpoints after unreportedRetention.
+// discardDropped deletes dropped endpoints after RecordRetention.
 func (p *Pool) discardDropped(now time.Time) {
 	for id, e := range p.dropped {
-		if now.Sub(e.droppedAt) > unreportedRetention {
+		if now.Sub(e.droppedAt) > p.cfg.RecordRetention {
 			delete(p.dropped, id)
 		}
 	}
@@ -145,7 +145,7 @@
 	e.sessionInFlight, e.sessionSentAt = true, now
 	return endpoint.SessionRequest{
 		Token: p.token, Owner: p.owner, Instance: e.instance,
-		Ack: e.acks.advance(now, p.cfg.SettledTTL),
+		Ack: e.acks.advance(now, p.cfg.RecordRetention),
 	}, true
 }
 
--- a/internal/pool/settle.go
+++ b/internal/pool/settle.go
@@ -36,7 +36,7 @@
 }
 
 // MarkDelivered records that the shard owners have received the completions of the
-// attempts. Only then, or after SettledTTL, are their ends acknowledged to the
+// attempts. Only then, or after RecordRetention, are their ends acknowledged to the
 // endpoint, so that the next pool owner finds those that were not delivered.
 func (p *Pool) MarkDelivered(now time.Time, attempts []model.AttemptID) {
 	for _, id := range attempts {
@@ -52,7 +52,7 @@
 }
 
 // discardSettled deletes records after their retention. A record whose endpoint has
-// not reported since is kept for up to unreportedRetention, because the endpoint may
+// not reported since is kept for up to RecordRetention, because the endpoint may
 // list the attempt again.
 func (p *Pool) discardSettled(now time.Time) {
 	kept := p.settledByTime[:0]
@@ -71,15 +71,10 @@
 	p.settledByTime = kept
 }
 
-// unreportedRetention bounds how long the record of an attempt that an endpoint may
-// list again is kept. It equals the default retention of the at-most-once
-// record (setting retention.record).
-const unreportedRetention = 15 * time.Minute
-
 // mayBeListedAgain reports whether the endpoint may still list the attempt of the
 // record, because it has not reported since. The endpoint may have left the VM list.
 func (p *Pool) mayBeListedAgain(now time.Time, rec *settledRecord) bool {
-	if rec.settled.End == model.AttemptNotStarted || now.Sub(rec.at) > unreportedRetention {
+	if rec.settled.End == model.AttemptNotStarted || now.Sub(rec.at) > p.cfg.RecordRetention {
 		return false
 	}
 	e := p.endpoints[rec.settled.Endpoint]
--- a/internal/pool/settle_test.go
+++ b/internal/pool/settle_test.go
@@ -265,3 +265,24 @@
 		t.Fatalf("settled %v, then %v", first, again)
 	}
 }
+
+// TestUndeliveredEndIsNotAcknowledged guards against an endpoint that discards an end which no shard owner has received,
+// while the record of the request is still kept: a resubmission would find neither.
+func TestUndeliveredEndIsNotAcknowledged(t *testing.T) {
+	p, a := startOne(t)
+	p.HandleStartResult(at(10*time.Millisecond), a, StartResult{Kind: StartAccepted})
+	r := report(worker(4, 8, 0))
+	r.Ended = append(r.Ended, endpoint.EndedAttempt{Seq: 1, Attempt: a, HasAnswer: true, Answer: model.Answer{Status: 200}})
+	p.HandleSessionReply(at(2*time.Second), "e0000", at(time.Second), r)
+	retention := DefaultConfig().RecordRetention
+	for _, c := range []struct {
+		after time.Duration
+		ack   uint64
+	}{{DefaultConfig().SettledTTL + 10*time.Second, 0}, {retention - time.Minute, 0}, {retention + time.Minute, 1}} {
+		request, ok := p.NextSession(at(c.after), "e0000")
+		if !ok || request.Ack != c.ack {
+			t.Errorf("after %s: acknowledged up to %d (session %v), want %d", c.after, request.Ack, ok, c.ack)
+		}
+		p.HandleSessionReply(at(c.after), "e0000", at(c.after), r)
+	}
+}
