--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -35,6 +35,7 @@
 	Leaving       bool
 	WantMembers   bool // the caller can't read them from the store
 	ConfigVersion int64
+	Interval      time.Duration // pause until the caller's next ping; 0 from older processes means pingInterval
 }
 
 // PingReply is a process's knowledge of the cell.
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -249,11 +249,15 @@
 
 // receivedPing is the last ping received from a process.
 type receivedPing struct {
-	at      time.Duration
-	address string
-	leaving bool
+	at       time.Duration
+	address  string
+	leaving  bool
+	interval time.Duration
 }
 
+// recent reports whether the process is not overdue with its next ping.
+func (p receivedPing) recent(now time.Duration) bool { return now-p.at < pingSilenceLimit(p.interval) }
+
 // recordPing records a ping of a process that knows of this term.
 func (o *ownership) recordPing(ping PingArgs, now time.Duration) {
 	if ping.Owner.Term != o.info.Term {
@@ -261,7 +265,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lastPings[ping.From] = receivedPing{at: now, address: ping.Address, leaving: ping.Leaving}
+	o.lastPings[ping.From] = receivedPing{at: now, address: ping.Address, leaving: ping.Leaving, interval: ping.Interval}
 }
 
 // checkConfirmed steps down when neither the store nor a majority of the members has confirmed the ownership within
@@ -313,7 +317,7 @@
 	var out []relay.Process
 	for incarnation, ping := range o.lastPings {
 		zone, member := zones[incarnation]
-		if member && !ping.leaving && o.loopTime-ping.at < ownerSilenceLimit && ping.address != o.n.opt.Address {
+		if member && !ping.leaving && ping.recent(o.loopTime) && ping.address != o.n.opt.Address {
 			out = append(out, relay.Process{Address: ping.address, Zone: zone})
 		}
 	}
@@ -326,7 +330,7 @@
 	out := []string{o.n.opt.Address}
 	o.mu.Lock()
 	for _, ping := range o.lastPings {
-		if !ping.leaving && o.loopTime-ping.at < ownerSilenceLimit && ping.address != o.n.opt.Address {
+		if !ping.leaving && ping.recent(o.loopTime) && ping.address != o.n.opt.Address {
 			out = append(out, ping.address)
 		}
 	}
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -70,7 +70,7 @@
 func (p *Peer) OwnerLost(args OwnerLostArgs, reply *OwnerLostReply) error {
 	o, _ := p.n.view.currentOwner()
 	reply.Abstain = o.Term < args.Term
-	reply.Lost = p.n.ownerIsLost(args.Term)
+	reply.Lost = p.n.ownerIsLost(context.Background(), args.Term)
 	return nil
 }
 
--- a/internal/control/vote.go
+++ b/internal/control/vote.go
@@ -49,11 +49,31 @@
 	return agreed
 }
 
-func (n *Node) ownerIsLost(term int64) bool {
+// votePingTimeout bounds the ping of a voter, whose vote has to arrive within voteTimeout.
+const votePingTimeout = 200 * time.Millisecond
+
+// ownerIsLost reports whether this process has lost the owner of a term too. A process that pings rarely asks the owner
+// once more, as its last reply is too old to say anything.
+func (n *Node) ownerIsLost(ctx context.Context, term int64) bool {
 	o, _ := n.view.currentOwner()
 	if o.Term != term || n.ownership.Load() != nil {
 		return false
 	}
 	silent, suspect := n.view.ownerSilentFor(n.clock.Now())
-	return suspect || silent > ownerSilenceLimit
+	if suspect {
+		return true
+	}
+	if n.ownPingInterval() == pingInterval {
+		return silent > ownerSilenceLimit
+	}
+	reply, err := n.ping(ctx, o.Address, votePingTimeout)
+	if err != nil {
+		n.view.recordPingFailure()
+		return true
+	}
+	if reply.Incarnation != o.Incarnation || !reply.IsOwner {
+		return reply.Owner.Term <= o.Term
+	}
+	n.view.recordOwnerReply(n.clock.Now())
+	return false
 }
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// pingInterval is the pause between two pings of the owner. It bounds how late an owner's end is noticed when its
-	// process still answers or refuses connections, and the age of the counts of pending jobs.
+	// pingInterval is the pause between two pings of the owner, in a large cell by the frequent pingers. It bounds how late
+	// an owner's end is noticed when its process still answers or refuses connections.
 	pingInterval = 200 * time.Millisecond
 	// pingTimeout gives a machine that runs five times slower than usual enough time to answer.
 	pingTimeout = 500 * time.Millisecond
@@ -39,9 +39,13 @@
 		if n.ownership.Load() == nil && !n.leaving.Load() {
 			n.checkOwner(ctx)
 		}
+		pause := n.ownPingInterval()
+		if _, suspect := n.view.ownerSilentFor(n.clock.Now()); suspect {
+			pause = pingInterval
+		}
 		select {
 		case <-changed: // the store or a peer has reported a new owner
-		case <-time.After(pingInterval):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
@@ -127,7 +131,7 @@
 	var reply PingReply
 	args := PingArgs{
 		From: n.incarnation, Address: n.opt.Address, Owner: o, Leaving: n.leaving.Load(), WantMembers: n.needsMembers(),
-		ConfigVersion: n.configVersion(),
+		ConfigVersion: n.configVersion(), Interval: n.ownPingInterval(),
 	}
 	peer := n.peers.get(address)
 	err := call(ctx, peer, "Ping", args, &reply)
--- a/internal/control/yield.go
+++ b/internal/control/yield.go
@@ -14,7 +14,7 @@
 	o.mu.Lock()
 	for _, m := range o.n.view.memberList() {
 		ping, ok := o.lastPings[m.Incarnation]
-		if ok && !ping.leaving && o.loopTime-ping.at < ownerSilenceLimit && m.Weight >= largerMachineRatio*o.n.opt.Weight {
+		if ok && !ping.leaving && ping.recent(o.loopTime) && m.Weight >= largerMachineRatio*o.n.opt.Weight {
 			larger = append(larger, m)
 		}
 	}
