control: the watch of the runners keeps up with thousands of heartbeats

After a takeover the owner dropped 2,498 inherited runners that had reported before their entries were read. Change: no pause after a full answer; entries that say nothing new don't reach the event loop; runners are dropped only once discovery has been read.

--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -31,6 +31,7 @@
 	compactedRev  int64 // changes up to this revision have been compacted
 	reads         map[string]int
 	delayPerItem  time.Duration // duration of a range read for each item
+	maxChanges    int           // largest number of changes in an answer to a watch; 0: no limit
 }
 
 func newMemoryStore() *memoryStore {
@@ -113,6 +114,10 @@
 			}
 		}
 		rev, changed, err := m.rev, m.changed, m.refused()
+		if m.maxChanges > 0 && len(out) > m.maxChanges {
+			out = out[:m.maxChanges]
+			rev = out[len(out)-1].Rev
+		}
 		if after < m.compactedRev {
 			err = ErrCompacted
 		}
--- a/internal/control/ownership_test.go
+++ b/internal/control/ownership_test.go
@@ -267,7 +267,7 @@
 		700 * time.Millisecond:  minPingTimeout,
 		2000 * time.Millisecond: minPingTimeout,
 	} {
-		if got := ownerPingTimeout(silent); got != want {
+		if got := ownerPingTimeout(silent, ownerSilenceLimit); got != want {
 			t.Errorf("ping timeout of an owner silent for %s: got %s, want %s", silent, got, want)
 		}
 	}
--- a/internal/control/ping_interval_test.go
+++ b/internal/control/ping_interval_test.go
@@ -58,3 +58,16 @@
 		t.Errorf("the vote takes %s, limit %s", took, voteTimeout)
 	}
 }
+
+// TestRarePingersGiveTheOwnerTime guards against a vote after each slow reply to a process that pings rarely: its last
+// reply is always older than ownerSilenceLimit, so its ping had the shortest timeout and its failure called a vote (29
+// votes on a calm day of 297 VMs).
+func TestRarePingersGiveTheOwnerTime(t *testing.T) {
+	limit := pingSilenceLimit(maxPingInterval)
+	if got := ownerPingTimeout(maxPingInterval, limit); got != pingTimeout {
+		t.Errorf("the regular ping of a rare pinger has a timeout of %s, want %s", got, pingTimeout)
+	}
+	if got := pingSilenceLimit(pingInterval); got != ownerSilenceLimit {
+		t.Errorf("a frequent pinger calls a vote after %s, want %s", got, ownerSilenceLimit)
+	}
+}
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -87,12 +87,13 @@
 
 func (n *Node) pingOwner(ctx context.Context, o OwnerInfo) ownerVerdict {
 	silent, _ := n.view.ownerSilentFor(n.clock.Now())
-	reply, err := n.ping(ctx, o.Address, ownerPingTimeout(silent))
+	limit := pingSilenceLimit(n.ownPingInterval())
+	reply, err := n.ping(ctx, o.Address, ownerPingTimeout(silent, limit))
 	now := n.clock.Now()
 	silent, _ = n.view.ownerSilentFor(now)
 	if err != nil {
 		n.view.recordPingFailure()
-		if noListener(err) || silent > ownerSilenceLimit {
+		if noListener(err) || silent > limit {
 			return ownerSilent
 		}
 		return ownerHealthy
@@ -119,9 +120,9 @@
 }
 
 // ownerPingTimeout returns the timeout of a ping of an owner that has been silent for the given time. It ends when a vote
-// becomes due, but is never shorter than minPingTimeout.
-func ownerPingTimeout(silent time.Duration) time.Duration {
-	return min(max(ownerSilenceLimit-silent, minPingTimeout), pingTimeout)
+// becomes due, which is after limit, but is never shorter than minPingTimeout.
+func ownerPingTimeout(silent, limit time.Duration) time.Duration {
+	return min(max(limit-silent, minPingTimeout), pingTimeout)
 }
 
 func (n *Node) ping(ctx context.Context, address string, limit time.Duration) (PingReply, error) {
--- a/internal/control/watch_runners.go
+++ b/internal/control/watch_runners.go
@@ -6,11 +6,15 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateyard/agateyard/internal/ctxtime"
+	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
 const (
 	// runnersWatchPause is the pause between two watch calls for the runners, whose entries change many times a second.
 	runnersWatchPause = 250 * time.Millisecond
+	// busyWatchChanges is the number of changes in an answer from which on the next call follows at once: an answer holds
+	// at most some hundred changes, so with a pause the watch would fall behind.
+	busyWatchChanges = 200
 	// reregisterGrace is how long runners have to register again after a store outage.
 	reregisterGrace = 2500 * time.Millisecond
 )
@@ -18,7 +22,7 @@
 // watchRunners keeps the list of runners up to date until the ownership ends.
 func (o *ownership) watchRunners() {
 	prefix := o.n.dep.Directory.RunnerPrefix()
-	known := map[string]bool{}
+	known := map[string]scheduler.RunnerInfo{} // as last passed to the event loop
 	failed := false
 	for o.ctx.Err() == nil {
 		items, rev, err := o.n.readRange(o.ctx, prefix)
@@ -41,6 +45,7 @@
 				o.removeAfter(id, grace, known)
 			}
 		}
+		o.post(o.sched.DiscoveryRead)
 		failed = false
 		regained := o.n.clock.Now()
 		for o.ctx.Err() == nil {
@@ -61,19 +66,25 @@
 				}
 				o.applyRunnerItem(item, known)
 			}
-			ctxtime.Sleep(o.ctx, runnersWatchPause)
+			if len(changes) < busyWatchChanges {
+				ctxtime.Sleep(o.ctx, runnersWatchPause)
+			}
 		}
 	}
 }
 
-// applyRunnerItem applies a runner's entry. An entry that can't be decoded doesn't change the state of the runner.
-func (o *ownership) applyRunnerItem(item Item, known map[string]bool) {
+// applyRunnerItem applies a runner's entry if it differs from the last one: most changes are heartbeats, which say nothing
+// new. An entry that can't be decoded doesn't change the state of the runner.
+func (o *ownership) applyRunnerItem(item Item, known map[string]scheduler.RunnerInfo) {
 	info, err := o.n.dep.Directory.DecodeRunner(item)
 	if err != nil {
 		o.n.dep.Log.Log("bad-runner-entry", logrus.Fields{"key": item.Key, "error": err.Error()})
 		return
 	}
-	known[info.ID] = true
+	if last, ok := known[info.ID]; ok && last.Equal(info) {
+		return
+	}
+	known[info.ID] = info
 	o.post(func() {
 		delete(o.removeAt, info.ID)
 		o.usedRunners.add(info)
@@ -81,7 +92,7 @@
 }
 
 // removeAfter schedules the removal of a runner, which is canceled if its entry comes back within the grace period.
-func (o *ownership) removeAfter(id string, grace time.Duration, known map[string]bool) {
+func (o *ownership) removeAfter(id string, grace time.Duration, known map[string]scheduler.RunnerInfo) {
 	delete(known, id)
 	o.post(func() { o.removeAt[id] = o.loopTime + grace })
 }
--- /dev/null
+++ b/internal/control/watch_runners_test.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/job"
+)
+
+// TestDrainIsSeenAmongHeartbeats guards against a runner that gets work seconds after it has said that it drains (rule
+// DRAIN on a cell of 3,000 runners): the heartbeats of the others changed more entries than the watch read, so it fell
+// behind (pattern: hundreds of VMs).
+func TestDrainIsSeenAmongHeartbeats(t *testing.T) {
+	const heartbeats, pageSize = 2000, 300 // a second; changes in an answer of the store
+	c := newRelayCell(t, 1, 0)
+	c.store.mu.Lock()
+	c.store.maxChanges = pageSize
+	c.store.mu.Unlock()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			for i := range heartbeats / 100 {
+				put := Put{Key: fmt.Sprintf("servers/r%02d", i%(relayCellRunners-1)), Value: []byte(fmt.Sprint("ready", n))}
+				_, _ = c.store.Commit(context.Background(), Commit{Puts: []Put{put}})
+			}
+		}
+	}()
+	time.Sleep(3 * time.Second)
+	draining := fmt.Sprintf("r%02d", relayCellRunners-1)
+	if _, err := c.store.Commit(context.Background(), Commit{Puts: []Put{{Key: "servers/" + draining, Value: []byte("draining")}}}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, time.Second, "the owner sees the drain", func() bool {
+		c.log.mu.Lock()
+		defer c.log.mu.Unlock()
+		for _, line := range c.log.lines {
+			if line.event == "runner" && line.fields["change"] == "draining" && line.fields["runner"] == draining {
+				return true
+			}
+		}
+		return false
+	})
+	if !c.runJob() {
+		t.Error("a job is not done")
+	}
+	if state, _ := stateOf(t, c.nodes[0], testSpec(c.jobs).ID); state != job.Done {
+		t.Errorf("state %q", state)
+	}
+}
--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -29,6 +29,9 @@
 	s.needsPass = true
 }
 
+// DiscoveryRead records that all runners in discovery have been listed, so that a runner which is not listed is gone.
+func (s *Scheduler) DiscoveryRead() { s.discoveryRead = true }
+
 // RunnerInherited adds a runner on which a predecessor may have started runs. Jobs that the predecessor may have
 // started wait until the runner has reported or the lease of its runs must have expired.
 func (s *Scheduler) RunnerInherited(id, addr string) {
@@ -90,10 +93,10 @@
 }
 
 // expireLeases ends the runs of runners that are unreachable or have not reported, once their lease has expired. It also
-// removes delisted runners without runs.
+// removes delisted runners without runs, once discovery has been read.
 func (s *Scheduler) expireLeases() {
 	for _, r := range s.sortedRunners() {
-		if !r.listed && len(r.runs) == 0 && r.unknownRuns == 0 && !r.inherited {
+		if s.discoveryRead && !r.listed && len(r.runs) == 0 && r.unknownRuns == 0 && !r.inherited {
 			delete(s.runners, r.ID)
 			s.runnersChanged()
 			continue
--- a/internal/scheduler/discovery_test.go
+++ b/internal/scheduler/discovery_test.go
@@ -46,3 +46,21 @@
 	}
 	sim.mustFinish(t, 15*time.Second)
 }
+
+// TestInheritedRunnersStayUntilDiscoveryIsRead guards against a successor that drops thousands of inherited runners, which
+// have reported, because it has not read their entries yet, and takes them up again one page later.
+func TestInheritedRunnersStayUntilDiscoveryIsRead(t *testing.T) {
+	s := New(testConfig(), 2, time.Second, time.UnixMilli(1_700_000_000_000))
+	s.RunnerInherited("r", "10.0.0.1:1")
+	s.RestoreDone()
+	s.Report(Report{Runner: "r", Addr: "10.0.0.1:1", Incarnation: 1, Clock: 1, RequestedAt: time.Second})
+	s.Tick()
+	if s.RunnerCount() != 1 {
+		t.Fatal("the runner is dropped before discovery has been read")
+	}
+	s.DiscoveryRead()
+	s.Tick()
+	if s.RunnerCount() != 0 {
+		t.Error("a runner that is gone from discovery is kept")
+	}
+}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -29,6 +30,13 @@
 	Incarnation  int64
 }
 
+// Equal reports whether two entries say the same.
+func (i RunnerInfo) Equal(other RunnerInfo) bool {
+	labels, otherLabels := i.Labels, other.Labels
+	i.Labels, other.Labels = nil, nil
+	return slices.Equal(labels, otherLabels) && reflect.DeepEqual(i, other)
+}
+
 type runner struct {
 	RunnerInfo
 	slot           int           // index of the current incarnation in incarnation sets
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -37,6 +37,7 @@
 	mostlyFree     bool            // at least half of the usable cores are free
 	runnersByID    []*runner       // cached list of the runners, sorted by identifier; nil if outdated
 	takenOverAt    time.Duration
+	discoveryRead  bool // all runners in discovery have been listed once
 	needsPass      bool
 	unsent         []*run      // runs whose start requests this process could not send
 	expired        []string    // jobs whose records may be deleted
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -122,6 +122,7 @@
 		sim.sched.RunnerListed(r.info)
 		sim.afterFunc(time.Millisecond, func() { sim.poll(sched, r, 0) })
 	}
+	sim.sched.DiscoveryRead()
 }
 
 func (sim *simulation) afterFunc(d time.Duration, do func()) {
