control: votes, searches for the owner and idle connections don't grow with the cell

Cause: each vote and search called every member and the connections stayed open: an ordinary VM of 297 held 500.

--- a/internal/control/peer_client.go
+++ b/internal/control/peer_client.go
@@ -42,15 +42,22 @@
 // errNotConnected means that a call has certainly not been sent.
 var errNotConnected = errors.New("no connection to the peer")
 
+// idlePeerTimeout closes connections to processes that are no longer called, such as the voters of an earlier vote.
+const idlePeerTimeout = 15 * time.Second
+
 // peerClient holds one connection to another process.
 type peerClient struct {
-	address string
-	mu      sync.Mutex
-	client  *rpc.Client
+	address  string
+	mu       sync.Mutex
+	client   *rpc.Client
+	calls    int // calls in flight
+	lastUsed time.Time
 }
 
 // call sends a message and waits for its reply. An abandoned call may still be executed.
 func call[R any](ctx context.Context, p *peerClient, method string, args any, reply *R) error {
+	p.begin()
+	defer p.end()
 	client, err := p.connect(ctx)
 	if err != nil {
 		return err
@@ -69,6 +76,32 @@
 	}
 }
 
+func (p *peerClient) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+}
+
+func (p *peerClient) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls--
+	p.lastUsed = time.Now()
+}
+
+// closeIdle closes a connection that has not been used since the given time.
+func (p *peerClient) closeIdle(since time.Time) {
+	p.mu.Lock()
+	var idle *rpc.Client
+	if p.calls == 0 && p.lastUsed.Before(since) {
+		idle, p.client = p.client, nil
+	}
+	p.mu.Unlock()
+	if idle != nil {
+		_ = idle.Close() // it has no calls that could fail
+	}
+}
+
 func (p *peerClient) connect(ctx context.Context) (*rpc.Client, error) {
 	p.mu.Lock()
 	client := p.client
@@ -108,6 +141,20 @@
 	clients map[string]*peerClient
 }
 
+// closeIdle closes the connections that have not been used for idlePeerTimeout.
+func (p *peerClients) closeIdle() {
+	p.mu.Lock()
+	clients := make([]*peerClient, 0, len(p.clients))
+	for _, c := range p.clients {
+		clients = append(clients, c)
+	}
+	p.mu.Unlock()
+	since := time.Now().Add(-idlePeerTimeout)
+	for _, c := range clients {
+		c.closeIdle(since)
+	}
+}
+
 func (p *peerClients) get(address string) *peerClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/control/register.go
+++ b/internal/control/register.go
@@ -46,6 +46,7 @@
 				continue
 			}
 		}
+		n.peers.closeIdle()
 		pause := memberRenewal
 		if err != nil {
 			pause = storeRetry
--- a/internal/control/vote.go
+++ b/internal/control/vote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +14,11 @@
 // voteTimeout bounds one round of calls to all members, which run in parallel.
 const voteTimeout = 350 * time.Millisecond
 
-// vote asks the other members whether they have lost the owner too, and reports whether a majority of the voters has.
+// maxVoters bounds the calls of one vote in a large cell. A wrong vote costs a change of owner, but is safe, as each claim
+// is conditional on the one before. The voters are the best candidates, which ping the owner often.
+const maxVoters = frequentPingers
+
+// vote asks other members whether they have lost the owner too, and reports whether a majority of the voters has.
 // Members whose process has ended, and those that don't know the owner's term yet, don't count as voters.
 func (n *Node) vote(ctx context.Context, o OwnerInfo) bool {
 	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
@@ -21,10 +26,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	lost, voters := 1, 1
-	for _, m := range n.view.memberList() {
-		if m.Incarnation == n.incarnation || m.Incarnation == o.Incarnation {
-			continue
-		}
+	for _, m := range n.voters(o) {
 		wg.Go(func() {
 			var reply OwnerLostReply
 			err := call(ctx, n.peers.get(m.Address), "OwnerLost", OwnerLostArgs{Term: o.Term}, &reply)
@@ -49,6 +51,19 @@
 	return agreed
 }
 
+// voters returns the best candidates among the other members, at most maxVoters.
+func (n *Node) voters(o OwnerInfo) []Member {
+	members := n.view.memberList()
+	members = slices.DeleteFunc(members, func(m Member) bool { return m.Incarnation == n.incarnation || m.Incarnation == o.Incarnation })
+	slices.SortFunc(members, func(a, b Member) int {
+		if betterOwner(a, b, o.Term) {
+			return -1
+		}
+		return 1
+	})
+	return members[:min(len(members), maxVoters)]
+}
+
 // votePingTimeout bounds the ping of a voter, whose vote has to arrive within voteTimeout.
 const votePingTimeout = 200 * time.Millisecond
 
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"syscall"
@@ -173,14 +174,20 @@
 	}()
 }
 
-// searchOwner pings the seeds and the known members to learn of the owner while the store has not been read or is
-// unreachable.
+// maxSearchedMembers bounds the members that a search for the owner asks, so that a store outage doesn't make every
+// process of a large cell call every other.
+const maxSearchedMembers = 20
+
+// searchOwner pings the seeds and some of the known members to learn of the owner while the store has not been read or is
+// unreachable. Repeated searches ask different members.
 func (n *Node) searchOwner(ctx context.Context) {
+	members := n.view.memberList()
+	rand.Shuffle(len(members), func(i, k int) { members[i], members[k] = members[k], members[i] })
 	addresses := map[string]bool{}
 	for _, seed := range n.opt.Seeds {
 		addresses[seed] = true
 	}
-	for _, m := range n.view.memberList() {
+	for _, m := range members[:min(len(members), maxSearchedMembers)] {
 		addresses[m.Address] = true
 	}
 	delete(addresses, n.opt.Address)
