--- a/internal/control/cell_test.go
+++ b/internal/control/cell_test.go
@@ -361,3 +361,23 @@
 		t.Errorf("answered after %s, limit %s", took, noOwnerTimeout)
 	}
 }
+
+// TestLastRetryIsStored guards against a submission that arrives shortly before its caller's deadline and is given up
+// although storing it takes a fraction of that time (pattern: callers whose retries were refused while the store was
+// away come back for the last time when it has returned).
+func TestLastRetryIsStored(t *testing.T) {
+	_, nodes := startCell(t, 3)
+	rest := others(nodes, ownersOf(nodes)[0])
+	for i, left := range []time.Duration{60 * time.Millisecond, 90 * time.Millisecond, 140 * time.Millisecond} {
+		if got := submit(rest[0], testSpec(100+i)); got != OutcomeStored { // connects to the owner
+			t.Fatal(got)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), left)
+		started := time.Now()
+		got := rest[0].Submit(ctx, testSpec(i))
+		if took := time.Since(started); got != OutcomeStored {
+			t.Errorf("%s before the deadline: %s after %s", left, got, took)
+		}
+		cancel()
+	}
+}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -112,6 +112,8 @@
 	// replyMargin is the time allowed for a round trip to the owner. Half of it, the network latency of the reply, is
 	// subtracted from the call's timeout to get the time that the owner may take.
 	replyMargin = 150 * time.Millisecond
+	// replyShare limits that part of a short timeout to 1/replyShare.
+	replyShare = 3
 	// ownerCallTimeout bounds one call to the owner, after which the call is repeated.
 	ownerCallTimeout = 1500 * time.Millisecond
 	// noOwnerTimeout is how long a request waits for an owner before it is given up. A takeover usually takes less.
@@ -155,7 +157,8 @@
 			callCtx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 			within := ownerCallTimeout
 			if at, ok := callCtx.Deadline(); ok {
-				within = max(time.Until(at)-replyMargin/2, time.Millisecond)
+				left := time.Until(at)
+				within = max(left-min(replyMargin/2, left/replyShare), time.Millisecond)
 			}
 			outcome, err := send(callCtx, o, within)
 			cancel()
