--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -36,6 +36,7 @@
 	incarnation    string
 	view           *view
 	health         storeHealth
+	pauses         pauseDetector
 	peers          peerClients
 	ownership      atomic.Pointer[ownership]
 	leaving        atomic.Bool
@@ -66,6 +67,7 @@
 	g.Go(func() error { n.watchCell(ctx); return nil })
 	g.Go(func() error { n.watchConfig(ctx); return nil })
 	g.Go(func() error { n.watchOwner(ctx); return nil })
+	g.Go(func() error { n.pauses.run(ctx, n.clock); return nil })
 	for range adviceConcurrency {
 		g.Go(func() error { n.serveAdviceCalls(ctx); return nil })
 	}
--- a/internal/control/relay_server.go
+++ b/internal/control/relay_server.go
@@ -8,8 +8,14 @@
 )
 
 // Relay calls a runner for the owner. The request is complete: its fence and the end of its lease are the owner's, so a
-// call that is made late, after this process was paused, is refused by the runner or extends no lease.
+// start that is made late is refused by the runner and a poll that is made late extends no lease. Right after a pause
+// nothing is relayed, as a late acknowledgement could reach the next incarnation of the runner, whose ends have the
+// same numbers.
 func (p *Peer) Relay(args RelayArgs, reply *RelayReply) error {
+	if p.n.pauses.check(p.n.clock.Now()) {
+		*reply = RelayReply{Local: true, Error: errPaused.Error(), Outcome: scheduler.StartNotSent}
+		return nil
+	}
 	if o, _ := p.n.view.currentOwner(); o.Rev > args.Fence {
 		*reply = RelayReply{Fenced: true, Error: ErrFenced.Error(), Outcome: scheduler.StartRefused}
 		return nil
--- a/internal/control/relay_test.go
+++ b/internal/control/relay_test.go
@@ -238,3 +238,44 @@
 		}
 	}
 }
+
+// TestPausedRelay guards against a relayed acknowledgement that waited in the connection of a paused process: the runner
+// may have started again under its identifier meanwhile, and would forget ends that no one has read.
+func TestPausedRelay(t *testing.T) {
+	var d pauseDetector
+	for _, step := range []struct {
+		at    time.Duration
+		stale bool
+	}{
+		{time.Second, false},
+		{time.Second + minPause, false},
+		{4 * time.Second, true}, // paused for more than two seconds
+		{4*time.Second + staleAfterPause/2, true},
+		{4*time.Second + staleAfterPause, false},
+	} {
+		if got := d.check(step.at); got != step.stale {
+			t.Errorf("at %s: stale %v, want %v", step.at, got, step.stale)
+		}
+	}
+	c := newRelayCell(t, 3, directRunnerShare)
+	owner := ownersOf(c.nodes)[0]
+	paused := others(c.nodes, owner)[0]
+	paused.pauses.mu.Lock()
+	paused.pauses.staleUntil = paused.clock.Now() + staleAfterPause
+	paused.pauses.mu.Unlock()
+	before := c.clients[paused].calls.Load()
+	var reply RelayReply
+	args := RelayArgs{Runner: scheduler.RunnerRef{ID: "r00", Addr: "r00:1"}, Fence: owner.ownership.Load().info.Rev, Within: time.Second, Start: &StartRequest{}}
+	if err := (&Peer{paused.Node}).Relay(args, &reply); err != nil || !reply.Local || reply.Outcome != scheduler.StartNotSent {
+		t.Errorf("call after a pause: %+v, %v", reply, err)
+	}
+	if !c.runJob() {
+		t.Error("a job is not done beside a relay that was paused")
+	}
+	if calls := c.clients[paused].calls.Load(); calls > before+relayCellRunners { // those in flight before
+		t.Errorf("the paused process has made %d calls", calls-before)
+	}
+	if got := c.blamed(); len(got) > 0 {
+		t.Errorf("blamed: %q", got)
+	}
+}
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -15,6 +15,8 @@
 	// directRunnerShare is the share of the descriptor limit that gives the number of runners up to which the owner calls
 	// all runners itself. Each has a poll in flight and a few connections for other calls.
 	directRunnerShare = 8
+	// directMaxHysteresis gives the share of that number by which the runners must fall below it before calls are direct again.
+	directMaxHysteresis = 10
 	// relayMargin is how much longer than the call to the runner the call to the relaying process may take.
 	relayMargin = 250 * time.Millisecond
 	// pauseTolerance is how much later than its timeout a call may end before this process counts as paused.
@@ -58,7 +60,11 @@
 	if c.directMax <= 0 {
 		return // no limit is known
 	}
-	if relaying := runners > c.directMax; relaying != c.relaying {
+	limit := c.directMax
+	if c.relaying {
+		limit -= limit / directMaxHysteresis
+	}
+	if relaying := runners > limit; relaying != c.relaying {
 		c.relaying = relaying
 		c.o.n.dep.Log.Log("relaying", map[string]any{"on": relaying, "runners": runners, "direct_max": c.directMax})
 	}
