--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -78,8 +79,8 @@
 // lost or regained. For the health a refused call is a failure, although the store has answered it.
 func (n *Node) recordStoreCall(call string, err error) {
 	n.dep.Metrics.storeCall(call, err)
-	if LocalFailure(err) {
-		return // the call did not reach the store
+	if LocalFailure(err) || errors.Is(err, context.Canceled) {
+		return // it says nothing about the store
 	}
 	changed, outage := n.health.record(err == nil, n.clock.Now())
 	if !changed {
--- a/internal/control/relay_test.go
+++ b/internal/control/relay_test.go
@@ -204,6 +204,7 @@
 	}
 	time.Sleep(time.Second)
 	owner.recordStoreCall("get", fmt.Errorf("dial: %w", os.NewSyscallError("socket", syscall.EMFILE)))
+	owner.recordStoreCall("range", fmt.Errorf("range: %w", context.Canceled)) // an ownership that has ended
 	if failing := owner.health.failingFor(owner.clock.Now()); failing > 0 {
 		t.Errorf("the store counts as failing for %s", failing)
 	}
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -36,7 +36,7 @@
 		Runner: x.runner.ref(), Task: t.id(), Run: x.number, Payload: t.stage.job.spec.Payload,
 		Ticket: ticket.value, Checkpoint: s.checkpointOf(t), Reason: reason,
 	})
-	s.LeaseSent(x.runner.ID)
+	s.LeaseSent(x.runner.ID) // also when it is sent again: each request extends the lease from its own time
 }
 
 // checkpointOf returns the checkpoint that a run resumes from. All members of a gang resume from the same checkpoint.
