--- a/internal/control/relay_server.go
+++ b/internal/control/relay_server.go
@@ -22,8 +22,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
 	defer cancel()
-	runners := p.n.dep.Runners
-	var err error
+	result, err := sendToRunner(ctx, p.n.dep.Runners, args)
+	if err != nil {
+		result.Error, result.Fenced, result.Local = err.Error(), errors.Is(err, ErrFenced), LocalFailure(err)
+	}
+	*reply = result
+	return nil
+}
+
+// sendToRunner calls a runner from this process.
+func sendToRunner(ctx context.Context, runners Runners, args RelayArgs) (reply RelayReply, err error) {
 	switch {
 	case args.Start != nil:
 		reply.Outcome, err = runners.Start(ctx, args.Runner, *args.Start)
@@ -32,8 +40,5 @@
 	case args.Poll != nil:
 		reply.Report, err = runners.Poll(ctx, args.Runner, *args.Poll)
 	}
-	if err != nil {
-		reply.Error, reply.Fenced, reply.Local = err.Error(), errors.Is(err, ErrFenced), LocalFailure(err)
-	}
-	return nil
+	return reply, err
 }
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -155,19 +155,10 @@
 	return reply, err
 }
 
-func (o *ownership) callDirectly(args RelayArgs) (reply RelayReply, err error) {
+func (o *ownership) callDirectly(args RelayArgs) (RelayReply, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, args.Within)
 	defer cancel()
-	runners := o.n.dep.Runners
-	switch {
-	case args.Start != nil:
-		reply.Outcome, err = runners.Start(ctx, args.Runner, *args.Start)
-	case args.Stop != nil:
-		err = runners.Stop(ctx, args.Runner, *args.Stop)
-	case args.Poll != nil:
-		reply.Report, err = runners.Poll(ctx, args.Runner, *args.Poll)
-	}
-	return reply, err
+	return sendToRunner(ctx, o.n.dep.Runners, args)
 }
 
 func (o *ownership) callRelay(rt route, args RelayArgs) (RelayReply, error) {
