--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 )
 
@@ -97,7 +96,7 @@
 func unsampledJob(n int) string {
 	for i := 0; ; i++ {
 		id := fmt.Sprintf("%016x", i)
-		if xxhash.Sum64String(id)%sampledJobs == 0 {
+		if isSampled(id) {
 			continue
 		}
 		if n--; n < 0 {
@@ -149,6 +148,25 @@
 	}
 }
 
+// TestLinesOfOneJobAreBounded guards against a log that one job fills (20,000 lines in a second), whether it is sampled or
+// not.
+func TestLinesOfOneJobAreBounded(t *testing.T) {
+	sampled := 0
+	for !isSampled(fmt.Sprintf("%016x", sampled)) {
+		sampled++
+	}
+	for _, job := range []string{fmt.Sprintf("%016x", sampled), unsampledJob(0)} {
+		l, out := floodedLimiter()
+		for range 20_000 {
+			l.Log("start", logrus.Fields{"task": job + ".0.0.0"})
+		}
+		l.EndJob(job, true)
+		if got := strings.Count(out.String(), job); got > sampledLinesPerSecond+keptLinesPerSecond+1 {
+			t.Errorf("%d lines of one job", got)
+		}
+	}
+}
+
 // TestHeldLinesAreBounded guards against memory that grows with the lines of jobs that never end.
 func TestHeldLinesAreBounded(t *testing.T) {
 	h := newHeldLines()
--- a/internal/decisionlog/limiter.go
+++ b/internal/decisionlog/limiter.go
@@ -14,6 +14,8 @@
 	linesPerSecond = 200
 	// sampledJobs is the share of jobs, one in so many, whose lines are written beyond that.
 	sampledJobs = 16
+	// sampledLinesPerSecond limits the lines of sampled jobs that are written beyond it in a second.
+	sampledLinesPerSecond = 500
 	// keptLinesPerSecond limits the held lines of jobs that ended badly which are written in a second.
 	keptLinesPerSecond = 1000
 )
@@ -29,6 +31,7 @@
 	counts     map[string]int // lines of an event in this second
 	suppressed map[string]int // lines of an event that were not written
 	held       *heldLines
+	sampled    int // lines of sampled jobs written beyond the limit in this second
 	kept       int // held lines written in this second
 }
 
@@ -46,7 +49,11 @@
 	l.mu.Lock()
 	suppressed := l.rollSecond(now)
 	l.counts[event]++
-	write := l.counts[event] <= linesPerSecond || job != "" && xxhash.Sum64String(job)%sampledJobs == 0
+	write := l.counts[event] <= linesPerSecond
+	if !write && isSampled(job) && l.sampled < sampledLinesPerSecond {
+		l.sampled++
+		write = true
+	}
 	switch {
 	case write:
 	case job != "":
@@ -100,7 +107,7 @@
 		return nil
 	}
 	l.second = now.Unix()
-	l.kept = 0
+	l.sampled, l.kept = 0, 0
 	clear(l.counts)
 	out := l.suppressed
 	if len(out) > 0 {
@@ -109,6 +116,9 @@
 	return out
 }
 
+// isSampled reports whether the lines of a job are written beyond the limit.
+func isSampled(job string) bool { return job != "" && xxhash.Sum64String(job)%sampledJobs == 0 }
+
 // jobOf returns the identifier of the job that a line is about; "" if it is about none.
 func jobOf(fields logrus.Fields) string {
 	if job, ok := fields["job"].(string); ok {
