--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// directRunnerShare is the share of the descriptor limit that gives the number of runners up to which the owner calls
-	// all runners itself. Each has a poll in flight and a few connections for other calls.
+	// directRunnerShare: up to 1/directRunnerShare of the descriptor limit in runners, the owner calls all of them itself.
+	// Each takes a connection for its poll and a few for other calls.
 	directRunnerShare = 8
-	// directMaxHysteresis gives the share of that number by which the runners must fall below it before calls are direct again.
+	// directMaxHysteresis: calls are direct again once the runners are 1/directMaxHysteresis below that number.
 	directMaxHysteresis = 10
 	// relayMargin is how much longer than the call to the runner the call to the relaying process may take.
 	relayMargin = 250 * time.Millisecond
@@ -43,10 +43,10 @@
 	repliedAt time.Duration // last reply to a relayed call
 }
 
-// route is the way of a call to a runner. An empty address means a direct call.
+// route is how a call reaches a runner.
 type route struct {
-	address string
-	relay   *relayState
+	address string      // of the relaying process
+	relay   *relayState // nil: the owner calls the runner itself
 }
 
 func newRunnerCalls(o *ownership) *runnerCalls {
@@ -73,7 +73,7 @@
 		processes = c.o.relayCandidates()
 	}
 	for _, address := range c.table.SetProcesses(processes) {
-		c.relays[address].cancel() // its calls fail now and are repeated by another way
+		c.relays[address].cancel() // its calls fail now and are repeated by another route
 		delete(c.relays, address)
 		c.o.n.dep.Log.Log("relay-lost", map[string]any{"relay": address})
 	}
@@ -85,7 +85,7 @@
 	}
 }
 
-// route chooses the way of the next call to a runner.
+// route chooses the route of the next call to a runner.
 func (c *runnerCalls) route(ref scheduler.RunnerRef) route {
 	if !c.relaying {
 		return route{}
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if errors.Is(err, errRelay) && p.states[ref.ID] == st {
-		p.poll(st) // by another way
+		p.poll(st) // by another route
 		return
 	}
 	if LocalFailure(err) {
