--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -31,6 +31,8 @@
 	compactedRev  int64 // changes up to this revision have been compacted
 	reads         map[string]int
 	delayPerItem  time.Duration // duration of a range read for each item
+	ranges        int           // range reads in flight
+	maxRanges     int           // largest number of range reads of jobs in flight at the same time
 	maxChanges    int           // largest number of changes in an answer to a watch; 0: no limit
 }
 
@@ -98,6 +100,15 @@
 		}
 	}
 	rev, err, pause := m.rev, m.refused(), m.delayPerItem*time.Duration(len(out))
+	if strings.HasPrefix(prefix, jobPrefix) {
+		m.ranges++
+		m.maxRanges = max(m.maxRanges, m.ranges)
+		defer func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.ranges--
+		}()
+	}
 	m.mu.Unlock()
 	time.Sleep(pause)
 	return out, rev, err
--- a/internal/control/ownership_test.go
+++ b/internal/control/ownership_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
+	"github.com/agateyard/agateyard/internal/testpause"
 )
 
 // TestOwnershipOfOlderTermEnds guards against two owners at once: a process learns of its successor before it receives the
@@ -246,11 +247,17 @@
 	successor := others(nodes, owner)[0]
 	owner.kill()
 	eventually(t, 2*time.Second, "a new owner", func() bool { return successor.ownership.Load() != nil })
-	claimed := time.Now()
+	claimed, pauses := time.Now(), testpause.Start()
 	eventually(t, 3*time.Second, "the durable state is loaded", func() bool { return successor.ownership.Load().pendingJobs() != nil })
-	if took := time.Since(claimed); took > 300*time.Millisecond {
-		t.Errorf("the durable state was loaded after %s", took)
+	took := time.Since(claimed)
+	if _, starved := pauses.Stop(); took-starved > 300*time.Millisecond {
+		t.Errorf("the durable state was loaded after %s, of which this process got no processor for %s", took, starved)
 	}
+	store.mu.Lock()
+	if store.maxRanges != len(job.IDDigits) {
+		t.Errorf("%d parts were read at the same time, want %d", store.maxRanges, len(job.IDDigits))
+	}
+	store.mu.Unlock()
 	if state, found := stateOf(t, successor, spreadID(jobs-1)); !found || state != job.Done {
 		t.Errorf("state %q, found %t", state, found)
 	}
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/agateyard/agateyard/internal/endpoint/standin"
 	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/testpause"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -94,9 +95,9 @@
 		URL:  "http://" + f.runner.Address() + "/admin/faults",
 		Body: `{"freeze": true, "for_ms": 400}`,
 	}}
-	pauses := measurePauses()
+	pauses := testpause.Start()
 	rep := f.load(s)
-	longestPause := pauses.stop()
+	longestPause, _ := pauses.Stop()
 	if len(rep.Faults) != 1 || rep.Faults[0].Status != 200 {
 		t.Fatalf("fault was not injected: %+v", rep.Faults)
 	}
@@ -110,37 +111,6 @@
 	}
 }
 
-// pauseMeter measures for how long the whole process gets no processor: it sleeps for a millisecond at a time and
-// records the longest excess.
-type pauseMeter struct {
-	done    chan struct{}
-	longest chan time.Duration
-}
-
-func measurePauses() *pauseMeter {
-	m := &pauseMeter{done: make(chan struct{}), longest: make(chan time.Duration, 1)}
-	go func() {
-		var longest time.Duration
-		for {
-			before := time.Now()
-			select {
-			case <-m.done:
-				m.longest <- longest
-				return
-			case <-time.After(time.Millisecond):
-				longest = max(longest, time.Since(before)-time.Millisecond)
-			}
-		}
-	}()
-	return m
-}
-
-// stop ends the measurement and returns the longest pause.
-func (m *pauseMeter) stop() time.Duration {
-	close(m.done)
-	return <-m.longest
-}
-
 // Guards against an unbounded number of outstanding requests when the system does
 // not answer.
 func TestOutstandingLimit(t *testing.T) {
