control: an owner's own lack of descriptors blames no peer

A process that could not dial for want of a descriptor took the owner for silent, suspected it and voted so, and an owner in that state took its relays for failed. Change: such a failure says nothing about the peer.

--- a/internal/control/peer_client.go
+++ b/internal/control/peer_client.go
@@ -52,6 +52,7 @@
 	client   *rpc.Client
 	calls    int // calls in flight
 	lastUsed time.Time
+	dial     func(ctx context.Context) (net.Conn, error) // nil: TCP to the address
 }
 
 // call sends a message and waits for its reply. An abandoned call may still be executed.
@@ -109,7 +110,13 @@
 	if client != nil {
 		return client, nil
 	}
-	conn, err := Dialer(dialTimeout).DialContext(ctx, "tcp", p.address)
+	dial := p.dial
+	if dial == nil {
+		dial = func(ctx context.Context) (net.Conn, error) {
+			return Dialer(dialTimeout).DialContext(ctx, "tcp", p.address)
+		}
+	}
+	conn, err := dial(ctx)
 	if err != nil {
 		return nil, errors.Join(errNotConnected, err)
 	}
--- a/internal/control/relay_test.go
+++ b/internal/control/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -280,3 +281,20 @@
 		t.Errorf("blamed: %q", got)
 	}
 }
+
+// TestPingWithoutDescriptors guards against a process that takes the owner for lost, and votes so, because it has no free
+// file descriptor for its own ping.
+func TestPingWithoutDescriptors(t *testing.T) {
+	n := newTestNode(newMemoryStore(), "127.0.0.1:1", testWeight)
+	o := OwnerInfo{Term: 1, Rev: 1, Incarnation: "owner", Address: "127.0.0.1:2"}
+	n.view.setOwner(o, n.clock.Now()-time.Minute)
+	n.peers.get(o.Address).dial = func(context.Context) (net.Conn, error) {
+		return nil, os.NewSyscallError("socket", syscall.EMFILE)
+	}
+	if got := n.pingOwner(context.Background(), o); got != ownerHealthy {
+		t.Errorf("verdict %s", verdictNames[got])
+	}
+	if _, suspect := n.view.ownerSilentFor(n.clock.Now()); suspect {
+		t.Error("the owner is suspected")
+	}
+}
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -145,7 +145,9 @@
 		limit += relayMargin
 		reply, err = o.callRelay(rt, args)
 		if errors.Is(err, errNotConnected) {
-			o.post(func() { o.calls.table.Failed(rt.address, o.loopTime) })
+			if !LocalFailure(err) {
+				o.post(func() { o.calls.table.Failed(rt.address, o.loopTime) })
+			}
 			reply, err = o.callDirectly(args)
 		}
 	}
--- a/internal/control/vote.go
+++ b/internal/control/vote.go
@@ -82,6 +82,9 @@
 		return silent > ownerSilenceLimit
 	}
 	reply, err := n.ping(ctx, o.Address, votePingTimeout)
+	if LocalFailure(err) {
+		return false
+	}
 	if err != nil {
 		n.view.recordPingFailure()
 		return true
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -92,6 +92,9 @@
 	reply, err := n.ping(ctx, o.Address, ownerPingTimeout(silent, limit))
 	now := n.clock.Now()
 	silent, _ = n.view.ownerSilentFor(now)
+	if LocalFailure(err) {
+		return ownerHealthy // nothing was sent, so nothing is known of the owner
+	}
 	if err != nil {
 		n.view.recordPingFailure()
 		if noListener(err) || silent > limit {
