--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -19,6 +19,7 @@
 type Spec struct {
 	ID          string `json:"id"`
 	Queue       string `json:"queue"`
+	Tenant      string `json:"tenant,omitempty"` // whose key submitted the job; empty on a public route
 	Payload     string `json:"payload,omitempty"`
 	Steps       []Step `json:"steps"`
 	Occurrences int    `json:"times,omitempty"`    // 0: the steps run once, immediately
