candidacy: choose the owner by what its VM can carry

Cause: candidates compared processor shares only, and smaller machines waited longer only from a ratio of 2 on.

Change: internal/candidacy scores a VM by processor, link, memory and descriptors against the load that the owner's ping replies tell. Candidates are ordered by score. One that is a quarter or more below another waits 0.7 s longer and leaves the claim to better ones that answer, for up to 2 s. An owner hands over once to the best process that has pinged it for 2 s.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -57,6 +57,7 @@
 		"task": e.Task.String(), "run": e.Run, "runner": e.Runner.ID, "born": e.Runner.Incarnation, "fence": o.info.Rev,
 		"checkpoint": e.Checkpoint, "reason": e.Reason,
 	})
+	o.startRate.Started()
 	sent := o.loopTime
 	args := RelayArgs{Runner: e.Runner, Fence: o.info.Rev, Within: runnerCallTimeout, Start: &request}
 	o.calls.send(args, func(reply RelayReply, err error) { o.startAnswered(e, reply.Outcome, err, sent) })
--- a/internal/control/candidate.go
+++ b/internal/control/candidate.go
@@ -2,27 +2,17 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/ctxtime"
 )
 
-const (
-	// candidateStagger separates the attempts of candidates, so that each one sees the claim of the one before.
-	candidateStagger = 80 * time.Millisecond
-	// maxStaggers bounds the delay in case better candidates are dead but still listed as members.
-	maxStaggers = 4
-	// smallMachineDelay is the additional delay of a machine if another member has at least largerMachineRatio times its
-	// weight. In that time the larger one can detect the loss (within a ping interval), repeat a vote that found no
-	// majority, and claim ownership.
-	smallMachineDelay = 700 * time.Millisecond
-	// largerMachineRatio is the minimum ratio of weights at which the smaller machine waits for the larger one to claim
-	// ownership, or hands ownership over to it.
-	largerMachineRatio = 2
-)
-
 // campaign claims ownership, unless another member claims it first. An owner that is only silent is replaced only if a
 // majority of the voters has lost it too. A process whose store calls fail searches for an owner instead.
 func (n *Node) campaign(ctx context.Context, o OwnerInfo, verdict ownerVerdict) {
@@ -30,10 +20,14 @@
 		n.searchOwner(ctx)
 		return
 	}
+	began := n.clock.Now()
 	ctxtime.Sleep(ctx, n.candidateDelay(o))
 	if now, _ := n.view.currentOwner(); now.Term != o.Term || now.Incarnation != o.Incarnation {
 		return
 	}
+	if n.leaveToFitter(ctx, o, began) {
+		return
+	}
 	if verdict == ownerSilent && !n.vote(ctx, o) {
 		return
 	}
@@ -42,39 +36,63 @@
 
 // candidateDelay returns how long this process waits for better candidates to claim ownership first.
 func (n *Node) candidateDelay(o OwnerInfo) time.Duration {
-	self := n.self()
-	largest := self.Weight
-	better := map[string]bool{} // by address, as the former incarnations of a restarted process stay listed for a while
+	return candidacy.Delay(n.self().candidate(), n.rivals(o), n.view.ownerLoad(), o.Term)
+}
+
+// rivals returns the other members that may replace an owner.
+func (n *Node) rivals(o OwnerInfo) []candidacy.Candidate {
+	var out []candidacy.Candidate
 	for _, m := range n.view.memberList() {
-		if m.Address == self.Address || m.Incarnation == o.Incarnation || m.Leaving {
-			continue
-		}
-		largest = max(largest, m.Weight)
-		earlier, listed := better[m.Address]
-		better[m.Address] = betterOwner(m, self, o.Term) && (earlier || !listed)
-	}
-	ahead := 0
-	for _, isBetter := range better {
-		if isBetter {
-			ahead++
+		if m.Address != n.opt.Address && m.Incarnation != o.Incarnation && !m.Leaving {
+			out = append(out, m.candidate())
 		}
 	}
-	delay := time.Duration(min(ahead, maxStaggers)) * candidateStagger
-	if largest >= largerMachineRatio*self.Weight {
-		delay += smallMachineDelay
-	}
-	return delay
+	return out
 }
 
-// betterOwner reports whether a is a better candidate than b: larger machines first, then by a hash that differs from
-// term to term.
-func betterOwner(a, b Member, term int64) bool {
-	if a.Weight != b.Weight {
-		return a.Weight > b.Weight
+const (
+	// maxAskedRivals bounds the members that a candidate asks whether they are alive.
+	maxAskedRivals = 8
+	// rivalPingTimeout is far longer than a round trip between availability zones.
+	rivalPingTimeout = 200 * time.Millisecond
+)
+
+// leaveToFitter reports whether a member that can carry the cell far better is alive and reaches the store, and is given
+// more time to claim ownership: it may have been paused, or have noticed the loss later.
+func (n *Node) leaveToFitter(ctx context.Context, o OwnerInfo, began time.Duration) bool {
+	load, self := n.view.ownerLoad(), n.self().candidate()
+	fitter := candidacy.Fitter(self, n.rivals(o), load)
+	if len(fitter) == 0 || !n.deferral.Continue(o.Term, began) {
+		return false
+	}
+	slices.SortFunc(fitter, func(a, b candidacy.Candidate) int {
+		if candidacy.Better(a, b, load, o.Term) {
+			return -1
+		}
+		return 1
+	})
+	var alive atomic.Int32
+	var g errgroup.Group
+	for _, c := range fitter[:min(len(fitter), maxAskedRivals)] {
+		g.Go(func() error {
+			reply, err := n.ping(ctx, c.Address, rivalPingTimeout)
+			if err == nil && reply.Incarnation == c.Incarnation && reply.StoreOK && !reply.Leaving {
+				alive.Add(1)
+			}
+			return nil // a member that doesn't answer is not waited for
+		})
+	}
+	_ = g.Wait()
+	if alive.Load() == 0 {
+		return false
 	}
-	return candidateHash(a, term) < candidateHash(b, term)
+	n.dep.Log.Log("left-to-fitter", logrus.Fields{
+		"term": o.Term, "fitter": alive.Load(), "score": candidacy.Score(self.Machine, load), "runners": load.Runners,
+	})
+	return true
 }
 
-func candidateHash(m Member, term int64) uint64 {
-	return xxhash.Sum64String(m.Incarnation + "/" + time.Duration(term).String())
+// betterOwner reports whether a is a better candidate than b.
+func (n *Node) betterOwner(a, b Member, term int64) bool {
+	return candidacy.Better(a.candidate(), b.candidate(), n.view.ownerLoad(), term)
 }
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -33,7 +33,7 @@
 
 // handOver asks the members to take over, the best candidate first, until one has become the owner.
 func (n *Node) handOver(ctx context.Context, local *ownership, members []Member) {
-	sort.Slice(members, func(i, k int) bool { return betterOwner(members[i], members[k], local.info.Term) })
+	sort.Slice(members, func(i, k int) bool { return n.betterOwner(members[i], members[k], local.info.Term) })
 	for _, m := range members {
 		if ctx.Err() != nil {
 			return // the ownership has ended meanwhile
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/job"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
@@ -22,10 +23,21 @@
 	Name        string
 	Address     string
 	Zone        string
-	Weight      int
+	Weight      int     // CPU in millicores
+	LinkMbps    float64 // 0 from processes of earlier builds
+	MemoryMB    int
+	Descriptors int
 	Leaving     bool
 }
 
+// candidate returns what decides whether the process may own the cell.
+func (m Member) candidate() candidacy.Candidate {
+	return candidacy.Candidate{
+		Incarnation: m.Incarnation, Address: m.Address,
+		Machine: candidacy.Machine{CPU: m.Weight, LinkMbps: m.LinkMbps, MemoryMB: m.MemoryMB, Descriptors: m.Descriptors},
+	}
+}
+
 // PingArgs is sent by every process to the owner at regular intervals, and to other processes to search for the owner or
 // to announce a new one.
 type PingArgs struct {
@@ -45,6 +57,8 @@
 	IsOwner     bool
 	BegunTerm   int64 // term of the last ownership that the process has started
 	StoreOK     bool
+	Leaving     bool
+	Load        candidacy.Load // of the owner, also as known to another process; zero from earlier builds
 	Members     []Member       // only if they were requested
 	Loaded      bool           // the owner has loaded the durable state
 	Pending     map[string]int // jobs that have not started, by queue
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -10,6 +10,8 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/agateyard/agateyard/internal/candidacy"
 )
 
 // Logger writes one structured log line per decision. It never blocks.
@@ -41,7 +43,8 @@
 	peers          peerClients
 	ownership      atomic.Pointer[ownership]
 	leaving        atomic.Bool
-	searchingOwner atomic.Bool // a background search for the owner is running
+	deferral       candidacy.Deferral // only used by watchOwner
+	searchingOwner atomic.Bool        // a background search for the owner is running
 	adviceCalls    chan adviceCall
 	rereadConfig   chan struct{} // requests another read of the configuration
 	beginMu        sync.Mutex
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -15,6 +15,9 @@
 	Address string // where peers call this process
 	Seeds   []string
 	Weight  int // CPU available to this process, in millicores
+	// LinkMbps and MemoryMB are what this process may use of its VM's link and memory; 0 means that it is not known.
+	LinkMbps float64
+	MemoryMB int
 	// DescriptorLimit is the number of file descriptors that this process may have open. It bounds the connections to
 	// runners; 0 means no limit.
 	DescriptorLimit int
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/ctxtime"
 	"github.com/agateyard/agateyard/internal/relay"
 	"github.com/agateyard/agateyard/internal/scheduler"
@@ -29,8 +30,6 @@
 	// OwnerLease is how long an owner that was replaced may still send requests to runners. It exceeds unconfirmedLimit plus
 	// a tick.
 	OwnerLease = 3 * time.Second
-	// yieldInterval is how often an owner checks for a far larger machine. Each handover interrupts scheduling briefly.
-	yieldInterval = 2 * time.Second
 	// unconfirmedLimit is how long an owner continues without contact to the store and to most of its peers.
 	unconfirmedLimit = 2500 * time.Millisecond
 )
@@ -50,14 +49,15 @@
 	poller *runnerPoller
 	calls  *runnerCalls
 
-	usedRunners    *usedRunners // the runners that owners have used, as stored
-	lastStats      time.Duration
-	nextYieldCheck time.Duration // when to check for a larger machine next
-	loopTime       time.Duration // when the event loop last ran
-	lastPass       time.Duration // start of the last placement pass
-	passInterval   time.Duration
-	paused         bool                     // the claim is being read again
-	removeAt       map[string]time.Duration // when to remove runners whose entries were deleted, unless these come back
+	usedRunners  *usedRunners // the runners that owners have used, as stored
+	lastStats    time.Duration
+	handover     *candidacy.Handover
+	startRate    candidacy.StartRate
+	loopTime     time.Duration // when the event loop last ran
+	lastPass     time.Duration // start of the last placement pass
+	passInterval time.Duration
+	paused       bool                     // the claim is being read again
+	removeAt     map[string]time.Duration // when to remove runners whose entries were deleted, unless these come back
 
 	mu        sync.Mutex              // guards the fields below it, and reason
 	lastPings map[string]receivedPing // by incarnation, of processes that regard this one as the owner
@@ -79,7 +79,7 @@
 	}
 	now := n.clock.Now()
 	o.loopTime = now
-	o.nextYieldCheck = now + yieldInterval
+	o.handover = candidacy.NewHandover(now)
 	o.sched = scheduler.New(n.opt.Scheduler, info.Term, now, n.clock.Wall())
 	o.writer = newRecordWriter(o)
 	o.poller = newRunnerPoller(o)
@@ -197,7 +197,8 @@
 	o.writer.deleteExpired()
 	o.checkConfirmed()
 	o.publishPending()
-	o.yieldToLarger()
+	o.publishLoad()
+	o.yieldToFitter()
 	if o.loopTime-o.lastStats >= statsInterval {
 		o.lastStats = o.loopTime
 		stats := o.sched.Stats()
@@ -210,6 +211,15 @@
 	}
 }
 
+// publishLoad makes the load known to this process and, by the replies to their pings, to the others. They compare their
+// machines with it when they have to replace this owner.
+func (o *ownership) publishLoad() {
+	rate := o.startRate.PerSecond(o.loopTime)
+	if runners := o.sched.RunnerCount(); runners > 0 {
+		o.n.view.setOwnerLoad(candidacy.Load{Runners: runners, StartsPerSecond: rate})
+	}
+}
+
 func (o *ownership) publishPending() {
 	pending := o.sched.Pending()
 	o.mu.Lock()
@@ -249,10 +259,12 @@
 
 // receivedPing is the last ping received from a process.
 type receivedPing struct {
-	at       time.Duration
-	address  string
-	leaving  bool
-	interval time.Duration
+	at         time.Duration
+	since      time.Duration // first ping of the process to this owner
+	address    string
+	leaving    bool
+	configured bool // it has loaded the configuration
+	interval   time.Duration
 }
 
 // recent reports whether the process is not overdue with its next ping.
@@ -265,7 +277,14 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lastPings[ping.From] = receivedPing{at: now, address: ping.Address, leaving: ping.Leaving, interval: ping.Interval}
+	since := now
+	if earlier, ok := o.lastPings[ping.From]; ok && earlier.recent(now) {
+		since = earlier.since
+	}
+	o.lastPings[ping.From] = receivedPing{
+		at: now, since: since, address: ping.Address, leaving: ping.Leaving, configured: ping.ConfigVersion > 0,
+		interval: ping.Interval,
+	}
 }
 
 // checkConfirmed steps down when neither the store nor a majority of the members has confirmed the ownership within
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -48,6 +48,7 @@
 	*reply = PingReply{
 		Incarnation: n.incarnation, Owner: o,
 		StoreOK: n.health.failingFor(now) < ownerStoreFailureLimit, BegunTerm: n.begunTerm.Load(),
+		Leaving: n.leaving.Load(), Load: n.view.ownerLoad(),
 	}
 	if args.WantMembers {
 		reply.Members = n.view.memberList()
--- a/internal/control/ping_interval.go
+++ b/internal/control/ping_interval.go
@@ -32,7 +32,7 @@
 	self := n.self()
 	better := 0
 	for _, m := range members {
-		if m.Incarnation != self.Incarnation && betterOwner(m, self, o.Term) {
+		if m.Incarnation != self.Incarnation && n.betterOwner(m, self, o.Term) {
 			better++
 		}
 	}
--- a/internal/control/register.go
+++ b/internal/control/register.go
@@ -89,6 +89,7 @@
 func (n *Node) self() Member {
 	return Member{
 		Incarnation: n.incarnation, Name: n.opt.Name, Address: n.opt.Address, Zone: n.opt.Zone,
-		Weight: n.opt.Weight, Leaving: n.leaving.Load(),
+		Weight: n.opt.Weight, LinkMbps: n.opt.LinkMbps, MemoryMB: n.opt.MemoryMB, Descriptors: n.opt.DescriptorLimit,
+		Leaving: n.leaving.Load(),
 	}
 }
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/agateyard/agateyard/internal/candidacy"
 )
 
 // view is what a process knows of its cell. It is safe for concurrent use.
@@ -14,9 +16,10 @@
 	members        map[string]Member
 	config         *CellConfig
 	pending        map[string]int
-	lastOwnerReply time.Duration // last reply of an owner to a ping
-	claimSeenAt    time.Duration // when the current owner's claim became known
-	suspect        bool          // the last ping of the owner failed
+	lastOwnerReply time.Duration  // last reply of an owner to a ping
+	claimSeenAt    time.Duration  // when the current owner's claim became known
+	suspect        bool           // the last ping of the owner failed
+	load           candidacy.Load // of the owner; zero while it is not known
 }
 
 func newView() *view {
@@ -120,6 +123,19 @@
 	return out
 }
 
+func (v *view) setOwnerLoad(l candidacy.Load) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.load = l
+}
+
+// ownerLoad returns the last known load of an owner of this cell.
+func (v *view) ownerLoad() candidacy.Load {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.load
+}
+
 func (v *view) setPending(p map[string]int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/control/vote.go
+++ b/internal/control/vote.go
@@ -56,7 +56,7 @@
 	members := n.view.memberList()
 	members = slices.DeleteFunc(members, func(m Member) bool { return m.Incarnation == n.incarnation || m.Incarnation == o.Incarnation })
 	slices.SortFunc(members, func(a, b Member) int {
-		if betterOwner(a, b, o.Term) {
+		if n.betterOwner(a, b, o.Term) {
 			return -1
 		}
 		return 1
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -154,6 +154,9 @@
 	if reply.Config != nil {
 		n.learnConfig(reply.Config, "peer")
 	}
+	if reply.Load.Runners > 0 && (reply.IsOwner || n.view.ownerLoad().Runners == 0) {
+		n.view.setOwnerLoad(reply.Load)
+	}
 	if n.needsMembers() && len(reply.Members) > 0 {
 		n.view.setMembers(reply.Members)
 	}
