scheduler: a waiting gang requests advice as soon as half of the fleet is free

Cause: the interval between the requests of a waiting gang doubles up to 8 s, and the shorter interval for a fleet that is mostly free applied only while half of the machines had no advice call in flight. A request that no machine took was counted as one as well.

Change: the first request after half of the cores have become free is made within 0.2 s, whatever calls are in flight. Only requests that were sent count.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -31,6 +31,9 @@
 	// and a renewal of 0.7 s, a gang that fits on runners that it has not queried starts within 3 s, the limit for work
 	// that has free capacity.
 	idleGangRequestInterval = time.Second
+	// freeGangRequestInterval is the same for the first request after most cores have become free, whatever calls are in
+	// flight. It leaves 2.5 s of the limit for a call of 1.2 s and a renewal of 1.1 s.
+	freeGangRequestInterval = 200 * time.Millisecond
 	// maxIntervalDoublings limits how often gangRequestInterval is doubled.
 	maxIntervalDoublings = 2
 	// fleetReportTimeout is how long a new owner waits for reports of most runners before it requests advice.
@@ -58,13 +61,18 @@
 	} else {
 		refs = s.unqueriedWithCapacity(st, waiting)
 	}
-	if len(refs) > 0 {
-		refs = s.padRequest(st, refs)
+	if len(refs) == 0 {
+		return
+	}
+	refs = s.padRequest(st, refs)
+	sent := false
+	for chunk := range slices.Chunk(refs, maxAdviceRunners) {
+		// Concurrently from several machines: a wide gang has to query most of the fleet.
+		sent = s.sendAdviceRequest(st, chunk, false) || sent
+	}
+	if sent { // a request that no machine takes must not delay the next one
 		st.advice.requestedAt = s.now
 		st.advice.requests++
-		for chunk := range slices.Chunk(refs, maxAdviceRunners) {
-			s.sendAdviceRequest(st, chunk, false) // concurrently from several machines: a wide gang has to query most of the fleet
-		}
 	}
 }
 
@@ -121,7 +129,8 @@
 	}
 	if wanted <= 0 {
 		switch waited := s.now - st.advice.requestedAt; {
-		case s.mostlyFree && s.dispatcher.MostlyIdle() && waited >= idleGangRequestInterval:
+		case s.mostlyFree && s.dispatcher.MostlyIdle() && waited >= idleGangRequestInterval,
+			s.mostlyFree && st.advice.requestedAt < s.mostlyFreeSince && waited >= freeGangRequestInterval:
 			wanted = 2 * float64(len(st.tasks))
 		case waited >= gangRequestInterval<<min(st.advice.requests, maxIntervalDoublings):
 			wanted = float64(len(st.tasks)) / 2
@@ -234,16 +243,18 @@
 	s.sendAdviceRequest(st, refs, true)
 }
 
-func (s *Scheduler) sendAdviceRequest(st *stage, refs []RunnerRef, renewal bool) {
+// sendAdviceRequest reports whether a machine takes the request.
+func (s *Scheduler) sendAdviceRequest(st *stage, refs []RunnerRef, renewal bool) bool {
 	expected := st.job.queue.Advice.CallDuration(len(refs))
 	machine, ok := s.dispatcher.Assign(expected, s.now, renewal)
 	if !ok {
-		return // retried in a later pass, after more urgent stages
+		return false // retried in a later pass, after more urgent stages
 	}
 	st.advice.pending++
 	s.emit(RequestAdvice{
 		Step: st.id, Runners: refs, Machine: machine, Expected: expected, Renewal: renewal,
 	})
+	return true
 }
 
 // AdviceAnswered processes the response to RequestAdvice.
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -67,7 +67,11 @@
 		s.maxFree.MemoryMB = max(s.maxFree.MemoryMB, free.MemoryMB)
 		s.maxFree.Accelerators = max(s.maxFree.Accelerators, free.Accelerators)
 	}
+	wasMostlyFree := s.mostlyFree
 	s.mostlyFree = 2*used <= capacity
+	if s.mostlyFree && !wasMostlyFree {
+		s.mostlyFreeSince = s.now
+	}
 	slices.SortStableFunc(s.byFreeCores, func(x, y *runner) int { return cmp.Compare(y.free().CoresMilli, x.free().CoresMilli) })
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -35,13 +35,15 @@
 	candidateBuf   []*runner
 	maxFree        model.Resources // largest free amount of each resource on a usable runner, as of the last pass
 	mostlyFree     bool            // at least half of the usable cores are free
-	runnersByID    []*runner       // cached list of the runners, sorted by identifier; nil if outdated
-	takenOverAt    time.Duration
-	discoveryRead  bool // all runners in discovery have been listed once
-	needsPass      bool
-	unsent         []*run      // runs whose start requests this process could not send
-	expired        []string    // jobs whose records may be deleted
-	finalJobs      []*jobState // in the order in which they finished
+	// mostlyFreeSince is when at least half of the usable cores became free; meaningful only while they are.
+	mostlyFreeSince time.Duration
+	runnersByID     []*runner // cached list of the runners, sorted by identifier; nil if outdated
+	takenOverAt     time.Duration
+	discoveryRead   bool // all runners in discovery have been listed once
+	needsPass       bool
+	unsent          []*run      // runs whose start requests this process could not send
+	expired         []string    // jobs whose records may be deleted
+	finalJobs       []*jobState // in the order in which they finished
 }
 
 // runsPerOwner is the range of run numbers of one ownership. An owner is assumed to use no more numbers than this for one
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -31,11 +31,12 @@
 	trace       []string
 	queues      []Queue
 	runFor      func(step job.Step) time.Duration
-	slowdown    map[string]float64       // factor by which runs take longer, by runner
-	estimate    int64                    // declared run time of random jobs, milliseconds
-	failOneIn   int                      // one of this many runs fails; 0: none
-	firstStarts map[string]time.Duration // start of the first run, by job
-	noSendUntil time.Duration            // until then the owner can send no start request
+	slowdown    map[string]float64                        // factor by which runs take longer, by runner
+	estimate    int64                                     // declared run time of random jobs, milliseconds
+	failOneIn   int                                       // one of this many runs fails; 0: none
+	firstStarts map[string]time.Duration                  // start of the first run, by job
+	noSendUntil time.Duration                             // until then the owner can send no start request
+	eligible    func(step job.StepID, runner string) bool // nil: see isEligible
 }
 
 type timedEvent struct {
@@ -213,7 +214,7 @@
 			sched.Dispatcher().Done(e.Machine, e.Expected, sim.now, false)
 			var eligible []EligibleRunner
 			for _, ref := range e.Runners {
-				if (len(ref.ID)+int(ref.ID[2]))%2 == 0 || len(e.Runners) < 4 {
+				if sim.isEligible(e, ref) {
 					eligible = append(eligible, EligibleRunner{ID: ref.ID, Ticket: fmt.Sprint(e.Step)})
 				}
 			}
@@ -222,6 +223,15 @@
 	}
 }
 
+// isEligible reports whether the advice service approves a runner: half of the runners for all steps, unless the test sets
+// another rule.
+func (sim *simulation) isEligible(e RequestAdvice, ref RunnerRef) bool {
+	if sim.eligible != nil {
+		return sim.eligible(e.Step, ref.ID)
+	}
+	return (len(ref.ID)+int(ref.ID[2]))%2 == 0 || len(e.Runners) < 4
+}
+
 func (sim *simulation) start(sched *Scheduler, e StartRun) {
 	if sim.now < sim.noSendUntil {
 		sim.afterFunc(0, func() { sched.StartAnswered(e.Runner.ID, e.Task, e.Run, StartNotSent) })
