control, platform, tenant: API keys identify callers

Cause: callers were not identified. Requests without a valid key were served, and every caller could query and cancel every job. Change: internal/tenant maps digests of keys to tenants. The job handler authenticates each request before it reads the body; an unknown key makes the process read the newest configuration first, with one read for all waiting requests and at most 5 a second. Tenant, key digest and configuration version go to the owner, which checks them by its own configuration and answers over-limit, key-unknown or not-yours. Jobs keep their tenant in all records. The scheduler gets the tenants with the queues and is asked to admit each new job. The age of the configuration is tracked, confirmed by the store and by ping replies. Result: go test of internal/tenant, internal/control (also with -race), internal/job, internal/scheduler and platform passes.

--- a/internal/control/cell_config.go
+++ b/internal/control/cell_config.go
@@ -4,12 +4,14 @@
 	"strings"
 
 	"github.com/agateyard/agateyard/internal/scheduler"
+	"github.com/agateyard/agateyard/internal/tenant"
 )
 
 // CellConfig is one version of the configuration of routes and queues in the users' platform.
 type CellConfig struct {
 	Version   int64
 	Routes    []Route
+	Tenants   *tenant.Directory
 	BodyLimit int64  // largest body of a request in bytes
 	Raw       []byte // as stored, for processes that can't reach the store
 }
@@ -19,6 +21,7 @@
 	Host   string
 	Prefix string
 	Queue  scheduler.Queue
+	Public bool // served without a key
 }
 
 // Match returns the route with the longest matching prefix and the rest of the path.
@@ -45,3 +48,22 @@
 	}
 	return out
 }
+
+// requiresKeys reports whether callers of routes that aren't public need a key. Settings may require keys even if the
+// configuration lists no tenants.
+func (c *CellConfig) requiresKeys(bySettings bool) bool {
+	return bySettings || len(c.Tenants.Tenants()) > 0
+}
+
+// needsKey reports whether the route of a queue needs a key; false if the configuration has no such route.
+func (c *CellConfig) needsKey(queue string, requiredBySettings bool) bool {
+	if !c.requiresKeys(requiredBySettings) {
+		return false
+	}
+	for i := range c.Routes {
+		if c.Routes[i].Queue.Name == queue {
+			return !c.Routes[i].Public
+		}
+	}
+	return false
+}
--- a/internal/control/cell_test.go
+++ b/internal/control/cell_test.go
@@ -70,14 +70,14 @@
 func submit(n *testNode, spec job.Spec) Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	return n.Submit(ctx, spec)
+	return n.Submit(ctx, Caller{}, spec).Outcome
 }
 
 func stateOf(t *testing.T, n *testNode, id string) (job.State, bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	state, found, err := n.State(ctx, id)
+	state, found, err := n.State(ctx, Caller{}, id)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -166,7 +166,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	store.loseNextResponses(1)
-	if got := nodes[1].Cancel(ctx, testSpec(1).ID); got != OutcomeStored {
+	if got := nodes[1].Cancel(ctx, Caller{}, testSpec(1).ID); got != OutcomeStored {
 		t.Errorf("cancellation: %s", got)
 	}
 	if state, _ := stateOf(t, nodes[1], testSpec(1).ID); state != job.Canceled {
@@ -280,7 +280,7 @@
 		if got := submit(nodes[0], testSpec(i)); got != OutcomeStored {
 			t.Fatal(got)
 		}
-		if got := nodes[0].Cancel(ctx, testSpec(i).ID); got != OutcomeStored {
+		if got := nodes[0].Cancel(ctx, Caller{}, testSpec(i).ID); got != OutcomeStored {
 			t.Fatal(got)
 		}
 	}
@@ -326,7 +326,7 @@
 	<-expired.Done()
 	for _, n := range nodes {
 		started := time.Now()
-		if got := n.Submit(expired, testSpec(1)); got != OutcomeUnknown {
+		if got := n.Submit(expired, Caller{}, testSpec(1)).Outcome; got != OutcomeUnknown {
 			t.Errorf("submission whose deadline has passed: %s", got)
 		}
 		if took := time.Since(started); took > 100*time.Millisecond {
@@ -334,7 +334,7 @@
 		}
 	}
 	busy := &ownership{n: owner.Node, ctx: context.Background(), events: make(chan func()), ended: make(chan struct{})}
-	if got := busy.submit(testSpec(2), time.Millisecond); got != OutcomeNotOwner {
+	if got := busy.submit(SubmitArgs{Spec: testSpec(2), Within: time.Millisecond}).Outcome; got != OutcomeNotOwner {
 		t.Errorf("submission that a busy event loop did not take: %s", got)
 	}
 	store.setRefuse(true)
@@ -343,7 +343,7 @@
 		next++
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
-		return rest[0].Submit(ctx, testSpec(next)) == OutcomeRefused
+		return rest[0].Submit(ctx, Caller{}, testSpec(next)).Outcome == OutcomeRefused
 	})
 }
 
@@ -354,7 +354,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	started := time.Now()
-	if got := n.Submit(ctx, testSpec(1)); got != OutcomeUnknown {
+	if got := n.Submit(ctx, Caller{}, testSpec(1)).Outcome; got != OutcomeUnknown {
 		t.Errorf("submission without an owner: %s", got)
 	}
 	if took := time.Since(started); took > noOwnerTimeout+time.Second {
@@ -374,7 +374,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), left)
 		started := time.Now()
-		got := rest[0].Submit(ctx, testSpec(i))
+		got := rest[0].Submit(ctx, Caller{}, testSpec(i)).Outcome
 		if took := time.Since(started); got != OutcomeStored {
 			t.Errorf("%s before the deadline: %s after %s", left, got, took)
 		}
--- a/internal/control/decision_lines_test.go
+++ b/internal/control/decision_lines_test.go
@@ -92,7 +92,7 @@
 		case "cancel":
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
-			if got := nodes[0].Cancel(ctx, testSpec(jobs).ID); got != OutcomeStored {
+			if got := nodes[0].Cancel(ctx, Caller{}, testSpec(jobs).ID); got != OutcomeStored {
 				t.Fatalf("cancel of job %d: %s", jobs, got)
 			}
 		case "runner":
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -13,9 +13,7 @@
 // load restores the durable state that earlier owners have stored.
 func (o *ownership) load() error {
 	started := o.n.clock.Now()
-	if c := o.n.view.currentConfig(); c != nil {
-		o.sched.SetQueues(c.queues())
-	}
+	o.applyConfig()
 	if err := o.usedRunners.load(); err != nil {
 		return err
 	}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -36,6 +36,7 @@
 	WantMembers   bool // the caller can't read them from the store
 	ConfigVersion int64
 	Interval      time.Duration // pause until the caller's next ping; 0 from older processes means pingInterval
+	FreshConfig   bool          // the configuration is to be read from the store before the reply
 }
 
 // PingReply is a process's knowledge of the cell.
@@ -49,6 +50,13 @@
 	Loaded      bool           // the owner has loaded the durable state
 	Pending     map[string]int // jobs that have not started, by queue
 	Config      []byte         // only if newer than the caller's
+
+	// ConfigAge is the time since ConfigVersion was confirmed as the newest. Older processes send none of the three.
+	ConfigConfirmed bool
+	ConfigVersion   int64
+	ConfigAge       time.Duration
+
+	sentAt time.Duration // when the ping was sent, set by its sender
 }
 
 // OwnerLostArgs asks whether the owner of a term can't be reached.
@@ -66,11 +74,16 @@
 // SubmitArgs sends a job to the owner.
 type SubmitArgs struct {
 	Spec   job.Spec
+	Caller Caller
 	Within time.Duration // how long the owner may wait until the job is stored
 }
 
 // SubmitReply is the result of a submission or cancellation.
-type SubmitReply struct{ Outcome Outcome }
+type SubmitReply struct {
+	Outcome       Outcome
+	RetryAfter    time.Duration // of OutcomeOverLimit
+	ConfigVersion int64         // in force at the owner; 0 from older processes
+}
 
 // Outcome of a submission or cancellation.
 type Outcome int
@@ -81,17 +94,36 @@
 	OutcomeStored
 	OutcomeRefused // certain: not stored, by this or an earlier request for the job
 	OutcomeNoJob
-	OutcomeNotOwner // certain: nothing done, the process is not the owner
+	OutcomeNotOwner   // certain: nothing done, the process is not the owner
+	OutcomeOverLimit  // certain: not stored, the tenant's limits don't admit the job now
+	OutcomeKeyUnknown // certain: nothing done, a newer configuration doesn't admit the caller
+	OutcomeNotYours   // certain: nothing done, the job belongs to another tenant
 )
 
-// JobArgs identifies a job.
-type JobArgs struct{ ID string }
+// isRefusal reports whether the owner certainly did nothing because of the request itself.
+func (o Outcome) isRefusal() bool {
+	switch o {
+	case OutcomeRefused, OutcomeOverLimit, OutcomeKeyUnknown, OutcomeNotYours:
+		return true
+	default:
+		return false
+	}
+}
+
+// JobArgs identifies a job, and the caller who queries or cancels it.
+type JobArgs struct {
+	ID     string
+	Caller Caller
+}
 
 // StateReply is the state of a job.
 type StateReply struct {
 	Owner bool // false: the process is not the owner
 	Known bool
 	State job.State
+	// Refusal is OutcomeKeyUnknown or OutcomeNotYours if the caller may not access the job.
+	Refusal       Outcome
+	ConfigVersion int64 // in force at the owner; 0 from older processes
 }
 
 // AdviseArgs asks a process to call the advice service within a time limit.
@@ -112,7 +144,7 @@
 
 var outcomeNames = map[Outcome]string{
 	OutcomeUnknown: "unknown", OutcomeStored: "stored", OutcomeRefused: "refused", OutcomeNoJob: "no-job",
-	OutcomeNotOwner: "not-owner",
+	OutcomeNotOwner: "not-owner", OutcomeOverLimit: "over-limit", OutcomeKeyUnknown: "key-unknown", OutcomeNotYours: "not-yours",
 }
 
 // String returns the outcome's name for logs.
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,6 +25,8 @@
 	runTime    prometheus.Histogram
 	jobs       *prometheus.CounterVec
 	gauges     *prometheus.GaugeVec
+	auth       *prometheus.CounterVec
+	configAge  atomic.Pointer[func() float64]
 }
 
 // NewMetrics registers the metrics.
@@ -54,17 +57,38 @@
 		runEnds:    counter("run_ends_total", "Ends of runs by kind.", "how"),
 		runTime:    histogram("run_seconds", "Time from the order to start a run to its end.", slow),
 		jobs:       counter("jobs_ended_total", "Jobs by final state.", "state"),
+		auth:       counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "owned", Help: "State of the owner by kind.",
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.Owner, m.gauges)
+	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "agateyard", Name: "config_age_seconds", Help: "Time since the configuration in force was confirmed as the newest.",
+	}, m.readConfigAge)
+	r.MustRegister(m.Owner, m.gauges, age)
 	return m
 }
 
 // Request counts the response to a caller's request; answer is its HTTP status.
 func (m *Metrics) Request(answer string) { m.requests.WithLabelValues(answer).Inc() }
 
+// Auth counts the authentication of a request, unless the cell requires no keys.
+func (m *Metrics) Auth(result AuthResult) {
+	if result != AuthOpen {
+		m.auth.WithLabelValues(string(result)).Inc()
+	}
+}
+
+// setConfigAge sets the function that returns the age of the configuration in force.
+func (m *Metrics) setConfigAge(age func() float64) { m.configAge.Store(&age) }
+
+func (m *Metrics) readConfigAge() float64 {
+	if age := m.configAge.Load(); age != nil {
+		return (*age)()
+	}
+	return 0
+}
+
 func (m *Metrics) storeCall(call string, err error) {
 	result := "ok"
 	if errors.Is(err, ErrNotApplied) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -46,11 +47,17 @@
 	rereadConfig   chan struct{} // requests another read of the configuration
 	beginMu        sync.Mutex
 	begunTerm      atomic.Int64 // term of the last ownership that this process has started
+
+	createdAt       time.Duration
+	confirmation    configConfirmation
+	configRead      sharedCall   // reads the configuration from the store
+	ownerConfig     sharedCall   // asks the owner for the configuration
+	recheckFailedAt atomic.Int64 // when the configuration could last not be confirmed for a known key
 }
 
 // New returns a process that has not been started.
 func New(opt Options, dep Deps) *Node {
-	return &Node{
+	n := &Node{
 		opt:          opt,
 		dep:          dep,
 		incarnation:  uuid.NewString(),
@@ -58,6 +65,11 @@
 		adviceCalls:  make(chan adviceCall, adviceQueueSize),
 		rereadConfig: make(chan struct{}, 1),
 	}
+	n.createdAt = n.clock.Now()
+	n.configRead = sharedCall{interval: configReadInterval, run: n.readStoreConfig}
+	n.ownerConfig = sharedCall{interval: configReadInterval, run: n.askOwnerForConfig}
+	dep.Metrics.setConfigAge(n.configAgeSeconds)
+	return n
 }
 
 // Run serves peers on the listener and is a member of the cell until ctx is done.
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -18,7 +18,12 @@
 	// DescriptorLimit is the number of file descriptors that this process may have open. It bounds the connections to
 	// runners; 0 means no limit.
 	DescriptorLimit int
-	Scheduler       scheduler.Config
+	// KeysRequired makes all routes that aren't public need a key, also while the configuration lists no tenants.
+	KeysRequired bool
+	// RevokeLimit is how long a configuration that nobody confirms stays good for keys if StrictRevoke is set.
+	RevokeLimit  time.Duration
+	StrictRevoke bool
+	Scheduler    scheduler.Config
 }
 
 // Validate returns all errors of the options, joined into one.
@@ -33,5 +38,8 @@
 	if o.Scheduler.StatusRetention <= 0 {
 		findings = append(findings, oops.Errorf("retention of final job states is %s, must be positive", o.Scheduler.StatusRetention))
 	}
+	if o.StrictRevoke && o.RevokeLimit <= 0 {
+		findings = append(findings, oops.Errorf("limit of unconfirmed keys is %s, must be positive with strict revocation", o.RevokeLimit))
+	}
 	return oops.Join(findings...)
 }
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -43,6 +43,9 @@
 	if args.Owner.Incarnation != "" {
 		n.learnOwner(args.Owner, "peer")
 	}
+	if args.FreshConfig {
+		n.refreshForPeer()
+	}
 	o, _ := n.view.currentOwner()
 	now := n.clock.Now()
 	*reply = PingReply{
@@ -58,6 +61,8 @@
 		reply.Pending = local.pendingJobs()
 		reply.Loaded = reply.Pending != nil
 	}
+	reply.ConfigAge, reply.ConfigConfirmed = n.confirmation.age(now)
+	reply.ConfigVersion = n.configVersion()
 	if c := n.view.currentConfig(); c != nil && c.Version > args.ConfigVersion {
 		reply.Config = c.Raw
 	} else if args.ConfigVersion > n.configVersion() {
@@ -91,19 +96,25 @@
 
 // Submit stores a job.
 func (p *Peer) Submit(args SubmitArgs, reply *SubmitReply) error {
-	reply.Outcome = p.n.ownership.Load().submit(args.Spec, args.Within)
+	p.n.noticeVersion(args.Caller.ConfigVersion)
+	*reply = p.n.ownership.Load().submit(args)
+	reply.ConfigVersion = p.n.configVersion()
 	return nil
 }
 
 // Cancel cancels a job.
 func (p *Peer) Cancel(args JobArgs, reply *SubmitReply) error {
-	reply.Outcome = p.n.ownership.Load().cancelJob(args.ID, cancelTimeout)
+	p.n.noticeVersion(args.Caller.ConfigVersion)
+	reply.Outcome = p.n.ownership.Load().cancelJob(args, cancelTimeout)
+	reply.ConfigVersion = p.n.configVersion()
 	return nil
 }
 
 // State returns the state of a job.
 func (p *Peer) State(args JobArgs, reply *StateReply) error {
-	*reply = p.n.ownership.Load().state(args.ID)
+	p.n.noticeVersion(args.Caller.ConfigVersion)
+	*reply = p.n.ownership.Load().state(args)
+	reply.ConfigVersion = p.n.configVersion()
 	return nil
 }
 
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -9,11 +9,19 @@
 
 	"github.com/agateyard/agateyard/internal/ctxtime"
 	"github.com/agateyard/agateyard/internal/job"
+	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
 // submit stores a job at this owner. A nil owner returns OutcomeNotOwner.
-func (o *ownership) submit(spec job.Spec, within time.Duration) Outcome {
-	return o.runRequest(within, func(done chan Outcome) {
+func (o *ownership) submit(args SubmitArgs) SubmitReply {
+	spec := args.Spec
+	args.Caller.claim(&spec)
+	var refusal *scheduler.Refusal
+	outcome := o.runRequest(args.Within, func(done chan Outcome) {
+		if denied := o.checkAccess(spec.ID, args.Caller); denied != OutcomeUnknown {
+			done <- denied
+			return
+		}
 		if o.sched.Stored(spec.ID) {
 			done <- OutcomeStored // a resubmission; it doesn't create another job
 			return
@@ -25,15 +33,44 @@
 			return
 		}
 		if !known {
+			if refusal = o.sched.Admit(&spec); refusal != nil {
+				o.n.dep.Log.Log("refused", logrus.Fields{
+					"job": spec.ID, "reason": refusal.Reason, "tenant": spec.Tenant, "retry_after_ms": refusal.RetryAfter.Milliseconds(),
+				})
+				done <- OutcomeOverLimit
+				return
+			}
 			o.sched.Submit(spec)
 		}
 		o.n.dep.Log.Log("submitted", logrus.Fields{"job": spec.ID, "queue": spec.Queue, "known": known, "steps": len(spec.Steps)})
 		o.answerWhenStored(spec.ID, firstVersion, durable, done)
 	})
+	reply := SubmitReply{Outcome: outcome}
+	if outcome == OutcomeOverLimit {
+		reply.RetryAfter = refusal.RetryAfter
+	}
+	return reply
+}
+
+// checkAccess returns OutcomeKeyUnknown if the owner's configuration doesn't admit the caller any more, OutcomeNotYours if
+// the job belongs to another tenant, and OutcomeUnknown otherwise.
+func (o *ownership) checkAccess(id string, caller Caller) Outcome {
+	if caller.revoked(o.n.view.currentConfig(), o.n.opt.KeysRequired) {
+		return OutcomeKeyUnknown
+	}
+	if tenant, queue, known := o.sched.JobOwner(id); known && !caller.mayAccess(tenant, queue) {
+		return OutcomeNotYours
+	}
+	return OutcomeUnknown
 }
 
-func (o *ownership) cancelJob(id string, within time.Duration) Outcome {
+func (o *ownership) cancelJob(args JobArgs, within time.Duration) Outcome {
+	id := args.ID
 	return o.runRequest(within, func(done chan Outcome) {
+		if denied := o.checkAccess(id, args.Caller); denied != OutcomeUnknown {
+			done <- denied
+			return
+		}
 		if !o.sched.Cancel(id) {
 			done <- OutcomeNoJob
 			return
@@ -82,14 +119,18 @@
 	}
 }
 
-func (o *ownership) state(id string) StateReply {
+func (o *ownership) state(args JobArgs) StateReply {
 	if o == nil {
 		return StateReply{}
 	}
 	answer := make(chan StateReply, 1)
 	select {
 	case o.events <- func() {
-		state, known := o.sched.State(id)
+		if denied := o.checkAccess(args.ID, args.Caller); denied != OutcomeUnknown {
+			answer <- StateReply{Owner: true, Refusal: denied}
+			return
+		}
+		state, known := o.sched.State(args.ID)
 		answer <- StateReply{Owner: true, Known: known, State: state}
 	}:
 	case <-o.ctx.Done():
@@ -120,27 +161,42 @@
 	noOwnerTimeout = 2 * time.Second
 )
 
-// Submit stores a job at the owner, locally or in another process. OutcomeRefused means that it was certainly not stored,
-// by this submission or an earlier one; OutcomeUnknown that it may have been.
-func (n *Node) Submit(ctx context.Context, spec job.Spec) Outcome {
-	return n.callOwner(ctx, func(ctx context.Context, o OwnerInfo, within time.Duration) (Outcome, error) {
+// Answer is the result of a submission or cancellation.
+type Answer struct {
+	Outcome    Outcome
+	RetryAfter time.Duration // of OutcomeOverLimit
+}
+
+// Submit stores a job at the owner, locally or in another process. The job becomes the caller's. OutcomeRefused means that
+// it was certainly not stored, by this submission or an earlier one; OutcomeUnknown that it may have been.
+func (n *Node) Submit(ctx context.Context, caller Caller, spec job.Spec) Answer {
+	var retryAfter time.Duration
+	outcome := n.callOwner(ctx, func(ctx context.Context, o OwnerInfo, within time.Duration) (Outcome, error) {
+		args := SubmitArgs{Spec: spec, Caller: caller, Within: within}
 		if local := n.ownership.Load(); local != nil {
-			return local.submit(spec, within), nil
+			reply := local.submit(args)
+			retryAfter = reply.RetryAfter
+			return reply.Outcome, nil
 		}
 		var reply SubmitReply
-		err := call(ctx, n.peers.get(o.Address), "Submit", SubmitArgs{Spec: spec, Within: within}, &reply)
+		err := call(ctx, n.peers.get(o.Address), "Submit", args, &reply)
+		n.noticeVersion(reply.ConfigVersion)
+		retryAfter = reply.RetryAfter
 		return reply.Outcome, err
 	})
+	return Answer{Outcome: outcome, RetryAfter: retryAfter}
 }
 
 // Cancel cancels a job at the owner, locally or in another process.
-func (n *Node) Cancel(ctx context.Context, id string) Outcome {
+func (n *Node) Cancel(ctx context.Context, caller Caller, id string) Outcome {
+	args := JobArgs{ID: id, Caller: caller}
 	return n.callOwner(ctx, func(ctx context.Context, o OwnerInfo, within time.Duration) (Outcome, error) {
 		if local := n.ownership.Load(); local != nil {
-			return local.cancelJob(id, within), nil
+			return local.cancelJob(args, within), nil
 		}
 		var reply SubmitReply
-		err := call(ctx, n.peers.get(o.Address), "Cancel", JobArgs{ID: id}, &reply)
+		err := call(ctx, n.peers.get(o.Address), "Cancel", args, &reply)
+		n.noticeVersion(reply.ConfigVersion)
 		return reply.Outcome, err
 	})
 }
@@ -163,7 +219,7 @@
 			outcome, err := send(callCtx, o, within)
 			cancel()
 			switch {
-			case err == nil && outcome == OutcomeRefused && mayBeStored:
+			case err == nil && outcome.isRefusal() && mayBeStored:
 				return OutcomeUnknown
 			case err == nil && outcome != OutcomeUnknown && outcome != OutcomeNotOwner:
 				return outcome
@@ -183,15 +239,25 @@
 	return OutcomeUnknown
 }
 
-// State returns a job's state. found is false if there is no such job; err is set if the state can't be determined now.
-func (n *Node) State(ctx context.Context, id string) (state job.State, found bool, err error) {
+// ErrKeyUnknown means that the owner's configuration doesn't admit the caller of a query.
+var ErrKeyUnknown = errors.New("the key is unknown to the owner")
+
+// State returns a job's state. found is false if there is no such job or the caller may not access it; err is
+// ErrKeyUnknown, or set if the state can't be determined now.
+func (n *Node) State(ctx context.Context, caller Caller, id string) (state job.State, found bool, err error) {
+	args := JobArgs{ID: id, Caller: caller}
 	for {
-		reply := n.ownerState(ctx, id)
-		if reply.Owner && reply.Known {
+		reply := n.ownerState(ctx, args)
+		switch {
+		case reply.Owner && reply.Refusal == OutcomeKeyUnknown:
+			return "", false, ErrKeyUnknown
+		case reply.Owner && reply.Refusal == OutcomeNotYours:
+			return "", false, nil
+		case reply.Owner && reply.Known:
 			return reply.State, true, nil
 		}
 		if reply.Owner || ctx.Err() == nil {
-			state, found, err = n.storedState(ctx, id)
+			state, found, err = n.storedState(ctx, args)
 			if err == nil {
 				return state, found, nil
 			}
@@ -203,9 +269,9 @@
 	}
 }
 
-func (n *Node) ownerState(ctx context.Context, id string) StateReply {
+func (n *Node) ownerState(ctx context.Context, args JobArgs) StateReply {
 	if local := n.ownership.Load(); local != nil {
-		return local.state(id)
+		return local.state(args)
 	}
 	o, _ := n.view.currentOwner()
 	if o.Address == "" {
@@ -214,17 +280,18 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var reply StateReply
-	if err := call(ctx, n.peers.get(o.Address), "State", JobArgs{ID: id}, &reply); err != nil {
+	if err := call(ctx, n.peers.get(o.Address), "State", args, &reply); err != nil {
 		return StateReply{}
 	}
+	n.noticeVersion(reply.ConfigVersion)
 	return reply
 }
 
 // storedState reads a job's durable state.
-func (n *Node) storedState(ctx context.Context, id string) (job.State, bool, error) {
+func (n *Node) storedState(ctx context.Context, args JobArgs) (job.State, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	item, found, err := n.dep.Store.Get(ctx, jobPrefix+id)
+	item, found, err := n.dep.Store.Get(ctx, jobPrefix+args.ID)
 	n.recordStoreCall("get", err)
 	if err != nil || !found {
 		return "", false, err
@@ -233,6 +300,9 @@
 	if err != nil {
 		return "", false, err
 	}
+	if !args.Caller.mayAccess(record.Tenant, record.Queue) {
+		return "", false, nil
+	}
 	if record.Final != "" {
 		return record.Final, true, nil
 	}
--- a/internal/control/watch_config.go
+++ b/internal/control/watch_config.go
@@ -25,6 +25,7 @@
 // readConfig reads the configuration and returns the revision to watch from. That is the revision of the store and not of
 // the key, because the history since the key's last change may have been compacted.
 func (n *Node) readConfig(ctx context.Context, key string) (int64, error) {
+	begun := n.clock.Now()
 	items, rev, err := n.readRange(ctx, key)
 	if err != nil {
 		return 0, err
@@ -34,6 +35,7 @@
 			n.learnConfig(item.Value, "store")
 		}
 	}
+	n.confirmation.confirm(begun)
 	return rev, nil
 }
 
@@ -49,7 +51,8 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		changes, next, err := n.watch(ctx, key, rev, watchWait)
+		begun := n.clock.Now()
+		changes, next, err := n.watch(ctx, key, rev, n.configWatchWait())
 		if err != nil {
 			ctxtime.Sleep(ctx, storeRetry)
 			return
@@ -60,7 +63,20 @@
 				n.learnConfig(item.Value, "store")
 			}
 		}
+		if len(changes) == 0 { // an answer with changes may be incomplete
+			n.confirmation.confirm(begun)
+		}
+	}
+}
+
+// keyWatchWait replaces watchWait where keys are required, so that the configuration is confirmed well within knownKeyAge.
+const keyWatchWait = 700 * time.Millisecond
+
+func (n *Node) configWatchWait() time.Duration {
+	if c := n.view.currentConfig(); c != nil && c.requiresKeys(n.opt.KeysRequired) {
+		return keyWatchWait
 	}
+	return watchWait
 }
 
 // learnConfig applies a configuration if it is newer than the one in force.
@@ -75,7 +91,23 @@
 	}
 	n.dep.Log.Log("config-in-force", logrus.Fields{"version": c.Version, "routes": len(c.Routes), "from": from})
 	if o := n.ownership.Load(); o != nil {
-		o.post(func() { o.sched.SetQueues(c.queues()) })
+		o.post(o.applyConfig)
+	}
+}
+
+// applyConfig passes the configuration in force to the scheduler. It reads the newest one, as the events of two versions
+// may be queued in either order.
+func (o *ownership) applyConfig() {
+	if c := o.n.view.currentConfig(); c != nil {
+		o.sched.SetQueues(c.queues())
+		o.sched.SetTenants(c.Version, c.Tenants.Tenants())
+	}
+}
+
+// noticeVersion reads the configuration at once if another process has a newer version.
+func (n *Node) noticeVersion(version int64) {
+	if version > n.configVersion() {
+		n.configRead.begin()
 	}
 }
 
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -130,19 +130,28 @@
 }
 
 func (n *Node) ping(ctx context.Context, address string, limit time.Duration) (PingReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+	return n.sendPing(ctx, address, n.pingArgs(), limit)
+}
+
+func (n *Node) pingArgs() PingArgs {
 	o, _ := n.view.currentOwner()
-	var reply PingReply
-	args := PingArgs{
+	return PingArgs{
 		From: n.incarnation, Address: n.opt.Address, Owner: o, Leaving: n.leaving.Load(), WantMembers: n.needsMembers(),
 		ConfigVersion: n.configVersion(), Interval: n.ownPingInterval(),
 	}
+}
+
+func (n *Node) sendPing(ctx context.Context, address string, args PingArgs, limit time.Duration) (PingReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var reply PingReply
+	sentAt := n.clock.Now()
 	peer := n.peers.get(address)
 	err := call(ctx, peer, "Ping", args, &reply)
 	if errors.Is(err, context.DeadlineExceeded) {
 		peer.disconnect(nil) // the connection may be dead
 	}
+	reply.sentAt = sentAt
 	return reply, err
 }
 
@@ -151,9 +160,8 @@
 	if reply.Owner.Incarnation != "" {
 		n.learnOwner(reply.Owner, "peer")
 	}
-	if reply.Config != nil {
-		n.learnConfig(reply.Config, "peer")
-	}
+	n.learnPeerConfig(reply)
+	n.confirmByPeer(reply)
 	if n.needsMembers() && len(reply.Members) > 0 {
 		n.view.setMembers(reply.Members)
 	}
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -6,7 +6,8 @@
 	"github.com/samber/oops"
 )
 
-// Record is the durable state of a job. The record of a finished job keeps only the identifier, queue, times and state.
+// Record is the durable state of a job. The record of a finished job keeps only the identifier,
+// queue, tenant, times and state.
 type Record struct {
 	Spec
 	Accepted int64      `json:"accepted"` // Unix milliseconds
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -58,7 +58,7 @@
 func (j *jobState) record() *job.Record {
 	if j.finalState != "" {
 		return &job.Record{
-			Spec:     job.Spec{ID: j.spec.ID, Queue: j.spec.Queue},
+			Spec:     job.Spec{ID: j.spec.ID, Queue: j.spec.Queue, Tenant: j.spec.Tenant},
 			Accepted: j.acceptedAt, Final: j.finalState, Finished: j.finishedAt,
 		}
 	}
