scheduler: enforce the caps of tenants

Change: charge and release are the only places that account for a run, on its runner and for its tenant. A run is charged from its reservation until its end is proved. A stage places a task, or a whole gang, only if its tenant's cap leaves room; requested cores of best-effort steps count. Reserved and unsent starts are dropped if the cap has fallen meanwhile; nothing that runs is stopped. Capacity under the cap is held for a gang that doesn't fit, as smaller stages of its tenant would take it. After a takeover each task that may run on an inherited runner is charged until these have answered or their leases have expired. The record of a finished job keeps its tenant, its largest task and how many runs were left, for which a new owner charges the tenant. A task of a tenant has at most two copies, so that this charge is bounded. Jobs of unknown tenants wait for the configuration under which they were accepted (job.Spec.ConfigVersion). Admit refuses jobs larger than the cap.

The simulated runner postponed the end of a run with each repeated stop, so that a run whose stop was repeated with every report never ended; it no longer does.

Result: a rapid property over random starts, ends, lost answers, late starts, silent and restarted runners, owner changes, cancellations and changed caps holds in 1,500 cases. It fails without the charge for inherited runs. Work without tenants takes the same decisions.

--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -4,15 +4,24 @@
 	"encoding/json"
 
 	"github.com/samber/oops"
+
+	"github.com/agateyard/agateyard/internal/model"
 )
 
-// Record is the durable state of a job. The record of a finished job keeps only the identifier, queue, times and state.
+// Record is the durable state of a job. The record of a finished job keeps only the identifier, queue,
+// tenant, times and state, and the size of what may still run.
 type Record struct {
 	Spec
 	Accepted int64      `json:"accepted"` // Unix milliseconds
 	Final    State      `json:"final,omitempty"`
 	Finished int64      `json:"finished,omitempty"` // Unix milliseconds
 	Progress []Progress `json:"progress,omitempty"`
+	// Excess says that the job was submitted beyond the rate that its tenant is owed.
+	Excess bool `json:"excess,omitempty"`
+	// Largest is the largest task of a finished job of a tenant, and Runs how many of its runs may have existed when the
+	// record was written. A new owner charges the tenant for them.
+	Largest model.Resources `json:"largest,omitzero"`
+	Runs    int             `json:"runs,omitempty"`
 }
 
 // Progress is the durable progress of the tasks of one occurrence of a step.
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -17,14 +17,16 @@
 
 // Spec is a job as submitted by a caller. It is encoded with encoding/gob under the names of its fields.
 type Spec struct {
-	ID          string `json:"id"`
-	Queue       string `json:"queue"`
-	Tenant      string `json:"tenant,omitempty"` // whose key submitted the job; empty on a public route
-	Payload     string `json:"payload,omitempty"`
-	Steps       []Step `json:"steps"`
-	Occurrences int    `json:"times,omitempty"`    // 0: the steps run once, immediately
-	FirstStart  int64  `json:"first,omitempty"`    // due time of occurrence 0, Unix milliseconds
-	Interval    int64  `json:"interval,omitempty"` // milliseconds between occurrences
+	ID      string `json:"id"`
+	Queue   string `json:"queue"`
+	Tenant  string `json:"tenant,omitempty"` // whose key submitted the job; empty on a public route
+	Payload string `json:"payload,omitempty"`
+	// ConfigVersion is the version of the configuration under which the job was accepted.
+	ConfigVersion int64  `json:"config,omitempty"`
+	Steps         []Step `json:"steps"`
+	Occurrences   int    `json:"times,omitempty"`    // 0: the steps run once, immediately
+	FirstStart    int64  `json:"first,omitempty"`    // due time of occurrence 0, Unix milliseconds
+	Interval      int64  `json:"interval,omitempty"` // milliseconds between occurrences
 }
 
 // OccurrenceCount returns how many times the steps run; a job without a schedule has one occurrence.
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
-	"github.com/agateyard/agateyard/internal/tenant"
 )
 
 // Refusal tells why a new job is not accepted and when its caller should submit it again.
@@ -13,10 +12,14 @@
 	RetryAfter time.Duration
 }
 
-// SetTenants replaces the settings of the tenants. Version is that of the configuration that holds them.
-func (s *Scheduler) SetTenants(_ int64, _ []tenant.Tenant) {
-	s.needsPass = true
-}
-
 // Admit decides whether a job that is not known yet may be accepted. It returns nil if it may.
-func (s *Scheduler) Admit(_ *job.Spec) *Refusal { return nil }
+func (s *Scheduler) Admit(spec *job.Spec) *Refusal {
+	t := s.tenants.byName[spec.Tenant]
+	if t == nil || !t.configured || s.jobs[spec.ID] != nil {
+		return nil
+	}
+	if oversized(spec, t.Cap) {
+		return &Refusal{Reason: "larger than the cap of its tenant", RetryAfter: oversizeRetry}
+	}
+	return nil
+}
--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -108,7 +108,7 @@
 			s.emit(RunnerChanged{Runner: r.ID, Change: "lapsed"})
 		}
 		r.inherited = false
-		r.unknownRuns = 0
+		s.releaseUnknown(r)
 		for _, x := range r.sortedRuns(matchAnyRun) {
 			s.endRun(x, "lapsed", "")
 		}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -13,9 +13,8 @@
 	if r.runs[x.key()] != x {
 		return
 	}
-	delete(r.runs, x.key())
+	s.release(x)
 	r.health.ended(x)
-	r.used = r.used.Sub(x.reserved)
 	s.needsPass = true
 	if x.state == runReserved {
 		t.stage.reservedCount--
@@ -67,6 +66,7 @@
 	}
 	t.done = true
 	t.stage.doneCount++
+	s.inheritedDone(t)
 	if t.current != nil && !t.stage.step.Gang {
 		s.stop(t.current, "another copy is done")
 	}
--- a/internal/scheduler/fake_runner_test.go
+++ b/internal/scheduler/fake_runner_test.go
@@ -59,7 +59,7 @@
 
 func (r *fakeRunner) stop(key runKey) {
 	r.stoppedUpTo[key.task] = max(r.stoppedUpTo[key.task], key.run)
-	if x := r.runs[key]; x != nil {
+	if x := r.runs[key]; x != nil && x.outcome != EndStopped { // a repeated stop doesn't postpone the end
 		if x.checkpoints {
 			x.checkpoint = (r.sim.now - x.startedAt).String()
 		}
--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
+	"github.com/agateyard/agateyard/internal/model"
 )
 
 type jobState struct {
@@ -22,6 +23,10 @@
 	durable           int64 // last durable version
 	objective         time.Duration
 	queue             Queue
+	tenant            *tenantState    // nil without a tenant
+	runs, gangRuns    int             // runs that may exist, by whether they are members of a gang
+	recordedRuns      int             // runs that existed when a predecessor finished the job
+	recordedLargest   model.Resources // largest task, from the record of a finished job
 }
 
 func (j *jobState) state() job.State {
--- a/internal/scheduler/occurrences.go
+++ b/internal/scheduler/occurrences.go
@@ -42,6 +42,7 @@
 		st.remainingPath = criticalPath(&j.spec, step, s.runTimePredictor(j.spec.Queue))
 		s.stages[id] = st
 		j.stages = append(j.stages, st)
+		s.chargeInheritedStage(st)
 	}
 	return st
 }
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -28,6 +28,9 @@
 		r.claimedBy = nil
 	}
 	awaitingInherited := s.awaitsInheritedRunners()
+	if !awaitingInherited && s.tenants.inheriting {
+		s.releaseInherited()
+	}
 	s.updateFreeCapacity(runners)
 	full := s.now-s.lastFullPass >= fullPassInterval
 	if full {
@@ -40,6 +43,9 @@
 	for _, entry := range s.rank() {
 		before := len(s.effects)
 		s.passStage(entry.stage, runners, awaitingInherited)
+		if s.heldBack {
+			continue // a tenant at its cap says nothing about the capacity for the stages that follow
+		}
 		unplaced++
 		if len(s.effects) > before {
 			unplaced = 0
@@ -75,6 +81,7 @@
 func (s *Scheduler) NeedsPass() bool { return s.needsPass }
 
 func (s *Scheduler) passStage(st *stage, runners []*runner, awaitingInherited bool) {
+	s.heldBack = false
 	if !st.open {
 		return
 	}
@@ -90,11 +97,14 @@
 		return
 	}
 	if !st.job.stored || st.job.inherited && awaitingInherited {
-		if st.advice.requests == 0 {
+		if st.advice.requests == 0 && s.mayCharge(st, 1) {
 			s.requestAdvice(st, waiting) // overlaps the call with the write of the acceptance
 		}
 		return
 	}
+	if s.heldBack = !s.capAllows(st); s.heldBack {
+		return
+	}
 	if st.step.Gang {
 		s.placeGang(st, runners)
 	} else {
@@ -154,6 +164,9 @@
 		if !t.waiting() {
 			continue
 		}
+		if !s.mayCharge(st, 1) {
+			break
+		}
 		r := s.bestFit(st, t, need, candidates)
 		if r == nil {
 			return
@@ -224,6 +237,10 @@
 	if len(reserved) == 0 {
 		return
 	}
+	if !s.mayStartReserved(st) {
+		s.releaseReserved(st, "the tenant is over its cap", matchAnyRunner)
+		return
+	}
 	if !st.preemptedRunsEnded() {
 		if s.now > st.preemptionDeadline {
 			// All of them, as the capacity that is already free would stay idle.
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -57,10 +57,14 @@
 
 func (j *jobState) record() *job.Record {
 	if j.finalState != "" {
-		return &job.Record{
-			Spec:     job.Spec{ID: j.spec.ID, Queue: j.spec.Queue},
+		r := &job.Record{
+			Spec:     job.Spec{ID: j.spec.ID, Queue: j.spec.Queue, Tenant: j.spec.Tenant},
 			Accepted: j.acceptedAt, Final: j.finalState, Finished: j.finishedAt,
 		}
+		if j.tenant != nil {
+			r.Largest, r.Runs = j.largestTask(), j.remainingRuns()
+		}
+		return r
 	}
 	r := &job.Record{Spec: j.spec, Accepted: j.acceptedAt}
 	for _, st := range j.stages {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -108,7 +108,7 @@
 	r.lastEndSeq = 0
 	r.lastClock = 0
 	r.unacknowledged = nil
-	r.unknownRuns = 0
+	s.releaseUnknown(r)
 	r.health = runnerHealth{}
 	r.speed = runnerSpeed{}
 	if first {
@@ -164,7 +164,7 @@
 // know, and ends the confirmed runs that the report should list but doesn't.
 func (s *Scheduler) reconcileRunning(r *runner, rep Report, ended map[runKey]bool) {
 	listed := make(map[runKey]bool, len(rep.Running))
-	r.unknownRuns = 0
+	s.releaseUnknown(r)
 	for _, row := range rep.Running {
 		key := runKey{row.Task, row.Run}
 		listed[key] = true
@@ -173,7 +173,7 @@
 			x = s.adoptRunning(r, key)
 		}
 		if x == nil {
-			r.unknownRuns++
+			s.chargeUnknown(r, key)
 			s.emit(StopRun{Runner: r.ref(), Task: key.task, Run: key.run, Reason: "not a run of an active job"})
 			continue
 		}
@@ -214,8 +214,7 @@
 	t := st.tasks[key.task.Index]
 	t.lastRun = max(t.lastRun, key.run)
 	x := &run{task: t, number: key.run, runner: r, reserved: st.step.Reserved(), state: runRunning, startSentAt: s.now, startConfirmedAt: s.now, resumed: true}
-	r.runs[key] = x
-	r.used = r.used.Add(x.reserved)
+	s.charge(x)
 	j.started = true
 	if t.current == nil && !t.done {
 		t.current = x
@@ -228,6 +227,7 @@
 	if x == nil {
 		return nil
 	}
+	s.inheritedFound(x.task)
 	if x.task.current != x {
 		s.stop(x, "another run of the task is current")
 	}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -50,6 +50,7 @@
 	used           model.Resources
 	runs           map[runKey]*run
 	unknownRuns    int // number of runs in the last report that belong to no active job
+	unknownCharges []unknownCharge
 	lastEndSeq     int64
 	unacknowledged []unacknowledgedEnd // ends whose effect on a job may not be durable yet, in order
 	health         runnerHealth
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -21,6 +21,7 @@
 	runners        map[string]*runner
 	stages         map[job.StepID]*stage
 	runtimeModels  map[string]*runtimeModel // by queue
+	tenants        tenants
 	dispatcher     *AdviceDispatcher
 	openStages     []*stage // also those whose tasks are all running; see stage.open
 	scheduledJobs  []*jobState
@@ -39,6 +40,7 @@
 	takenOverAt    time.Duration
 	discoveryRead  bool // all runners in discovery have been listed once
 	needsPass      bool
+	heldBack       bool        // the stage that passStage has just visited waits for its tenant's limits
 	unsent         []*run      // runs whose start requests this process could not send
 	expired        []string    // jobs whose records may be deleted
 	finalJobs      []*jobState // in the order in which they finished
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/agateyard/agateyard/internal/job"
 	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/tenant"
 )
 
 // simulation simulates runners, the advice service, the store and time around a scheduler. With faults, start requests may
@@ -36,6 +37,17 @@
 	failOneIn   int                      // one of this many runs fails; 0: none
 	firstStarts map[string]time.Duration // start of the first run, by job
 	noSendUntil time.Duration            // until then the owner can send no start request
+	tenants     []tenant.Tenant          // none: work without tenants
+	version     int64                    // of the configuration that holds the tenants
+	inFlight    map[runKey]startInFlight // start requests that runners have not handled
+}
+
+// startInFlight is a start request that its runner may still accept.
+type startInFlight struct {
+	runner *fakeRunner
+	born   int64
+	term   int64
+	until  time.Duration
 }
 
 type timedEvent struct {
@@ -83,6 +95,7 @@
 	sim.estimate = 300
 	sim.runFor = func(job.Step) time.Duration { return time.Duration(100+sim.rng.Intn(800)) * time.Millisecond }
 	sim.firstStarts = map[string]time.Duration{}
+	sim.inFlight = map[runKey]startInFlight{}
 	for i := range runners {
 		r := &fakeRunner{sim: sim, incarnation: 1, runs: map[runKey]*fakeRun{}, stoppedUpTo: map[job.TaskID]int{}}
 		r.info = RunnerInfo{
@@ -107,6 +120,9 @@
 	sim.term++
 	sim.sched = New(testConfig(), sim.term, sim.now, sim.wall)
 	sim.sched.SetQueues(sim.queues)
+	if sim.tenants != nil {
+		sim.sched.SetTenants(sim.version, sim.tenants)
+	}
 	sim.sched.Dispatcher().SetMachines([]string{"m1", "m2", "m3"})
 	if sim.term > 1 {
 		for _, r := range sim.runners {
@@ -236,7 +252,11 @@
 		sim.afterFunc(500*time.Millisecond, func() { sched.StartAnswered(e.Runner.ID, e.Task, e.Run, StartUnknown) })
 	}
 	until := sim.now + testConfig().RunLease
+	key := runKey{e.Task, e.Run}
+	sim.inFlight[key] = startInFlight{r, e.Runner.Incarnation, term, until}
+	sim.checkCap(e.Task.Job)
 	sim.afterFunc(delay, func() {
+		delete(sim.inFlight, key)
 		outcome := r.start(e, term, until)
 		if !lost {
 			sched.StartAnswered(e.Runner.ID, e.Task, e.Run, outcome)
@@ -298,7 +318,10 @@
 
 // submit submits a job with a random queue and random steps.
 func (sim *simulation) submit(id string) {
-	spec := job.Spec{ID: id, Queue: sim.queues[0].Name}
+	spec := job.Spec{ID: id, Queue: sim.queues[0].Name, ConfigVersion: sim.version}
+	if len(sim.tenants) > 0 {
+		spec.Tenant = sim.tenants[sim.rng.Intn(len(sim.tenants))].Name
+	}
 	if len(sim.queues) > 1 {
 		spec.Queue = sim.queues[sim.rng.Intn(len(sim.queues))].Name
 	}
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -100,6 +100,10 @@
 		if x.runner.runs[x.key()] != x || x.state != runStarting {
 			continue
 		}
+		if !s.mayStartReserved(x.task.stage) {
+			s.endRun(x, "tenant over its cap", "") // the cap has fallen since the start was decided
+			continue
+		}
 		x.startSentAt = s.now
 		s.sendStart(x, "not sent before")
 	}
@@ -112,7 +116,8 @@
 
 // allowCopy makes a speculative task available for another run at once, as its copies may run in parallel.
 func (s *Scheduler) allowCopy(x *run) {
-	if x.task.stage.step.Speculative && x.task.current == x {
+	limited := x.task.stage.job.tenant != nil && x.task.runs >= maxCopies
+	if x.task.stage.step.Speculative && x.task.current == x && !limited {
 		x.task.current = nil
 		s.needsPass = true
 	}
@@ -124,9 +129,8 @@
 	t.current = x
 	t.stage.reservedCount++
 	t.lastRun = number
-	r.runs[x.key()] = x
+	s.charge(x)
 	r.health.placed(x)
-	r.used = r.used.Add(x.reserved)
 	return x
 }
 
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -15,7 +15,7 @@
 	if s.jobs[spec.ID] != nil {
 		return
 	}
-	j := &jobState{spec: spec, acceptedAt: s.wall.UnixMilli(), arrivedAt: s.now, queue: s.queues[spec.Queue]}
+	j := &jobState{spec: spec, acceptedAt: s.wall.UnixMilli(), arrivedAt: s.now, queue: s.queues[spec.Queue], tenant: s.tenantOf(spec.Tenant)}
 	j.objective = s.objectiveOf(&j.spec, &j.queue)
 	s.jobs[spec.ID] = j
 	s.stateChanged(j)
@@ -29,6 +29,7 @@
 	j := &jobState{
 		spec: r.Spec, acceptedAt: r.Accepted, finalState: r.Final, finishedAt: r.Finished,
 		stored: true, inherited: true, queue: s.queues[r.Queue],
+		tenant: s.tenantOf(r.Tenant), recordedRuns: r.Runs, recordedLargest: r.Largest,
 	}
 	s.jobs[r.ID] = j
 	if j.finalState != "" {
@@ -56,6 +57,7 @@
 		}
 	}
 	s.openDueOccurrences()
+	s.chargeInherited()
 }
 
 // MarkStored records that the given version of the job's state, or a later one, is durable.
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -11,6 +11,9 @@
 	failedRuns  []int  // numbers of the failed runs
 	checkpoint  string // last checkpoint
 	avoidRunner string // runner of the last run that failed or was refused
+	runs        int    // runs that may exist, including copies and those that are being stopped
+	// inheritedRuns is for how many runs that may exist on inherited runners the tenant is charged.
+	inheritedRuns int
 }
 
 func (t *task) id() job.TaskID {
