--- a/internal/control/caller.go
+++ b/internal/control/caller.go
@@ -25,9 +25,9 @@
 
 // claim marks a job as the caller's.
 func (c Caller) claim(spec *job.Spec) {
-	spec.Tenant, spec.TenantVersion = c.Tenant, 0
+	spec.Tenant, spec.ConfigVersion = c.Tenant, 0
 	if c.Tenant != "" {
-		spec.TenantVersion = c.ConfigVersion
+		spec.ConfigVersion = c.ConfigVersion
 	}
 }
 
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -17,12 +17,12 @@
 
 // Spec is a job as submitted by a caller. It is encoded with encoding/gob under the names of its fields.
 type Spec struct {
-	ID     string `json:"id"`
-	Queue  string `json:"queue"`
-	Tenant string `json:"tenant,omitempty"` // whose key submitted the job; empty on a public route
-	// TenantVersion is the version of the configuration by which the tenant's key was accepted.
-	TenantVersion int64  `json:"tenant-version,omitempty"`
-	Payload       string `json:"payload,omitempty"`
+	ID      string `json:"id"`
+	Queue   string `json:"queue"`
+	Tenant  string `json:"tenant,omitempty"` // whose key submitted the job; empty on a public route
+	Payload string `json:"payload,omitempty"`
+	// ConfigVersion is the version of the configuration under which the job was accepted.
+	ConfigVersion int64  `json:"config,omitempty"`
 	Steps         []Step `json:"steps"`
 	Occurrences   int    `json:"times,omitempty"`    // 0: the steps run once, immediately
 	FirstStart    int64  `json:"first,omitempty"`    // due time of occurrence 0, Unix milliseconds
