control, platform, job: panics and malformed values end no process

Cause: a panic in an RPC handler, a client, a decoder or the event loop ended the process. A record with a negative count or index, a job that a peer had not checked, or occurrences due since 1970 did so on every owner that loaded them; an unreadable claim or list of used runners left the cell without an owner.

Change: panics are recovered at the boundaries of calls, decoders, peer handlers and background loops, with a result that is unknown, never certain. A panic of the event loop ends the ownership and another process claims: the state may be changed by half, so the event is not dropped alone. Records, claims, members, intervals, durations, capacities and run numbers are checked or limited. An unreadable claim can be replaced; its revision counts as its term, as run numbers derive from terms. Unreadable used runners count as inherited until all leases have expired.

--- a/cmd/agateyard-scheduler/serve.go
+++ b/cmd/agateyard-scheduler/serve.go
@@ -70,8 +70,10 @@
 		Advisor: platform.NewAdvisor(settings.Advice), Directory: platform.Directory{}, Log: log, Metrics: metrics,
 	})
 	p := &process{settings: settings, node: node, log: log}
-	p.front = &http.Server{Handler: &platform.JobHandler{Node: node, Log: log, Metrics: metrics}, ReadHeaderTimeout: headerTimeout}
-	p.ready = &http.Server{Handler: statusHandler(node, registry), ReadHeaderTimeout: headerTimeout}
+	jobs := &platform.JobHandler{Node: node, Log: log, Metrics: metrics}
+	p.front = &http.Server{Handler: &platform.RecoverHandler{Handler: jobs, Log: log}, ReadHeaderTimeout: headerTimeout}
+	status := statusHandler(node, registry)
+	p.ready = &http.Server{Handler: &platform.RecoverHandler{Handler: status, Log: log}, ReadHeaderTimeout: headerTimeout}
 	sinkCtx, stopSink := context.WithCancel(context.Background())
 	defer stopSink()
 	go sink.Run(sinkCtx)
--- a/internal/control/claim.go
+++ b/internal/control/claim.go
@@ -68,11 +68,11 @@
 	delete(addresses, n.opt.Address)
 	delete(addresses, "")
 	for address := range addresses {
-		go func() {
+		n.goProtected("announcement", func() {
 			_, err := n.ping(context.Background(), address, pingTimeout)
 			if err != nil {
 				n.dep.Log.Log("not-announced", logrus.Fields{"to": address, "error": err.Error()})
 			}
-		}()
+		})
 	}
 }
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -26,6 +27,9 @@
 	active := 0
 	for _, item := range items {
 		record, err := job.DecodeRecord(item.Value)
+		if err == nil && jobPrefix+record.ID != item.Key {
+			err = oops.Errorf("the record of job %s is stored under another key", record.ID)
+		}
 		if err != nil {
 			o.n.dep.Log.Log("bad-record", logrus.Fields{"key": item.Key, "error": err.Error()})
 			continue
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -46,31 +46,36 @@
 	rereadConfig   chan struct{} // requests another read of the configuration
 	beginMu        sync.Mutex
 	begunTerm      atomic.Int64 // term of the last ownership that this process has started
+	loopPanickedAt atomic.Int64 // when the event loop of an ownership of this process last panicked, on the clock; 0: never
 }
 
 // New returns a process that has not been started.
 func New(opt Options, dep Deps) *Node {
-	return &Node{
+	n := &Node{
 		opt:          opt,
-		dep:          dep,
 		incarnation:  uuid.NewString(),
 		view:         newView(),
 		adviceCalls:  make(chan adviceCall, adviceQueueSize),
 		rereadConfig: make(chan struct{}, 1),
 	}
+	n.dep = n.protected(dep)
+	n.peers.n = n
+	return n
 }
 
 // Run serves peers on the listener and is a member of the cell until ctx is done.
 func (n *Node) Run(ctx context.Context, peers net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.servePeers(ctx, peers) })
-	g.Go(func() error { n.register(ctx); return nil })
-	g.Go(func() error { n.watchCell(ctx); return nil })
-	g.Go(func() error { n.watchConfig(ctx); return nil })
-	g.Go(func() error { n.watchOwner(ctx); return nil })
-	g.Go(func() error { n.pauses.run(ctx, n.clock); return nil })
+	loops := map[string]func(context.Context){
+		"register": n.register, "watch cell": n.watchCell, "watch configuration": n.watchConfig, "watch owner": n.watchOwner,
+		"pause detector": func(ctx context.Context) { n.pauses.run(ctx, n.clock) },
+	}
+	for name, loop := range loops {
+		g.Go(func() error { n.keepRunning(ctx, name, loop); return nil })
+	}
 	for range adviceConcurrency {
-		g.Go(func() error { n.serveAdviceCalls(ctx); return nil })
+		g.Go(func() error { n.keepRunning(ctx, "advice calls", n.serveAdviceCalls); return nil })
 	}
 	return g.Wait()
 }
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -71,6 +71,18 @@
 	if n.begunTerm.Load() >= info.Term {
 		return
 	}
+	o := n.newOwnership(info)
+	n.ownership.Store(o)
+	n.begunTerm.Store(info.Term)
+	n.dep.Metrics.Owner.Set(1)
+	if newest, _ := n.view.currentOwner(); newest.Term > info.Term {
+		o.stepDown("a newer owner claimed ownership before this one started")
+	}
+	go o.run()
+}
+
+// newOwnership returns an ownership whose event loop has not been started.
+func (n *Node) newOwnership(info OwnerInfo) *ownership {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &ownership{
 		n: n, info: info, ctx: ctx, cancel: cancel,
@@ -86,13 +98,7 @@
 	o.calls = newRunnerCalls(o)
 	o.passInterval = minPassInterval
 	o.usedRunners = newUsedRunners(o)
-	n.ownership.Store(o)
-	n.begunTerm.Store(info.Term)
-	n.dep.Metrics.Owner.Set(1)
-	if newest, _ := n.view.currentOwner(); newest.Term > info.Term {
-		o.stepDown("a newer owner claimed ownership before this one started")
-	}
-	go o.run()
+	return o
 }
 
 // stepDown ends the ownership. A runner that has received a request of the next owner refuses late requests of this one.
@@ -127,11 +133,12 @@
 
 func (o *ownership) run() {
 	defer o.cleanUp()
+	defer o.endOnPanic()
 	if err := o.load(); err != nil {
 		o.stepDown("load: " + err.Error())
 		return
 	}
-	go o.watchRunners()
+	go o.n.keepRunning(o.ctx, "watch runners", func(context.Context) { o.watchRunners() })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	passTimer := time.NewTimer(time.Hour)
@@ -265,7 +272,8 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lastPings[ping.From] = receivedPing{at: now, address: ping.Address, leaving: ping.Leaving, interval: ping.Interval}
+	interval := min(max(ping.Interval, 0), maxPingInterval)
+	o.lastPings[ping.From] = receivedPing{at: now, address: ping.Address, leaving: ping.Leaving, interval: interval}
 }
 
 // checkConfirmed steps down when neither the store nor a majority of the members has confirmed the ownership within
--- a/internal/control/peer_client.go
+++ b/internal/control/peer_client.go
@@ -47,6 +47,7 @@
 
 // peerClient holds one connection to another process.
 type peerClient struct {
+	n        *Node // for the log; nil in tests
 	address  string
 	mu       sync.Mutex
 	client   *rpc.Client
@@ -126,7 +127,7 @@
 		_ = conn.Close() // another call has connected in the meantime
 		return p.client, nil
 	}
-	p.client = rpc.NewClient(conn)
+	p.client = rpc.NewClientWithCodec(newPeerCodec(p.n, conn))
 	return p.client, nil
 }
 
@@ -144,6 +145,7 @@
 
 // peerClients holds one client per address.
 type peerClients struct {
+	n       *Node // for the log
 	mu      sync.Mutex
 	clients map[string]*peerClient
 }
@@ -170,7 +172,7 @@
 	}
 	c := p.clients[address]
 	if c == nil {
-		c = &peerClient{address: address}
+		c = &peerClient{n: p.n, address: address}
 		p.clients[address] = c
 	}
 	return c
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/agateyard/agateyard/internal/ctxtime"
+	"github.com/agateyard/agateyard/internal/job"
 )
 
 // Peer serves the calls of other processes.
@@ -33,12 +34,16 @@
 			ctxtime.Sleep(ctx, pingInterval) // for example out of file descriptors: retry when some are free
 			continue
 		}
-		go server.ServeConn(conn)
+		n.goProtected("peer connection", func() {
+			defer conn.Close() // also after a panic in the decoder
+			server.ServeConn(conn)
+		})
 	}
 }
 
 // Ping returns what this process knows of the cell.
-func (p *Peer) Ping(args PingArgs, reply *PingReply) error {
+func (p *Peer) Ping(args PingArgs, reply *PingReply) (err error) {
+	defer p.n.recoverCall("Ping", &err)
 	n := p.n
 	if args.Owner.Incarnation != "" {
 		n.learnOwner(args.Owner, "peer")
@@ -67,7 +72,8 @@
 }
 
 // OwnerLost reports whether this process has lost contact with the owner.
-func (p *Peer) OwnerLost(args OwnerLostArgs, reply *OwnerLostReply) error {
+func (p *Peer) OwnerLost(args OwnerLostArgs, reply *OwnerLostReply) (err error) {
+	defer p.n.recoverCall("OwnerLost", &err)
 	o, _ := p.n.view.currentOwner()
 	reply.Abstain = o.Term < args.Term
 	reply.Lost = p.n.ownerIsLost(context.Background(), args.Term)
@@ -75,7 +81,8 @@
 }
 
 // TakeOver makes this process claim ownership from an owner that hands it over.
-func (p *Peer) TakeOver(args TakeOverArgs, _ *Empty) error {
+func (p *Peer) TakeOver(args TakeOverArgs, _ *Empty) (err error) {
+	defer p.n.recoverCall("TakeOver", &err)
 	o, _ := p.n.view.currentOwner()
 	if o.Term > args.Term || p.n.leaving.Load() {
 		return oops.Errorf("not a candidate")
@@ -89,32 +96,53 @@
 	return nil
 }
 
+// checkSpec checks a job that another process has accepted. A job that breaks the limits would end the ownership of every
+// owner that loads it.
+func checkSpec(spec job.Spec) error {
+	if !job.ValidID(spec.ID) {
+		return oops.Errorf("malformed job: the identifier is invalid")
+	}
+	if err := spec.Validate(); err != nil {
+		return oops.Wrapf(err, "malformed job")
+	}
+	return nil
+}
+
 // Submit stores a job.
-func (p *Peer) Submit(args SubmitArgs, reply *SubmitReply) error {
+func (p *Peer) Submit(args SubmitArgs, reply *SubmitReply) (err error) {
+	defer p.n.recoverCall("Submit", &err)
+	if err := checkSpec(args.Spec); err != nil {
+		return err // not an outcome: an earlier request for the job may have been stored
+	}
 	reply.Outcome = p.n.ownership.Load().submit(args.Spec, args.Within)
 	return nil
 }
 
 // Cancel cancels a job.
-func (p *Peer) Cancel(args JobArgs, reply *SubmitReply) error {
+func (p *Peer) Cancel(args JobArgs, reply *SubmitReply) (err error) {
+	defer p.n.recoverCall("Cancel", &err)
 	reply.Outcome = p.n.ownership.Load().cancelJob(args.ID, cancelTimeout)
 	return nil
 }
 
 // State returns the state of a job.
-func (p *Peer) State(args JobArgs, reply *StateReply) error {
+func (p *Peer) State(args JobArgs, reply *StateReply) (err error) {
+	defer p.n.recoverCall("State", &err)
 	*reply = p.n.ownership.Load().state(args.ID)
 	return nil
 }
 
 // Advise calls the advice service from this process.
-func (p *Peer) Advise(args AdviseArgs, reply *AdviseReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
+func (p *Peer) Advise(args AdviseArgs, reply *AdviseReply) (err error) {
+	defer p.n.recoverCall("Advise", &err)
+	ctx, cancel := context.WithTimeout(context.Background(), min(args.Within, maxPeerCall))
 	defer cancel()
-	result, err := p.n.advise(ctx, args)
-	*reply = result
+	*reply, err = p.n.advise(ctx, args)
 	return err
 }
 
+// maxPeerCall bounds the time that another process may ask this one to spend on a call, above the longest advice call.
+const maxPeerCall = time.Minute
+
 // cancelTimeout is how long a cancellation that another process has forwarded waits to be stored.
 const cancelTimeout = 2 * time.Second
--- a/internal/control/record_writer.go
+++ b/internal/control/record_writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -167,8 +168,8 @@
 		return
 	}
 	for _, item := range conflict.Current {
-		if item.Key != ownerKey {
-			w.revs[item.Key[len(jobPrefix):]] = item.Rev
+		if id, isJob := strings.CutPrefix(item.Key, jobPrefix); isJob {
+			w.revs[id] = item.Rev
 		}
 	}
 	w.markDirty(batch)
--- a/internal/control/relay_server.go
+++ b/internal/control/relay_server.go
@@ -11,7 +11,8 @@
 // start that is made late is refused by the runner and a poll that is made late extends no lease. Right after a pause
 // nothing is relayed, as a late acknowledgement could reach the next incarnation of the runner, whose ends have the
 // same numbers.
-func (p *Peer) Relay(args RelayArgs, reply *RelayReply) error {
+func (p *Peer) Relay(args RelayArgs, reply *RelayReply) (err error) {
+	defer p.n.recoverCall("Relay", &err)
 	if p.n.pauses.check(p.n.clock.Now()) {
 		*reply = RelayReply{Local: true, Error: errPaused.Error(), Outcome: scheduler.StartNotSent}
 		return nil
@@ -20,7 +21,7 @@
 		*reply = RelayReply{Fenced: true, Error: ErrFenced.Error(), Outcome: scheduler.StartRefused}
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
+	ctx, cancel := context.WithTimeout(context.Background(), min(args.Within, maxPeerCall))
 	defer cancel()
 	result, err := sendToRunner(ctx, p.n.dep.Runners, args)
 	if err != nil {
--- a/internal/control/used_runners.go
+++ b/internal/control/used_runners.go
@@ -7,6 +7,8 @@
 	"maps"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
@@ -14,6 +16,10 @@
 // that no successor waits for them.
 const pruneInterval = time.Second
 
+// unknownRunners stands for all runners of the predecessors if their list can't be decoded. It can't be called, so the jobs
+// of predecessors wait until every lease that these have sent has expired.
+const unknownRunners = "unknown"
+
 // usedRunners keeps, in the store, the list of the runners that owners have used. A runner is used only after it has been
 // recorded there, so that a successor knows every runner on which a run may exist.
 type usedRunners struct {
@@ -47,7 +53,8 @@
 	}
 	r.rev = item.Rev
 	if err := json.Unmarshal(item.Value, &r.recorded); err != nil {
-		return err
+		r.o.n.dep.Log.Log("bad-used-runners", logrus.Fields{"key": runnersKey, "error": err.Error()})
+		r.recorded = map[string]string{unknownRunners: ""}
 	}
 	for id, addr := range r.recorded {
 		r.o.sched.RunnerInherited(id, addr)
--- a/internal/control/watch_cell.go
+++ b/internal/control/watch_cell.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateyard/agateyard/internal/ctxtime"
+	"github.com/agateyard/agateyard/internal/decisionlog"
 )
 
 const (
@@ -109,21 +110,39 @@
 		n.dep.Log.Log("bad-member", logrus.Fields{"key": item.Key, "error": err.Error()})
 		return Member{}, false
 	}
+	if memberPrefix+m.Incarnation != item.Key || !m.valid() {
+		n.dep.Log.Log("bad-member", logrus.Fields{"key": item.Key, "error": "fields missing or out of range"})
+		return Member{}, false
+	}
 	return m, true
 }
 
+// applyOwnerItem applies a claim. One that can't be decoded names no owner, so that it can be replaced. Its term is its
+// revision, which is at least as high as any term, since each claim is a commit: run numbers derive from the term, so the
+// next term has to be above all earlier ones.
 func (n *Node) applyOwnerItem(item Item) {
 	var o OwnerInfo
-	if err := json.Unmarshal(item.Value, &o); err != nil {
-		n.dep.Log.Log("bad-owner", logrus.Fields{"key": item.Key, "error": err.Error()})
+	err := json.Unmarshal(item.Value, &o)
+	o.Rev = item.Rev
+	if err == nil && o.valid() {
+		n.learnOwner(o, "store")
 		return
 	}
-	o.Rev = item.Rev
-	n.learnOwner(o, "store")
+	n.dep.Log.Log("bad-owner", logrus.Fields{"key": item.Key, "error": decisionlog.ErrorText(err)})
+	n.setOwner(OwnerInfo{Term: item.Rev, Rev: item.Rev}, "store")
 }
 
-// learnOwner updates the known owner. It ends this process's own ownership if that is of an older term.
+// learnOwner updates the known owner, unless the claim is malformed.
 func (n *Node) learnOwner(o OwnerInfo, from string) {
+	if !o.valid() {
+		n.dep.Log.Log("bad-owner", logrus.Fields{"from": from, "term": o.Term})
+		return
+	}
+	n.setOwner(o, from)
+}
+
+// setOwner updates the known owner. It ends this process's own ownership if that is of an older term.
+func (n *Node) setOwner(o OwnerInfo, from string) {
 	if !n.view.setOwner(o, n.clock.Now()) {
 		return
 	}
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -77,6 +78,9 @@
 			n.becomeOwner(o) // the claim succeeded although its answer was lost
 			return
 		}
+		if n.leavesClaimToOthers() {
+			return
+		}
 		n.campaign(ctx, o, ownerReplaced)
 		return
 	}
@@ -155,7 +159,7 @@
 		n.learnConfig(reply.Config, "peer")
 	}
 	if n.needsMembers() && len(reply.Members) > 0 {
-		n.view.setMembers(reply.Members)
+		n.view.setMembers(slices.DeleteFunc(reply.Members, func(m Member) bool { return !m.valid() }))
 	}
 }
 
@@ -171,10 +175,10 @@
 	if !n.searchingOwner.CompareAndSwap(false, true) {
 		return
 	}
-	go func() {
+	n.goProtected("owner search", func() {
 		defer n.searchingOwner.Store(false)
 		n.searchOwner(ctx)
-	}()
+	})
 }
 
 // maxSearchedMembers bounds the members that a search for the owner asks, so that a store outage doesn't make every
@@ -197,6 +201,8 @@
 	var wg sync.WaitGroup
 	for address := range addresses {
 		wg.Go(func() {
+			var failure error // logged by recoverCall
+			defer n.recoverCall("owner search", &failure)
 			reply, err := n.ping(ctx, address, pingTimeout)
 			if err != nil {
 				return // other processes are asked in parallel
--- a/internal/control/yield.go
+++ b/internal/control/yield.go
@@ -23,5 +23,5 @@
 		return
 	}
 	o.n.dep.Log.Log("yielding", logrus.Fields{"term": o.info.Term, "weight": o.n.opt.Weight, "larger": len(larger)})
-	go o.n.handOver(o.ctx, o, larger)
+	o.n.goProtected("handover", func() { o.n.handOver(o.ctx, o, larger) })
 }
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -41,5 +41,8 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return nil, oops.Wrapf(err, "decode job record")
 	}
+	if err := r.check(); err != nil {
+		return nil, oops.Wrapf(err, "decode job record")
+	}
 	return &r, nil
 }
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -2,6 +2,7 @@
 package job
 
 import (
+	"math"
 	"time"
 
 	"github.com/samber/oops"
@@ -37,12 +38,29 @@
 	if s.Occurrences == 0 {
 		return time.Time{}
 	}
+	if s.overflows(occurrence) {
+		return time.UnixMilli(math.MaxInt64)
+	}
 	return time.UnixMilli(s.FirstStart + int64(occurrence)*s.Interval)
 }
 
-// Validate returns all violations found in the job, joined into one error.
+// overflows reports whether the due time of an occurrence is out of range.
+func (s *Spec) overflows(occurrence int) bool {
+	return s.Interval > 0 && int64(occurrence) > (math.MaxInt64-s.FirstStart)/s.Interval
+}
+
+// Validate returns all violations found in a submitted job, joined into one error.
 func (s *Spec) Validate() error {
-	var findings []error
+	findings := s.violations()
+	if len(findings) == 0 && s.overflows(s.Occurrences) {
+		findings = append(findings, oops.Errorf("schedule: the last occurrence is out of range"))
+	}
+	return oops.Join(findings...)
+}
+
+// violations returns what is wrong with a job. An accepted job that is stored must never be among them, so a limit that is
+// made narrower belongs into Validate.
+func (s *Spec) violations() (findings []error) {
 	add := func(format string, args ...any) { findings = append(findings, oops.Errorf(format, args...)) }
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		add("steps: %d, allowed are 1 to %d", len(s.Steps), MaxSteps)
@@ -61,7 +79,7 @@
 	if tasks > MaxTasks {
 		add("tasks: %d, allowed are %d", tasks, MaxTasks)
 	}
-	return oops.Join(findings...)
+	return findings
 }
 
 func (s *Step) validate(index int) []error {
--- a/internal/job/step.go
+++ b/internal/job/step.go
@@ -26,9 +26,12 @@
 	After         []int           `json:"after,omitempty"`        // indexes of earlier steps that this step depends on
 }
 
-// EstimatedRunTime returns the declared run time of a task.
+// maxEstimate bounds declared run times, so that the sum over all steps of a job stays in the range of a Duration.
+const maxEstimate = 90 * 24 * time.Hour
+
+// EstimatedRunTime returns the declared run time of a task, at most maxEstimate.
 func (s *Step) EstimatedRunTime() time.Duration {
-	return time.Duration(s.Estimate) * time.Millisecond
+	return time.Duration(min(s.Estimate, maxEstimate.Milliseconds())) * time.Millisecond
 }
 
 // Reserved returns the resources that are reserved on a runner for a task of the step.
--- a/internal/scheduler/occurrences.go
+++ b/internal/scheduler/occurrences.go
@@ -13,7 +13,7 @@
 		if j.finalState != "" {
 			continue
 		}
-		for j.openedOccurrences < j.spec.OccurrenceCount() && !s.wall.Before(j.spec.DueAt(j.openedOccurrences)) {
+		for j.openedOccurrences < j.spec.OccurrenceCount() && j.mayOpenOccurrence() && !s.wall.Before(j.spec.DueAt(j.openedOccurrences)) {
 			s.openOccurrence(j, j.openedOccurrences)
 		}
 		if j.openedOccurrences < j.spec.OccurrenceCount() {
@@ -23,6 +23,17 @@
 	s.scheduledJobs = keep
 }
 
+// mayOpenOccurrence reports whether another occurrence may be opened. If many are due at once, such as after a start time
+// long ago, they run one after the other: open at the same time, their tasks would take all memory of the owner.
+func (j *jobState) mayOpenOccurrence() bool {
+	tasks := 0
+	for i := range j.spec.Steps {
+		tasks += j.spec.Steps[i].Count
+	}
+	unfinished := max(j.openedOccurrences-j.doneOccurrences, 0)
+	return unfinished == 0 || (unfinished+1)*tasks <= job.MaxTasks
+}
+
 // openOccurrence creates the stages of one occurrence and opens those whose dependencies are done.
 func (s *Scheduler) openOccurrence(j *jobState, occurrence int) {
 	j.openedOccurrences = max(j.openedOccurrences, occurrence+1)
