control: permissions are checked where they are used

Cause: after a pause an owner went on polling, and so renewing leases, while its claim was being read again; effects decided before a pause within the event loop were sent after it; an owner whose watch was stalled counted any answered store call as a confirmation of its claim; it refused submissions with certainty while a successor may have stored them. Acknowledgements and tickets were taken for fresh although their process had been paused since. A runner that answered polls later than 600 ms never got a renewal again, so its work was lost.

Change: no poll is sent while the claim is unconfirmed; the clock is read again before effects are applied; the claim is read every second and only that, or pings of most members, confirms it; refusals need the contact to most members. Acknowledging polls are checked again when the connection is ready. Tickets age while their answer waits. The time limit of polls is widened after one that timed out.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -104,10 +104,20 @@
 		ctx, cancel := context.WithTimeout(o.ctx, args.Within+adviceTimeoutMargin)
 		defer cancel()
 		reply, err := o.adviseAt(ctx, e.Machine, args)
-		o.post(func() { o.adviceAnswered(e, reply, err, sent) })
+		answered := o.n.clock.Now()
+		o.post(func() {
+			reply.Valid = remainingValidity(reply.Valid, args.Within+adviceTimeoutMargin, sent, answered, o.loopTime)
+			o.adviceAnswered(e, reply, err, sent)
+		})
 	}()
 }
 
+// remainingValidity returns how long tickets are still valid when the event loop reads them: without the time that the
+// answer spent in its queue, and that by which a pause of this process made the call longer than its limit.
+func remainingValidity(valid, limit, sent, answered, now time.Duration) time.Duration {
+	return max(valid-max(now-answered, 0)-max(answered-sent-limit, 0), 0)
+}
+
 func (o *ownership) adviseAt(ctx context.Context, address string, args AdviseArgs) (AdviseReply, error) {
 	if address == o.n.opt.Address {
 		return o.n.advise(ctx, args)
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -200,6 +200,20 @@
 	*memoryStore
 	mu          sync.Mutex
 	partitioned bool
+	stalled     bool // watches return no changes
+}
+
+// stallWatches makes each new watch end without the changes that there are.
+func (l *partitionableStore) stallWatches() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stalled = true
+}
+
+func (l *partitionableStore) isStalled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stalled
 }
 
 func (l *partitionableStore) setPartitioned(partitioned bool) {
@@ -235,6 +249,10 @@
 	if err := l.pathError(); err != nil {
 		return nil, 0, err
 	}
+	if l.isStalled() {
+		time.Sleep(min(wait, 100*time.Millisecond))
+		return nil, after, nil
+	}
 	// A partition takes effect only when a watch starts, so each watch is short.
 	return l.memoryStore.Watch(ctx, prefix, after, min(wait, 100*time.Millisecond))
 }
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -57,6 +57,9 @@
 	lastPass       time.Duration // start of the last placement pass
 	passInterval   time.Duration
 	paused         bool                     // the claim is being read again
+	checkingClaim  bool                     // a regular read of the claim is in flight
+	nextClaimCheck time.Duration            // when to read the claim next
+	confirmedAt    time.Duration            // start of the last read that found the claim in the store
 	removeAt       map[string]time.Duration // when to remove runners whose entries were deleted, unless these come back
 
 	mu        sync.Mutex              // guards the fields below it, and reason
@@ -90,7 +93,7 @@
 		lastPings: map[string]receivedPing{}, removeAt: map[string]time.Duration{},
 	}
 	now := n.clock.Now()
-	o.loopTime = now
+	o.loopTime, o.confirmedAt = now, now
 	o.nextYieldCheck = now + yieldInterval
 	o.sched = scheduler.New(n.opt.Scheduler, info.Term, now, n.clock.Wall())
 	o.writer = newRecordWriter(o)
@@ -180,6 +183,9 @@
 		}
 		break
 	}
+	if late := o.n.clock.Now() - now; late > maxLoopPause && !o.paused {
+		o.recheckClaim(late) // the pause came after the check above
+	}
 	if o.paused {
 		return
 	}
@@ -187,6 +193,10 @@
 		o.lastPass = now
 		o.sched.Pass()
 		o.passInterval = max(minPassInterval, passIntervalFactor*(o.n.clock.Now()-now))
+		if late := o.n.clock.Now() - now; late > maxLoopPause {
+			o.recheckClaim(late)
+			return
+		}
 	}
 	for _, effect := range o.sched.Effects() {
 		o.apply(effect)
@@ -202,6 +212,7 @@
 	o.poller.pollDue()
 	o.usedRunners.write()
 	o.writer.deleteExpired()
+	o.checkClaim()
 	o.checkConfirmed()
 	o.publishPending()
 	o.yieldToLarger()
@@ -231,6 +242,7 @@
 	o.n.dep.Log.Log("paused", logrus.Fields{"gap_ms": gap.Milliseconds(), "term": o.info.Term})
 	go func() {
 		for o.ctx.Err() == nil {
+			asked := o.n.clock.Now()
 			ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
 			item, found, err := o.n.dep.Store.Get(ctx, ownerKey)
 			cancel()
@@ -245,7 +257,7 @@
 				return
 			}
 			if err == nil {
-				o.post(func() { o.paused = false })
+				o.post(func() { o.paused, o.confirmedAt = false, max(o.confirmedAt, asked) })
 				return
 			}
 			o.n.searchOwner(o.ctx) // a peer may know of a newer owner
@@ -279,19 +291,10 @@
 // checkConfirmed steps down when neither the store nor a majority of the members has confirmed the ownership within
 // unconfirmedLimit: another process may have replaced it.
 func (o *ownership) checkConfirmed() {
-	if o.n.health.answeredWithin(unconfirmedLimit, o.loopTime) {
+	if o.loopTime-o.confirmedAt < unconfirmedLimit {
 		return
 	}
-	members := o.n.view.memberList()
-	o.mu.Lock()
-	confirmed := 1
-	for _, m := range members {
-		if ping, ok := o.lastPings[m.Incarnation]; ok && o.loopTime-ping.at < unconfirmedLimit {
-			confirmed++
-		}
-	}
-	o.mu.Unlock()
-	if 2*confirmed > len(members) {
+	if o.confirmedByMembers(func(p receivedPing) bool { return o.loopTime-p.at < unconfirmedLimit }) {
 		return
 	}
 	o.stepDown("neither the store nor a majority of the members confirms the ownership")
--- a/internal/control/peer_client.go
+++ b/internal/control/peer_client.go
@@ -69,7 +69,7 @@
 	select {
 	case <-pending.Done:
 		*reply = *decoded
-		if _, remote := pending.Error.(rpc.ServerError); pending.Error != nil && !remote {
+		if _, remote := pending.Error.(rpc.ServerError); pending.Error != nil && !remote && !errors.Is(pending.Error, errPaused) {
 			p.disconnect(client)
 		}
 		return pending.Error
--- a/internal/control/peer_codec.go
+++ b/internal/control/peer_codec.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"errors"
 	"io"
 	"net/rpc"
 )
@@ -24,6 +25,9 @@
 
 // WriteRequest implements rpc.ClientCodec.
 func (c *peerCodec) WriteRequest(r *rpc.Request, body any) error {
+	if args, ok := body.(RelayArgs); ok && args.stale((Clock{}).Now()) {
+		return errors.Join(errNotConnected, errPaused)
+	}
 	if err := c.enc.Encode(r); err != nil {
 		return err
 	}
--- a/internal/control/relay_messages.go
+++ b/internal/control/relay_messages.go
@@ -22,6 +22,8 @@
 	Start  *StartRequest
 	Stop   *StopRequest
 	Poll   *PollRequest
+
+	preparedAt time.Duration // on the clock of this process; not sent
 }
 
 // RelayReply is the runner's answer.
@@ -32,3 +34,9 @@
 	Outcome scheduler.StartOutcome // of Start
 	Report  scheduler.Report       // of Poll
 }
+
+// stale reports whether a poll acknowledges run ends and was prepared so long ago, before a pause of this process, that the
+// runner may have started again under its identifier: the ends of each incarnation have the same numbers.
+func (a *RelayArgs) stale(now time.Duration) bool {
+	return a.Poll != nil && a.Poll.Acknowledged > 0 && now-a.preparedAt > minPause
+}
--- a/internal/control/relay_server.go
+++ b/internal/control/relay_server.go
@@ -23,6 +23,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), min(args.Within, maxPeerCall))
 	defer cancel()
+	args.preparedAt = p.n.clock.Now()
 	result, err := sendToRunner(ctx, p.n.dep.Runners, args)
 	if err != nil {
 		result.Error, result.Fenced, result.Local = err.Error(), errors.Is(err, ErrFenced), LocalFailure(err)
@@ -39,6 +40,9 @@
 	case args.Stop != nil:
 		err = runners.Stop(ctx, args.Runner, *args.Stop)
 	case args.Poll != nil:
+		if args.Poll.Acknowledged > 0 {
+			ctx = WithSendDeadline(ctx, args.preparedAt+minPause)
+		}
 		reply.Report, err = runners.Poll(ctx, args.Runner, *args.Poll)
 	}
 	return reply, err
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -19,7 +19,7 @@
 			return
 		}
 		_, durable, known := o.sched.Durable(spec.ID)
-		if !known && o.n.health.failingFor(o.loopTime) > refuseSubmissionsAfter {
+		if !known && o.n.health.failingFor(o.loopTime) > refuseSubmissionsAfter && o.mayRefuse() {
 			o.n.dep.Log.Log("refused", logrus.Fields{"job": spec.ID, "reason": "store away"})
 			done <- OutcomeRefused
 			return
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -104,6 +104,7 @@
 func (c *runnerCalls) send(args RelayArgs, done func(RelayReply, error)) {
 	rt := c.route(args.Runner)
 	sent := c.o.loopTime
+	args.preparedAt = sent
 	go func() {
 		reply, err := c.o.callRunner(rt, args)
 		c.o.post(func() {
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -13,6 +13,9 @@
 	pollWait = 1500 * time.Millisecond
 	// pollTimeoutMargin is how much longer than its wait a poll may take before it times out.
 	pollTimeoutMargin = 600 * time.Millisecond
+	// maxPollTimeoutMargin is the margin for a runner whose polls have timed out. A runner that answers later than the usual
+	// margin would otherwise never get its leases renewed, and lose its runs.
+	maxPollTimeoutMargin = 1500 * time.Millisecond
 	// failedPollRetry is the pause before a poll is repeated that has failed.
 	failedPollRetry = 200 * time.Millisecond
 	// acknowledgeWindow is how long after an answered poll the ends of runs may be acknowledged. Their numbers restart with
@@ -39,6 +42,18 @@
 	acknowledged int64 // highest number that the last poll has acknowledged
 	answered     bool  // the last poll was answered
 	answeredAt   time.Duration
+	margin       time.Duration // how much longer than its wait the next poll may take
+}
+
+// adjustMargin widens the margin after a poll that has timed out, and narrows it after one that was answered well within
+// the usual margin.
+func (st *pollState) adjustMargin(req PollRequest, took time.Duration, err error) {
+	switch {
+	case err != nil && took >= req.Wait+st.margin: // timed out, also at a relay
+		st.margin = maxPollTimeoutMargin
+	case err == nil && took < req.Wait+pollTimeoutMargin/2:
+		st.margin = pollTimeoutMargin
+	}
 }
 
 func newRunnerPoller(o *ownership) *runnerPoller {
@@ -53,7 +68,7 @@
 		present[ref.ID] = true
 		st := p.states[ref.ID]
 		if st == nil || st.ref.Addr != ref.Addr {
-			st = &pollState{}
+			st = &pollState{margin: pollTimeoutMargin}
 			p.states[ref.ID] = st
 		}
 		if st.ref.Incarnation != ref.Incarnation {
@@ -83,8 +98,12 @@
 
 func (p *runnerPoller) poll(st *pollState) {
 	o := p.o
+	if o.paused { // a replaced owner must renew no lease, as its successor counts on their expiry
+		st.nextAt = o.loopTime + failedPollRetry
+		return
+	}
 	req := PollRequest{Fence: o.info.Rev, Wait: pollWait}
-	if st.answered && o.loopTime-st.answeredAt < acknowledgeWindow {
+	if st.answered && o.loopTime-st.answeredAt < acknowledgeWindow && !o.n.pauses.check(o.n.clock.Now()) {
 		req.Acknowledged = o.sched.Acknowledged(st.ref.ID)
 	}
 	if st.answered {
@@ -96,13 +115,17 @@
 	st.inFlight = true
 	st.acknowledged = req.Acknowledged
 	ref := st.ref
-	p.send(ref, req, func(report scheduler.Report, err error) { p.pollFinished(st, ref, report, err) })
+	sent := o.loopTime
+	p.send(ref, req, st.margin, func(report scheduler.Report, err error) {
+		st.adjustMargin(req, o.loopTime-sent, err)
+		p.pollFinished(st, ref, report, err)
+	})
 }
 
 // pollNow sends an additional poll that doesn't wait for a run to end, if the runner answered its last regular poll.
 func (p *runnerPoller) pollNow(ref scheduler.RunnerRef) {
 	if st := p.states[ref.ID]; st != nil && st.answered {
-		p.send(st.ref, PollRequest{Fence: p.o.info.Rev}, func(report scheduler.Report, err error) {
+		p.send(st.ref, PollRequest{Fence: p.o.info.Rev}, st.margin, func(report scheduler.Report, err error) {
 			if err == nil { // an unreachable runner is reported by its regular polls
 				p.o.sched.Report(report)
 			}
@@ -111,9 +134,9 @@
 }
 
 // send polls a runner in the background and passes the report to the event loop.
-func (p *runnerPoller) send(ref scheduler.RunnerRef, req PollRequest, done func(scheduler.Report, error)) {
+func (p *runnerPoller) send(ref scheduler.RunnerRef, req PollRequest, margin time.Duration, done func(scheduler.Report, error)) {
 	sent := p.o.loopTime
-	args := RelayArgs{Runner: ref, Fence: req.Fence, Within: req.Wait + pollTimeoutMargin, Poll: &req}
+	args := RelayArgs{Runner: ref, Fence: req.Fence, Within: req.Wait + margin, Poll: &req}
 	p.o.calls.send(args, func(reply RelayReply, err error) {
 		reply.Report.RequestedAt = sent
 		done(reply.Report, err)
