--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -49,15 +49,18 @@
 	poller *runnerPoller
 	calls  *runnerCalls
 
-	usedRunners  *usedRunners // the runners that owners have used, as stored
-	lastStats    time.Duration
-	handover     *candidacy.Handover
-	startRate    candidacy.StartRate
-	loopTime     time.Duration // when the event loop last ran
-	lastPass     time.Duration // start of the last placement pass
-	passInterval time.Duration
-	paused       bool                     // the claim is being read again
-	removeAt     map[string]time.Duration // when to remove runners whose entries were deleted, unless these come back
+	usedRunners    *usedRunners // the runners that owners have used, as stored
+	lastStats      time.Duration
+	handover       *candidacy.Handover
+	startRate      candidacy.StartRate
+	loopTime       time.Duration // when the event loop last ran
+	lastPass       time.Duration // start of the last placement pass
+	passInterval   time.Duration
+	paused         bool                     // the claim is being read again
+	checkingClaim  bool                     // a regular read of the claim is in flight
+	nextClaimCheck time.Duration            // when to read the claim next
+	confirmedAt    time.Duration            // start of the last read that found the claim in the store
+	removeAt       map[string]time.Duration // when to remove runners whose entries were deleted, unless these come back
 
 	mu        sync.Mutex              // guards the fields below it, and reason
 	lastPings map[string]receivedPing // by incarnation, of processes that regard this one as the owner
@@ -71,6 +74,18 @@
 	if n.begunTerm.Load() >= info.Term {
 		return
 	}
+	o := n.newOwnership(info)
+	n.ownership.Store(o)
+	n.begunTerm.Store(info.Term)
+	n.dep.Metrics.Owner.Set(1)
+	if newest, _ := n.view.currentOwner(); newest.Term > info.Term {
+		o.stepDown("a newer owner claimed ownership before this one started")
+	}
+	go o.run()
+}
+
+// newOwnership returns an ownership whose event loop has not been started.
+func (n *Node) newOwnership(info OwnerInfo) *ownership {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &ownership{
 		n: n, info: info, ctx: ctx, cancel: cancel,
@@ -78,7 +93,7 @@
 		lastPings: map[string]receivedPing{}, removeAt: map[string]time.Duration{},
 	}
 	now := n.clock.Now()
-	o.loopTime = now
+	o.loopTime, o.confirmedAt = now, now
 	o.handover = candidacy.NewHandover(now)
 	o.sched = scheduler.New(n.opt.Scheduler, info.Term, now, n.clock.Wall())
 	o.writer = newRecordWriter(o)
@@ -86,13 +101,7 @@
 	o.calls = newRunnerCalls(o)
 	o.passInterval = minPassInterval
 	o.usedRunners = newUsedRunners(o)
-	n.ownership.Store(o)
-	n.begunTerm.Store(info.Term)
-	n.dep.Metrics.Owner.Set(1)
-	if newest, _ := n.view.currentOwner(); newest.Term > info.Term {
-		o.stepDown("a newer owner claimed ownership before this one started")
-	}
-	go o.run()
+	return o
 }
 
 // stepDown ends the ownership. A runner that has received a request of the next owner refuses late requests of this one.
@@ -127,11 +136,12 @@
 
 func (o *ownership) run() {
 	defer o.cleanUp()
+	defer o.endOnPanic()
 	if err := o.load(); err != nil {
 		o.stepDown("load: " + err.Error())
 		return
 	}
-	go o.watchRunners()
+	go o.n.keepRunning(o.ctx, "watch runners", func(context.Context) { o.watchRunners() })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	passTimer := time.NewTimer(time.Hour)
@@ -173,6 +183,9 @@
 		}
 		break
 	}
+	if late := o.n.clock.Now() - now; late > maxLoopPause && !o.paused {
+		o.recheckClaim(late) // the pause came after the check above
+	}
 	if o.paused {
 		return
 	}
@@ -180,6 +193,10 @@
 		o.lastPass = now
 		o.sched.Pass()
 		o.passInterval = max(minPassInterval, passIntervalFactor*(o.n.clock.Now()-now))
+		if late := o.n.clock.Now() - now; late > maxLoopPause {
+			o.recheckClaim(late)
+			return
+		}
 	}
 	for _, effect := range o.sched.Effects() {
 		o.apply(effect)
@@ -195,6 +212,7 @@
 	o.poller.pollDue()
 	o.usedRunners.write()
 	o.writer.deleteExpired()
+	o.checkClaim()
 	o.checkConfirmed()
 	o.publishPending()
 	o.publishLoad()
@@ -234,6 +252,7 @@
 	o.n.dep.Log.Log("paused", logrus.Fields{"gap_ms": gap.Milliseconds(), "term": o.info.Term})
 	go func() {
 		for o.ctx.Err() == nil {
+			asked := o.n.clock.Now()
 			ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
 			item, found, err := o.n.dep.Store.Get(ctx, ownerKey)
 			cancel()
@@ -248,7 +267,7 @@
 				return
 			}
 			if err == nil {
-				o.post(func() { o.paused = false })
+				o.post(func() { o.paused, o.confirmedAt = false, max(o.confirmedAt, asked) })
 				return
 			}
 			o.n.searchOwner(o.ctx) // a peer may know of a newer owner
@@ -283,26 +302,17 @@
 	}
 	o.lastPings[ping.From] = receivedPing{
 		at: now, since: since, address: ping.Address, leaving: ping.Leaving, configured: ping.ConfigVersion > 0,
-		interval: ping.Interval,
+		interval: min(max(ping.Interval, 0), maxPingInterval),
 	}
 }
 
 // checkConfirmed steps down when neither the store nor a majority of the members has confirmed the ownership within
 // unconfirmedLimit: another process may have replaced it.
 func (o *ownership) checkConfirmed() {
-	if o.n.health.answeredWithin(unconfirmedLimit, o.loopTime) {
+	if o.loopTime-o.confirmedAt < unconfirmedLimit {
 		return
 	}
-	members := o.n.view.memberList()
-	o.mu.Lock()
-	confirmed := 1
-	for _, m := range members {
-		if ping, ok := o.lastPings[m.Incarnation]; ok && o.loopTime-ping.at < unconfirmedLimit {
-			confirmed++
-		}
-	}
-	o.mu.Unlock()
-	if 2*confirmed > len(members) {
+	if o.confirmedByMembers(func(p receivedPing) bool { return o.loopTime-p.at < unconfirmedLimit }) {
 		return
 	}
 	o.stepDown("neither the store nor a majority of the members confirms the ownership")
--- a/internal/control/relay_server.go
+++ b/internal/control/relay_server.go
@@ -11,7 +11,8 @@
 // start that is made late is refused by the runner and a poll that is made late extends no lease. Right after a pause
 // nothing is relayed, as a late acknowledgement could reach the next incarnation of the runner, whose ends have the
 // same numbers.
-func (p *Peer) Relay(args RelayArgs, reply *RelayReply) error {
+func (p *Peer) Relay(args RelayArgs, reply *RelayReply) (err error) {
+	defer p.n.recoverCall("Relay", &err)
 	if p.n.pauses.check(p.n.clock.Now()) {
 		*reply = RelayReply{Local: true, Error: errPaused.Error(), Outcome: scheduler.StartNotSent}
 		return nil
@@ -20,8 +21,9 @@
 		*reply = RelayReply{Fenced: true, Error: ErrFenced.Error(), Outcome: scheduler.StartRefused}
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), args.Within)
+	ctx, cancel := context.WithTimeout(context.Background(), min(args.Within, maxPeerCall))
 	defer cancel()
+	args.preparedAt = p.n.clock.Now()
 	result, err := sendToRunner(ctx, p.n.dep.Runners, args)
 	if err != nil {
 		result.Error, result.Fenced, result.Local = err.Error(), errors.Is(err, ErrFenced), LocalFailure(err)
@@ -38,6 +40,9 @@
 	case args.Stop != nil:
 		err = runners.Stop(ctx, args.Runner, *args.Stop)
 	case args.Poll != nil:
+		if args.Poll.Acknowledged > 0 {
+			ctx = WithSendDeadline(ctx, args.preparedAt+minPause)
+		}
 		reply.Report, err = runners.Poll(ctx, args.Runner, *args.Poll)
 	}
 	return reply, err
--- a/internal/control/yield.go
+++ b/internal/control/yield.go
@@ -35,5 +35,5 @@
 		"term": o.info.Term, "to": best.Address, "weight": o.n.opt.Weight, "runners": load.Runners,
 		"score": candidacy.Score(self.candidate().Machine, load), "better": candidacy.Score(best.Machine, load),
 	})
-	go o.n.handOver(o.ctx, o, []Member{members[best.Incarnation]})
+	o.n.goProtected("handover", func() { o.n.handOver(o.ctx, o, []Member{members[best.Incarnation]}) })
 }
