--- a/internal/control/auth_result.go
+++ b/internal/control/auth_result.go
@@ -23,22 +23,22 @@
 
 const (
 	// knownKeyAge is the age of the configuration beyond which a known key is checked again before it is used. A withdrawn
-	// key has to be out of use within 3 s everywhere, also on a process that was suspended. Confirmations arrive at least
-	// every 1.5 s while the store or the owner answers.
-	knownKeyAge = 2 * time.Second
-	// unknownKeyAge is the largest age of the configuration at which an unknown key is certainly invalid, counted at the
-	// arrival of the request. A key has to be known within 3 s of the acknowledgement of its configuration.
-	unknownKeyAge = 2 * time.Second
-	// recheckPause is how long known keys aren't checked again after the configuration could not be confirmed, so that
-	// callers don't wait for every check while neither the store nor the owner answers.
-	recheckPause = time.Second
+	// key has to be out of use within 3 s everywhere, also on a process that was suspended; half a second is left for the
+	// request. The age stays below this while the store or a peer answers, see keepConfirmed.
+	knownKeyAge = 2500 * time.Millisecond
+	// unknownKeyAge is the largest age of the configuration, at the arrival of the request, at which a key that it doesn't
+	// have is certainly invalid. A read that a peer has made for the request may count as older by the time of its call.
+	unknownKeyAge = pingTimeout
+	// recheckPause is how long known keys aren't checked again after the configuration could not be confirmed. It exceeds
+	// the time of an attempt of keepConfirmed, so that callers don't wait while neither the store nor a peer answers.
+	recheckPause = 2 * time.Second
 )
 
 // authInput is what the decision on a request with a key depends on.
 type authInput struct {
 	found       AuthResult    // by the configuration in force
 	behind      bool          // the configuration is older than the version that the owner has reported
-	age         time.Duration // of the configuration at the arrival of the request; maxAge if it was never confirmed
+	age         time.Duration // of the configuration at the request's arrival; maxAge if it was never confirmed
 	refreshed   bool          // the configuration was read again after the arrival, or the attempt failed
 	rechecked   bool          // a check of known keys has failed within recheckPause
 	strict      bool
--- a/internal/control/authenticate.go
+++ b/internal/control/authenticate.go
@@ -74,9 +74,7 @@
 		}
 		n.refreshConfig(ctx, arrived)
 		refreshed = true
-		if a.Result == AuthKnownKey && !n.confirmation.confirmedWithin(knownKeyAge, arrived) {
-			n.recheckFailedAt.Store(int64(n.clock.Now()))
-		}
+		n.recordRecheck()
 	}
 }
 
--- a/internal/control/config_refresh.go
+++ b/internal/control/config_refresh.go
@@ -2,18 +2,30 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
+
+	"github.com/agateyard/agateyard/internal/ctxtime"
 )
 
 const (
 	// configReadInterval limits the reads of the configuration that unknown keys cause to 5 a second for each process, as
 	// anyone can send unknown keys.
 	configReadInterval = 200 * time.Millisecond
-	// ownerAskedAfter is how long a read of the configuration may take before the owner is asked as well. A store that
-	// works answers earlier, except when it is slow.
-	ownerAskedAfter = 250 * time.Millisecond
-	// freshConfigTimeout bounds the read that a peer's ping requests. It leaves time for the reply within pingTimeout.
-	freshConfigTimeout = 350 * time.Millisecond
+	// peersAskInterval limits how often peers are asked for the configuration, as each call makes a peer read the store.
+	peersAskInterval = 500 * time.Millisecond
+	// peersAskedAfter is how long a read of the configuration may take before peers are asked as well. A store that works
+	// answers earlier, except when it is slow.
+	peersAskedAfter = 250 * time.Millisecond
+	// maxAskedMembers bounds the members that are asked if the owner can't confirm its configuration.
+	maxAskedMembers = 3
+	// unwatchedAge is the age of the configuration beyond which it is read again. The watch confirms it earlier while the
+	// store answers within 50 ms.
+	unwatchedAge = 1500 * time.Millisecond
+	// freshConfigTimeout bounds the read that a peer's ping requests. It leaves time for the reply within
+	// pingTimeout.
+	freshConfigTimeout = 250 * time.Millisecond
 )
 
 // readStoreConfig reads the configuration from the store once.
@@ -32,43 +44,87 @@
 	n.confirmation.confirm(begun)
 }
 
-// askOwnerForConfig pings the owner, which reads the store before it replies.
-func (n *Node) askOwnerForConfig() {
+// askPeersForConfig pings the owner, which reads the store before it replies, and other members if the owner doesn't
+// confirm its configuration.
+func (n *Node) askPeersForConfig() {
+	begun := n.clock.Now()
 	o, _ := n.view.currentOwner()
-	if n.ownership.Load() != nil || o.Address == "" || o.Address == n.opt.Address {
+	if o.Address != "" && o.Address != n.opt.Address {
+		n.askForConfig(o.Address)
+	}
+	if n.confirmation.confirmedWithin(unknownKeyAge, begun) {
 		return
 	}
+	members := n.view.memberList()
+	rand.Shuffle(len(members), func(i, k int) { members[i], members[k] = members[k], members[i] })
+	var wg sync.WaitGroup
+	asked := 0
+	for _, m := range members {
+		if asked < maxAskedMembers && m.Address != n.opt.Address && m.Address != o.Address {
+			asked++
+			wg.Go(func() { n.askForConfig(m.Address) })
+		}
+	}
+	wg.Wait()
+}
+
+// askForConfig pings a process, which reads the store before it replies.
+func (n *Node) askForConfig(address string) {
 	args := n.pingArgs()
 	args.FreshConfig = true
-	if reply, err := n.sendPing(context.Background(), o.Address, args, pingTimeout); err == nil {
+	if reply, err := n.sendPing(context.Background(), address, args, pingTimeout); err == nil {
 		n.applyPingReply(reply)
 	}
 }
 
-// refreshConfig reads the configuration from the store and, if that fails or takes long, asks the owner. It returns when
-// the configuration has been confirmed at the given time or later, when both have ended, or when ctx is done.
+// refreshConfig reads the configuration from the store and, if that fails or takes long, asks peers. It returns when the
+// configuration has been confirmed since the given time, when both have ended, or when ctx is done.
 func (n *Node) refreshConfig(ctx context.Context, since time.Duration) {
 	read := n.configRead.begin()
 	select {
 	case <-read:
-	case <-time.After(ownerAskedAfter):
+	case <-time.After(peersAskedAfter):
 	case <-ctx.Done():
 		return
 	}
-	confirmed := func() bool { return n.confirmation.confirmedWithin(0, since) }
-	if confirmed() {
+	if n.confirmation.confirmedWithin(0, since) {
 		return
 	}
-	asked := n.ownerConfig.begin()
-	for (read != nil || asked != nil) && !confirmed() {
+	asked := n.peersConfig.begin()
+	for read != nil || asked != nil {
+		tolerance := time.Duration(0)
 		select {
 		case <-read:
 			read = nil
 		case <-asked:
-			asked = nil
+			asked, tolerance = nil, unknownKeyAge
 		case <-ctx.Done():
 			return
 		}
+		if n.confirmation.confirmedWithin(tolerance, since) {
+			return
+		}
+	}
+}
+
+// keepConfirmed reads the configuration again when its watch has not confirmed it for a while. So a process that the store
+// doesn't answer learns of withdrawn keys from its peers, and callers rarely wait for a read.
+func (n *Node) keepConfirmed(ctx context.Context) {
+	for ctx.Err() == nil {
+		ctxtime.Sleep(ctx, storeRetry)
+		c, now := n.view.currentConfig(), n.clock.Now()
+		if c == nil || !c.requiresKeys(n.opt.KeysRequired) || n.confirmation.confirmedWithin(unwatchedAge, now) {
+			continue
+		}
+		n.refreshConfig(ctx, now)
+		n.recordRecheck()
+	}
+}
+
+// recordRecheck records that a configuration could not be confirmed in time.
+func (n *Node) recordRecheck() {
+	if now := n.clock.Now(); !n.confirmation.confirmedWithin(knownKeyAge, now) {
+		n.recheckFailedAt.Store(int64(now))
 	}
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -51,8 +51,8 @@
 	createdAt       time.Duration
 	confirmation    configConfirmation
 	configRead      sharedCall   // reads the configuration from the store
-	ownerConfig     sharedCall   // asks the owner for the configuration
-	recheckFailedAt atomic.Int64 // when the configuration could last not be confirmed for a known key
+	peersConfig     sharedCall   // asks peers for the configuration
+	recheckFailedAt atomic.Int64 // when the last attempt to confirm the configuration failed
 }
 
 // New returns a process that has not been started.
@@ -67,7 +67,7 @@
 	}
 	n.createdAt = n.clock.Now()
 	n.configRead = sharedCall{interval: configReadInterval, run: n.readStoreConfig}
-	n.ownerConfig = sharedCall{interval: configReadInterval, run: n.askOwnerForConfig}
+	n.peersConfig = sharedCall{interval: peersAskInterval, run: n.askPeersForConfig}
 	dep.Metrics.setConfigAge(n.configAgeSeconds)
 	return n
 }
@@ -79,6 +79,7 @@
 	g.Go(func() error { n.register(ctx); return nil })
 	g.Go(func() error { n.watchCell(ctx); return nil })
 	g.Go(func() error { n.watchConfig(ctx); return nil })
+	g.Go(func() error { n.keepConfirmed(ctx); return nil })
 	g.Go(func() error { n.watchOwner(ctx); return nil })
 	g.Go(func() error { n.pauses.run(ctx, n.clock); return nil })
 	for range adviceConcurrency {
--- a/internal/control/watch_config.go
+++ b/internal/control/watch_config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -89,12 +90,26 @@
 	if !n.view.setConfig(c) {
 		return
 	}
-	n.dep.Log.Log("config-in-force", logrus.Fields{"version": c.Version, "routes": len(c.Routes), "from": from})
+	n.dep.Log.Log("config-in-force", configFields(c, from))
 	if o := n.ownership.Load(); o != nil {
 		o.post(o.applyConfig)
 	}
 }
 
+// maxLoggedFindings bounds the line of a configuration with many findings; the check command lists all.
+const maxLoggedFindings = 10
+
+func configFields(c *CellConfig, from string) logrus.Fields {
+	fields := logrus.Fields{"version": c.Version, "routes": len(c.Routes), "from": from}
+	if tenants := c.Tenants.Tenants(); len(tenants) > 0 {
+		fields["tenants"] = len(tenants)
+	}
+	if findings := c.Tenants.Findings(); len(findings) > 0 {
+		fields["findings"] = fmt.Sprint(findings[:min(len(findings), maxLoggedFindings)])
+	}
+	return fields
+}
+
 // applyConfig passes the configuration in force to the scheduler. It reads the newest one, as the events of two versions
 // may be queued in either order.
 func (o *ownership) applyConfig() {
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -130,7 +130,11 @@
 }
 
 func (n *Node) ping(ctx context.Context, address string, limit time.Duration) (PingReply, error) {
-	return n.sendPing(ctx, address, n.pingArgs(), limit)
+	reply, err := n.sendPing(ctx, address, n.pingArgs(), limit)
+	if errors.Is(err, context.DeadlineExceeded) {
+		n.peers.get(address).disconnect(nil) // the connection may be dead
+	}
+	return reply, err
 }
 
 func (n *Node) pingArgs() PingArgs {
@@ -146,11 +150,7 @@
 	defer cancel()
 	var reply PingReply
 	sentAt := n.clock.Now()
-	peer := n.peers.get(address)
-	err := call(ctx, peer, "Ping", args, &reply)
-	if errors.Is(err, context.DeadlineExceeded) {
-		peer.disconnect(nil) // the connection may be dead
-	}
+	err := call(ctx, n.peers.get(address), "Ping", args, &reply)
 	reply.sentAt = sentAt
 	return reply, err
 }
