--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -55,8 +55,8 @@
 	createdAt       time.Duration
 	confirmation    configConfirmation
 	configRead      sharedCall   // reads the configuration from the store
-	ownerConfig     sharedCall   // asks the owner for the configuration
-	recheckFailedAt atomic.Int64 // when the configuration could last not be confirmed for a known key
+	peersConfig     sharedCall   // asks peers for the configuration
+	recheckFailedAt atomic.Int64 // when the last attempt to confirm the configuration failed
 }
 
 // New returns a process that has not been started.
@@ -72,7 +72,7 @@
 	n.peers.n = n
 	n.createdAt = n.clock.Now()
 	n.configRead = sharedCall{interval: configReadInterval, run: n.readStoreConfig}
-	n.ownerConfig = sharedCall{interval: configReadInterval, run: n.askOwnerForConfig}
+	n.peersConfig = sharedCall{interval: peersAskInterval, run: n.askPeersForConfig}
 	dep.Metrics.setConfigAge(n.configAgeSeconds)
 	return n
 }
@@ -83,7 +83,7 @@
 	g.Go(func() error { return n.servePeers(ctx, peers) })
 	loops := map[string]func(context.Context){
 		"register": n.register, "watch cell": n.watchCell, "watch configuration": n.watchConfig, "watch owner": n.watchOwner,
-		"pause detector": func(ctx context.Context) { n.pauses.run(ctx, n.clock) },
+		"pause detector": func(ctx context.Context) { n.pauses.run(ctx, n.clock) }, "confirm configuration": n.keepConfirmed,
 	}
 	for name, loop := range loops {
 		g.Go(func() error { n.keepRunning(ctx, name, loop); return nil })
