scheduler: placement by the learned speed of runners

Cause: on runners of unequal speed all tasks of an urgent job went to one runner by best fit, and a runner's speed counted only after about nine runs and only against 30 cores per factor of e.

Change: speeds are learned within a few runs with the runner's kind as a prior, whose weight follows how alike runners of a kind are. While runners differ enough, single tasks are placed and advice is requested by the probability of being late. Run times are scaled to a runner of usual speed before they enter the model of their queue. With like runners decisions are as before.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -92,10 +92,14 @@
 	}
 	start := fits - 1 - int(xxhash.Sum64String(st.id.Job)%uint64(fits/2+1))
 	wanted := adviceOversampling * float64(waiting) / s.eligibleShare(st)
+	order := make([]*runner, 0, fits)
+	for k := range fits {
+		order = append(order, s.byFreeCores[(start-k+fits)%fits])
+	}
+	s.sortBySpeed(st, order)
 	var refs []RunnerRef
 	found := 0
-	for k := range fits {
-		r := s.byFreeCores[(start-k+fits)%fits]
+	for _, r := range order {
 		if !s.unqueried(st, r) || r.claimedBy != nil && r.claimedBy != st {
 			continue
 		}
@@ -179,8 +183,9 @@
 		named[ref.ID] = true
 	}
 	start := int(xxhash.Sum64String(st.id.Job) % uint64(len(s.byFreeCores)))
-	for k := range s.byFreeCores {
-		r := s.byFreeCores[(start+k)%len(s.byFreeCores)]
+	order := slices.Concat(s.byFreeCores[start:], s.byFreeCores[:start])
+	s.sortBySpeed(st, order)
+	for _, r := range order {
 		if len(refs) == size {
 			break
 		}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
 )
@@ -118,10 +120,27 @@
 		m = &runtimeModel{}
 		s.runtimeModels[st.job.spec.Queue] = m
 	}
+	expected, measured := s.expectedRunTime(st), s.now-x.startSentAt
+	s.observeSpeed(x, expected, measured)
 	if !st.step.Gang { // a gang ends with its slowest member, so its run time doesn't show the speed of one runner
-		x.runner.speed.observe(s.expectedRunTime(st), s.now-x.startSentAt)
+		x.runner.speed.observe(expected, measured)
 	}
-	m.observe(st.step.EstimatedRunTime(), s.now-x.startSentAt)
+	m.observe(st.step.EstimatedRunTime(), s.onUsualRunner(measured, x))
+}
+
+// onUsualRunner scales the run time of a completed run, or of the gang that it completes, to a runner of usual speed.
+// Otherwise a queue whose work goes to fast runners would make these look like usual ones.
+func (s *Scheduler) onUsualRunner(measured time.Duration, x *run) time.Duration {
+	if !s.fleetSpeed.unequal {
+		return measured
+	}
+	slowness := x.runner.slowness
+	if x.task.stage.step.Gang {
+		for _, r := range x.task.stage.gangRunners {
+			slowness = max(slowness, r.slowness)
+		}
+	}
+	return time.Duration(float64(measured) * math.Exp(-slowness))
 }
 
 // stalled reports whether a run makes no progress. A member of a gang that has finished its part waits for the others,
--- a/internal/scheduler/fake_runner_test.go
+++ b/internal/scheduler/fake_runner_test.go
@@ -32,10 +32,15 @@
 	sim.running[e.Task]++
 	sim.logf("simulation: %s run %d begins on %s", e.Task, e.Run, r.info.ID)
 	outcome := EndDone
-	if sim.failOneIn > 0 && sim.rng.Intn(sim.failOneIn) == 0 {
+	if sim.work == nil && sim.failOneIn > 0 && sim.rng.Intn(sim.failOneIn) == 0 {
 		outcome = EndFailed
 	}
-	length := sim.runFor(step)
+	var length time.Duration
+	if sim.work != nil {
+		length, outcome = sim.work(e.Task, e.Run)
+	} else {
+		length = sim.runFor(step)
+	}
 	if slowdown := sim.slowdown[r.info.ID]; slowdown > 0 {
 		length = time.Duration(float64(length) * slowdown)
 	}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -182,7 +183,11 @@
 			return
 		}
 	}
+	st.gangRunners = nil
 	for _, t := range st.tasks {
+		if !slices.Contains(st.gangRunners, t.current.runner) {
+			st.gangRunners = append(st.gangRunners, t.current.runner)
+		}
 		s.start(t.current, "gang complete")
 	}
 }
--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
@@ -62,6 +63,14 @@
 	}
 }
 
+// runtimeSpreadOf returns the distribution of run times around the prediction in a queue.
+func (s *Scheduler) runtimeSpreadOf(queue string) runtimeSpread {
+	if m := s.runtimeModels[queue]; m != nil {
+		return m.spread
+	}
+	return runtimeSpread{}
+}
+
 // expectedRunTime returns the predicted run time of a stage's tasks.
 func (s *Scheduler) expectedRunTime(st *stage) time.Duration {
 	return s.runTimePredictor(st.job.spec.Queue)(st.step)
@@ -69,7 +78,15 @@
 
 // expectedEnd returns when a run is expected to end.
 func (s *Scheduler) expectedEnd(x *run) time.Duration {
-	return x.startSentAt + s.expectedRunTime(x.task.stage)
+	return x.startSentAt + s.onRunner(s.expectedRunTime(x.task.stage), x.runner)
+}
+
+// onRunner scales a run time to the speed of a runner.
+func (s *Scheduler) onRunner(runtime time.Duration, r *runner) time.Duration {
+	if slowness := s.slownessOf(r); slowness != 0 {
+		return time.Duration(float64(runtime) * math.Exp(slowness))
+	}
+	return runtime
 }
 
 // objectiveOf returns the time within which the job has to complete to have its full value.
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -29,6 +29,7 @@
 	}
 	awaitingInherited := s.awaitsInheritedRunners()
 	s.updateFreeCapacity(runners)
+	s.refreshSpeeds(runners)
 	full := s.now-s.lastFullPass >= fullPassInterval
 	if full {
 		s.lastFullPass = s.now
@@ -154,11 +155,12 @@
 	if len(candidates) == 0 {
 		return
 	}
+	costs := s.speedCostsOf(st)
 	for _, t := range st.tasks {
 		if !t.waiting() {
 			continue
 		}
-		r := s.bestFit(st, t, need, candidates)
+		r := s.bestFit(st, t, need, candidates, costs)
 		if r == nil {
 			return
 		}
@@ -168,21 +170,23 @@
 }
 
 // bestFit returns the runner on which the task leaves the fewest cores unused, with penalties for avoided and remote
-// runners and, for urgent work, slow ones. It returns nil if no runner has capacity, or if a failed task would get the
+// runners and, by costs or for urgent work, for the speed of runners. It returns nil if no runner has capacity, or if a failed task would get the
 // runner that it avoids although the stage has other candidates.
-func (s *Scheduler) bestFit(st *stage, t *task, need model.Resources, candidates []*runner) *runner {
+func (s *Scheduler) bestFit(st *stage, t *task, need model.Resources, candidates []*runner, costs *speedCosts) *runner {
 	var best *runner
 	bestCost := int64(0)
 	runtime := s.expectedRunTime(st)
 	for _, r := range candidates {
-		if !s.mayPlace(st, r, runtime) || !need.Fits(r.free()) || !r.health.admits(s.now) {
+		if !s.mayPlace(st, r, s.onRunner(runtime, r)) || !need.Fits(r.free()) || !r.health.admits(s.now) {
 			continue
 		}
 		if st.step.MaxPerRunner > 0 && st.runsOn(r) >= st.step.MaxPerRunner {
 			continue
 		}
 		cost := r.free().CoresMilli - need.CoresMilli
-		if st.job.queue.Priority == urgentPriority {
+		if costs != nil {
+			cost += costs.of(r)
+		} else if st.job.queue.Priority == urgentPriority {
 			cost += int64(slownessCost * r.speed.slowness())
 		}
 		if r.ID == t.avoidRunner {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -111,6 +111,7 @@
 	r.unknownRuns = 0
 	r.health = runnerHealth{}
 	r.speed = runnerSpeed{}
+	r.sample.restarted()
 	if first {
 		return
 	}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -54,6 +54,8 @@
 	unacknowledged []unacknowledgedEnd // ends whose effect on a job may not be durable yet, in order
 	health         runnerHealth
 	speed          runnerSpeed
+	sample         speedSample
+	slowness       float64       // estimate from the sample and the prior of the runner's kind
 	terminatesAt   time.Duration // 0 if no termination is announced
 	idleAt         time.Duration // expected end of all its runs
 	idleAtPass     int           // pass in which idleAt was estimated
--- a/internal/scheduler/runtime_model.go
+++ b/internal/scheduler/runtime_model.go
@@ -10,6 +10,7 @@
 // the declared time, so that a prediction depends on the declared time only as far as the two are correlated.
 type runtimeModel struct {
 	n, x, y, xx, xy float64
+	spread          runtimeSpread
 }
 
 const (
@@ -28,6 +29,9 @@
 // observe adds a completed run.
 func (m *runtimeModel) observe(declared, measured time.Duration) {
 	x, y := logMillis(declared), logMillis(measured)
+	if m.n >= minModelRuns {
+		m.spread.observe(y - logMillis(m.predict(declared)))
+	}
 	m.n = m.n*modelDecay + 1
 	m.x = m.x*modelDecay + x
 	m.y = m.y*modelDecay + y
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -37,6 +37,7 @@
 	mostlyFree     bool            // at least half of the usable cores are free
 	// mostlyFreeSince is when at least half of the usable cores became free; meaningful only while they are.
 	mostlyFreeSince time.Duration
+	fleetSpeed      fleetSpeed
 	runnersByID     []*runner // cached list of the runners, sorted by identifier; nil if outdated
 	takenOverAt     time.Duration
 	discoveryRead   bool // all runners in discovery have been listed once
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -31,10 +31,13 @@
 	trace       []string
 	queues      []Queue
 	runFor      func(step job.Step) time.Duration
-	slowdown    map[string]float64                        // factor by which runs take longer, by runner
-	estimate    int64                                     // declared run time of random jobs, milliseconds
-	failOneIn   int                                       // one of this many runs fails; 0: none
-	firstStarts map[string]time.Duration                  // start of the first run, by job
+	slowdown    map[string]float64                                                    // factor by which runs take longer, by runner
+	estimate    int64                                                                 // declared run time of random jobs, milliseconds
+	failOneIn   int                                                                   // one of this many runs fails; 0: none
+	firstStarts map[string]time.Duration                                              // start of the first run, by job
+	work        func(task job.TaskID, run int) (length time.Duration, outcome string) // nil: runFor and failOneIn
+	finished    map[string]JobFinished
+	finishedAt  map[string]time.Duration
 	noSendUntil time.Duration                             // until then the owner can send no start request
 	eligible    func(step job.StepID, runner string) bool // nil: see isEligible
 }
@@ -84,6 +87,7 @@
 	sim.estimate = 300
 	sim.runFor = func(job.Step) time.Duration { return time.Duration(100+sim.rng.Intn(800)) * time.Millisecond }
 	sim.firstStarts = map[string]time.Duration{}
+	sim.finished, sim.finishedAt = map[string]JobFinished{}, map[string]time.Duration{}
 	for i := range runners {
 		r := &fakeRunner{sim: sim, incarnation: 1, runs: map[runKey]*fakeRun{}, stoppedUpTo: map[job.TaskID]int{}}
 		r.info = RunnerInfo{
@@ -202,6 +206,8 @@
 		sim.logf("%T %+v", effect, effect)
 	}
 	switch e := effect.(type) {
+	case JobFinished:
+		sim.finished[e.Job], sim.finishedAt[e.Job] = e, sim.now
 	case StartRun:
 		sim.start(sched, e)
 	case StopRun:
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -17,6 +17,7 @@
 	reservedCount      int  // number of reserved runs
 	advice             stageAdvice
 	claimedRunners     []*runner     // runners that a gang has claimed
+	gangRunners        []*runner     // runners on which this owner has started a gang
 	nextPreemption     time.Duration // earliest time to look for runs to preempt again
 	preemptionDeadline time.Duration // when the runs preempted for reserved runs should have ended; 0 if none were
 	remainingPath      time.Duration // expected run time of the longest dependency chain among this and all later steps of the job
