--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -111,6 +111,7 @@
 	s.releaseUnknown(r)
 	r.health = runnerHealth{}
 	r.speed = runnerSpeed{}
+	r.sample.restarted()
 	if first {
 		return
 	}
