scheduler: share the capacity between tenants

Cause: one tenant's flood delayed all others, and work that could not end with value for its caller was accepted.

Jobs beyond a tenant's weight a second are excess (durable in the record): ranked after other work with value, with advice only while most machines have no call in flight, without claims and preemption, and only on capacity beyond what other work is expected to request in 0.5 s. Overflowing tokens make the oldest excess job ordinary. While more is requested than fits, work of a tenant over its share follows that of others, and a gang within its share may preempt it whatever the priorities.

No code of the shares runs without a configured tenant.

--- a/internal/scheduler/charges.go
+++ b/internal/scheduler/charges.go
@@ -15,6 +15,10 @@
 	st.job.countRun(st, 1)
 	if t := st.job.tenant; t != nil {
 		t.charged = t.charged.Add(st.step.Need)
+		if st.job.excess {
+			s.shares.excessBudget -= x.reserved.CoresMilli
+		}
+		s.updateOver(t)
 	}
 }
 
--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -14,6 +14,8 @@
 	finalState        job.State
 	finishedAt        int64
 	stored            bool // the acceptance is durable
+	excess            bool // beyond its tenant's rate
+	excessWaiting     bool // the same, and not started
 	inherited         bool // restored from a predecessor's record; the predecessor may have started tasks
 	started           bool
 	stages            []*stage // stages of occurrences that are due or have progress
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -6,7 +6,7 @@
 )
 
 // urgencyClass orders stages by the value that completing their job still has for its caller.
-type urgencyClass int
+type urgencyClass int32
 
 const (
 	classUrgent     urgencyClass = iota // urgent priority, can still meet its objective, or is long-running
@@ -23,10 +23,11 @@
 type rankedStage struct {
 	stage *stage
 	class urgencyClass
+	group shareGroup
 	due   time.Duration
 }
 
-// rank sorts the open stages by urgency class, then by priority, then by due time.
+// rank sorts the open stages by the share of their tenant, then by urgency class, then by priority, then by due time.
 func (s *Scheduler) rank() []rankedStage {
 	out := make([]rankedStage, 0, len(s.openStages))
 	for _, st := range s.openStages {
@@ -34,6 +35,9 @@
 	}
 	sort.SliceStable(out, func(i, k int) bool {
 		a, b := out[i], out[k]
+		if a.group != b.group {
+			return a.group < b.group
+		}
 		if a.class != b.class {
 			return a.class < b.class
 		}
@@ -66,5 +70,6 @@
 			r.class = classUrgentLate
 		}
 	}
+	r.group = s.shareGroupOf(st, r.class)
 	return r
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -22,6 +22,7 @@
 	stages         map[job.StepID]*stage
 	runtimeModels  map[string]*runtimeModel // by queue
 	tenants        tenants
+	shares         shares
 	dispatcher     *AdviceDispatcher
 	openStages     []*stage // also those whose tasks are all running; see stage.open
 	scheduledJobs  []*jobState
@@ -111,6 +112,7 @@
 	s.resendStops()
 	s.evacuateRuns()
 	s.removeExpiredJobs()
+	s.promoteExcess()
 	s.needsPass = true
 }
 
