pacing: slow down an owner at its limit and blame no runner for it

Change: internal/pacing limits the starts in flight by the delay of their answers, pauses regular polls while calls are slow, and tells when a timeout says nothing about a runner: the process was late, or most of at least 8 called runners are slow. Then no runner is quarantined or silent, and a start without an answer keeps its capacity until a poll finds the run, and is stopped only if none does. Calls are relayed below a score of 0.5 by processor and link.

--- a/internal/candidacy/score.go
+++ b/internal/candidacy/score.go
@@ -21,6 +21,8 @@
 	// with 3,000 runners).
 	descriptorsPerRunner = 4.9
 	maxDescriptors       = 1700
+
+	bitsPerByte, bitsPerMegabit = 8, 1e6
 )
 
 // Score returns how well a machine can carry the owner's work under a load: 1 if it has enough of everything, otherwise the
@@ -35,9 +37,31 @@
 			score = min(score, has/(reserve*needs))
 		}
 	}
-	const bitsPerByte, bitsPerMegabit = 8, 1e6
 	limit(m.LinkMbps, (bytesPerRunner*runners+bytesPerStart*l.StartsPerSecond)*bitsPerByte/bitsPerMegabit)
 	limit(float64(m.MemoryMB), min(baseMemoryMB+memoryPerRunnerMB*runners, maxMemoryMB))
 	limit(float64(m.Descriptors), min(descriptorsPerRunner*runners, maxDescriptors))
 	return score
 }
+
+// StartsPerSecond returns about how many starts a second a machine can carry as the owner.
+func StartsPerSecond(m Machine) float64 {
+	rate := float64(m.CPU) / cpuPerStart
+	if m.LinkMbps > 0 {
+		rate = min(rate, m.LinkMbps*bitsPerMegabit/bitsPerByte/bytesPerStart)
+	}
+	return rate
+}
+
+// relayScore is the score of processor and link below which an owner has its calls to runners relayed, and
+// directScore that from which on it calls them itself again. Over relays 3,000 runners took a fifth less of the owner's
+// processor (docs/CAPACITY.md), but each call has one more hop.
+const relayScore, directScore = 0.5, 0.6
+
+// Relay reports whether an owner should have its calls relayed because of its processor or link.
+func Relay(m Machine, l Load, relaying bool) bool {
+	score := Score(Machine{CPU: m.CPU, LinkMbps: m.LinkMbps}, l)
+	if relaying {
+		return score < directScore
+	}
+	return score < relayScore
+}
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -58,12 +58,15 @@
 		"checkpoint": e.Checkpoint, "reason": e.Reason,
 	})
 	o.startRate.Started()
+	o.startLimit.Sent()
 	sent := o.loopTime
 	args := RelayArgs{Runner: e.Runner, Fence: o.info.Rev, Within: runnerCallTimeout, Start: &request}
 	o.calls.send(args, func(reply RelayReply, err error) { o.startAnswered(e, reply.Outcome, err, sent) })
 }
 
 func (o *ownership) startAnswered(e scheduler.StartRun, outcome scheduler.StartOutcome, err error, sent time.Duration) {
+	o.startLimit.Answered(o.loopTime-sent, o.loopTime)
+	outcome = o.withoutBlame(outcome, err)
 	o.n.dep.Metrics.startAnswered(outcome, o.loopTime-sent)
 	if errors.Is(err, ErrFenced) {
 		o.handleFenced("start")
@@ -77,6 +80,21 @@
 	o.sched.StartAnswered(e.Runner.ID, e.Task, e.Run, outcome)
 }
 
+// withoutBlame returns the outcome of a start that timed out while this process or its link was overloaded, or was paused:
+// the runner isn't quarantined for it, and the run isn't stopped before a poll has looked for it.
+func (o *ownership) withoutBlame(outcome scheduler.StartOutcome, err error) scheduler.StartOutcome {
+	if !errors.Is(err, errPaused) && (!timedOut(err) || !o.pace.Overloaded(o.loopTime)) {
+		return outcome
+	}
+	switch outcome {
+	case scheduler.StartUnknown:
+		return scheduler.StartUnsettled
+	case scheduler.StartUnhealthy:
+		return scheduler.StartNotSent
+	}
+	return outcome
+}
+
 func (o *ownership) stop(e scheduler.StopRun) {
 	o.n.dep.Log.Log("stop", logrus.Fields{
 		"task": e.Task.String(), "run": e.Run, "runner": e.Runner.ID, "fence": o.info.Rev, "reason": e.Reason,
--- a/internal/control/local_failure.go
+++ b/internal/control/local_failure.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"context"
 	"errors"
+	"os"
 	"syscall"
 )
 
@@ -14,6 +16,11 @@
 	errPaused, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
 }
 
+// timedOut reports whether a call ended because of its timeout.
+func timedOut(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // LocalFailure reports whether a call failed because of this process or its VM and was not sent.
 func LocalFailure(err error) bool {
 	for _, local := range localFailures {
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -10,6 +10,7 @@
 
 	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/ctxtime"
+	"github.com/agateyard/agateyard/internal/pacing"
 	"github.com/agateyard/agateyard/internal/relay"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
@@ -52,7 +53,10 @@
 	usedRunners  *usedRunners // the runners that owners have used, as stored
 	lastStats    time.Duration
 	handover     *candidacy.Handover
+	pace         *pacing.Calls
+	startLimit   *pacing.StartLimit
 	startRate    candidacy.StartRate
+	overloaded   bool          // as last logged
 	loopTime     time.Duration // when the event loop last ran
 	lastPass     time.Duration // start of the last placement pass
 	passInterval time.Duration
@@ -80,6 +84,8 @@
 	now := n.clock.Now()
 	o.loopTime = now
 	o.handover = candidacy.NewHandover(now)
+	o.pace = pacing.NewCalls()
+	o.startLimit = pacing.NewStartLimit(candidacy.StartsPerSecond(n.self().candidate().Machine))
 	o.sched = scheduler.New(n.opt.Scheduler, info.Term, now, n.clock.Wall())
 	o.writer = newRecordWriter(o)
 	o.poller = newRunnerPoller(o)
@@ -161,6 +167,7 @@
 	if now-o.loopTime > maxLoopPause && !o.paused {
 		o.recheckClaim(now - o.loopTime)
 	}
+	o.pace.Lagged(now-o.loopTime-tickInterval, now)
 	o.loopTime = now
 	o.sched.Advance(now, o.n.clock.Wall())
 	event()
@@ -176,6 +183,7 @@
 	if o.paused {
 		return
 	}
+	o.sched.SetStartBudget(o.startLimit.Budget())
 	if o.sched.NeedsPass() && now-o.lastPass >= o.passInterval {
 		o.lastPass = now
 		o.sched.Pass()
@@ -198,6 +206,7 @@
 	o.checkConfirmed()
 	o.publishPending()
 	o.publishLoad()
+	o.logOverload()
 	o.yieldToFitter()
 	if o.loopTime-o.lastStats >= statsInterval {
 		o.lastStats = o.loopTime
@@ -220,6 +229,18 @@
 	}
 }
 
+// logOverload logs when this owner reaches its limit and when it is below it again.
+func (o *ownership) logOverload() {
+	overloaded := o.pace.Overloaded(o.loopTime)
+	if overloaded == o.overloaded {
+		return
+	}
+	o.overloaded = overloaded
+	o.n.dep.Log.Log("overloaded", logrus.Fields{
+		"on": overloaded, "start_limit": o.startLimit.Limit(), "call_delay_ms": o.pace.Delay(o.loopTime).Milliseconds(),
+	})
+}
+
 func (o *ownership) publishPending() {
 	pending := o.sched.Pending()
 	o.mu.Lock()
--- a/internal/control/relay_messages.go
+++ b/internal/control/relay_messages.go
@@ -24,11 +24,20 @@
 	Poll   *PollRequest
 }
 
+// wait returns how long the runner may wait before it answers.
+func (a *RelayArgs) wait() time.Duration {
+	if a.Poll == nil {
+		return 0
+	}
+	return a.Poll.Wait
+}
+
 // RelayReply is the runner's answer.
 type RelayReply struct {
-	Fenced  bool                   // the runner, or the relaying process, knows a newer owner
-	Local   bool                   // the relaying process could not make the call
-	Error   string                 // "" if the call succeeded
-	Outcome scheduler.StartOutcome // of Start
-	Report  scheduler.Report       // of Poll
+	Fenced   bool                   // the runner, or the relaying process, knows a newer owner
+	Local    bool                   // the relaying process could not make the call
+	Error    string                 // "" if the call succeeded
+	TimedOut bool                   // the runner didn't answer in time; false from processes of earlier builds
+	Outcome  scheduler.StartOutcome // of Start
+	Report   scheduler.Report       // of Poll
 }
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/relay"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
@@ -57,16 +58,15 @@
 
 // update takes the processes that ping this owner as relays if there are too many runners for direct calls.
 func (c *runnerCalls) update(runners int) {
-	if c.directMax <= 0 {
-		return // no limit is known
-	}
 	limit := c.directMax
 	if c.relaying {
 		limit -= limit / directMaxHysteresis
 	}
-	if relaying := runners > limit; relaying != c.relaying {
+	load := c.o.n.view.ownerLoad()
+	unfit := load.Runners > 0 && candidacy.Relay(c.o.n.self().candidate().Machine, load, c.relaying)
+	if relaying := c.directMax > 0 && runners > limit || unfit; relaying != c.relaying {
 		c.relaying = relaying
-		c.o.n.dep.Log.Log("relaying", map[string]any{"on": relaying, "runners": runners, "direct_max": c.directMax})
+		c.o.n.dep.Log.Log("relaying", map[string]any{"on": relaying, "runners": runners, "direct_max": c.directMax, "unfit": unfit})
 	}
 	var processes []relay.Process
 	if c.relaying {
@@ -104,9 +104,13 @@
 func (c *runnerCalls) send(args RelayArgs, done func(RelayReply, error)) {
 	rt := c.route(args.Runner)
 	sent := c.o.loopTime
+	tracked := c.o.pace.Sent(args.Runner.ID, args.wait(), sent)
 	go func() {
 		reply, err := c.o.callRunner(rt, args)
+		ended := c.o.n.clock.Now()
 		c.o.post(func() {
+			c.o.pace.Lagged(c.o.loopTime-ended, c.o.loopTime)
+			c.o.pace.Done(tracked, c.o.loopTime)
 			c.recordReply(rt, sent, err)
 			done(reply, err)
 		})
@@ -151,7 +155,7 @@
 			reply, err = o.callDirectly(args)
 		}
 	}
-	if errors.Is(err, context.DeadlineExceeded) && o.n.clock.Now()-began > limit+pauseTolerance && args.Poll != nil {
+	if errors.Is(err, context.DeadlineExceeded) && o.n.clock.Now()-began > limit+pauseTolerance && args.Stop == nil {
 		return reply, errors.Join(errPaused, err)
 	}
 	return reply, err
@@ -178,7 +182,11 @@
 	case reply.Fenced:
 		return reply, ErrFenced
 	case reply.Error != "":
-		return reply, oops.Errorf("%s", reply.Error)
+		err = oops.Errorf("%s", reply.Error)
+		if reply.TimedOut {
+			err = errors.Join(context.DeadlineExceeded, err)
+		}
+		return reply, err
 	}
 	if args.Poll != nil {
 		o.n.dep.Runners.RecordClock(args.Runner, reply.Report.Incarnation, reply.Report.Clock)
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/agateyard/agateyard/internal/pacing"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
@@ -39,6 +40,7 @@
 	acknowledged int64 // highest number that the last poll has acknowledged
 	answered     bool  // the last poll was answered
 	answeredAt   time.Duration
+	firstAt      time.Duration // first poll
 }
 
 func newRunnerPoller(o *ownership) *runnerPoller {
@@ -53,7 +55,7 @@
 		present[ref.ID] = true
 		st := p.states[ref.ID]
 		if st == nil || st.ref.Addr != ref.Addr {
-			st = &pollState{}
+			st = &pollState{firstAt: p.o.loopTime}
 			p.states[ref.ID] = st
 		}
 		if st.ref.Incarnation != ref.Incarnation {
@@ -131,7 +133,7 @@
 		p.poll(st) // by another route
 		return
 	}
-	if LocalFailure(err) {
+	if LocalFailure(err) || timedOut(err) && p.maySucceed(st) {
 		st.nextAt = p.o.loopTime + failedPollRetry
 		return
 	}
@@ -147,12 +149,18 @@
 	for _, end := range report.Ended {
 		st.lastReported = max(st.lastReported, end.Seq)
 	}
-	st.nextAt = p.o.loopTime
+	st.nextAt = p.o.loopTime + pacing.PollPause(p.o.pace.Delay(p.o.loopTime), len(report.Running) > 0)
 	if st.lastReported > p.o.sched.Acknowledged(ref.ID) {
-		st.nextAt = p.o.loopTime + unacknowledgedPollPause
+		st.nextAt = max(st.nextAt, p.o.loopTime+unacknowledgedPollPause)
 		return
 	}
-	if p.states[ref.ID] == st {
+	if p.states[ref.ID] == st && st.nextAt <= p.o.loopTime {
 		p.poll(st)
 	}
 }
+
+// maySucceed reports whether a poll that timed out says nothing about the runner, because this process or its link is
+// overloaded. A runner that has been silent for longer than a lease has ended its runs, whatever the reason.
+func (p *runnerPoller) maySucceed(st *pollState) bool {
+	return p.o.pace.Overloaded(p.o.loopTime) && p.o.loopTime-max(st.answeredAt, st.firstAt) < p.o.n.opt.Scheduler.RunLease
+}
--- a/internal/control/yield.go
+++ b/internal/control/yield.go
@@ -32,7 +32,7 @@
 		return
 	}
 	o.n.dep.Log.Log("yielding", logrus.Fields{
-		"term": o.info.Term, "to": best.Address, "weight": o.n.opt.Weight, "runners": load.Runners,
+		"term": o.info.Term, "to": best.Address, "larger": len(successors), "weight": o.n.opt.Weight, "runners": load.Runners,
 		"score": candidacy.Score(self.candidate().Machine, load), "better": candidacy.Score(best.Machine, load),
 	})
 	go o.n.handOver(o.ctx, o, []Member{members[best.Incarnation]})
--- /dev/null
+++ b/internal/pacing/calls.go
@@ -0,0 +1,126 @@
+// Package pacing decides how much an owner may ask of its own processor and link: how many starts may be in flight, how
+// long polls wait for more urgent calls, and whether a late answer says anything about the runner that was called. The
+// package performs no I/O; time is passed in. Its types are used by one goroutine.
+package pacing
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// sampleWindow is how long the delay of an answer counts. It equals the timeout of a start, so that a timeout is
+	// compared with the answers that arrived while it was waited for.
+	sampleWindow = 500 * time.Millisecond
+	// slowAfter is the delay from which on a call counts as slow: far longer than a round trip between availability zones,
+	// and half of the timeout of a start.
+	slowAfter = 250 * time.Millisecond
+	// maxLag is the delay of the event loop from which on this process counts as late.
+	maxLag = 150 * time.Millisecond
+	// minSlowRunners is the number of different runners that must be slow together. Fewer may share a rack or a fault.
+	minSlowRunners = 8
+	// verdictInterval bounds how often the calls are counted.
+	verdictInterval = 10 * time.Millisecond
+)
+
+// Call is a call in flight.
+type Call struct {
+	runner string
+	sent   time.Duration
+	wait   time.Duration // how long the runner may wait before it answers
+}
+
+type sample struct {
+	runner string
+	at     time.Duration
+	delay  time.Duration
+}
+
+// Calls tracks the delays of an owner's calls to its runners. When those of most runners rise together, the cause is the
+// owner's processor or link.
+type Calls struct {
+	inFlight  map[*Call]struct{}
+	samples   []sample // in the order in which they were answered
+	lateUntil time.Duration
+	judgedAt  time.Duration
+	mostSlow  bool
+	median    time.Duration
+}
+
+// NewCalls returns a tracker without calls.
+func NewCalls() *Calls { return &Calls{inFlight: map[*Call]struct{}{}} }
+
+// Sent records a call that is sent now.
+func (c *Calls) Sent(runner string, wait, now time.Duration) *Call {
+	call := &Call{runner: runner, sent: now, wait: wait}
+	c.inFlight[call] = struct{}{}
+	return call
+}
+
+// Done records the end of a call, also by a timeout. Of a call at which the runner may wait, the delay is known only if it
+// took longer than that.
+func (c *Calls) Done(call *Call, now time.Duration) {
+	delete(c.inFlight, call)
+	delay := now - call.sent - call.wait
+	if call.wait > 0 && delay < 0 {
+		return
+	}
+	c.samples = append(c.samples, sample{runner: call.runner, at: now, delay: delay})
+}
+
+// Lagged records how late the event loop handled something.
+func (c *Calls) Lagged(lag, now time.Duration) {
+	if lag >= maxLag {
+		c.lateUntil = max(c.lateUntil, now+sampleWindow)
+	}
+}
+
+// Overloaded reports whether this process was late or most of its calls are slow, so that a late answer says nothing
+// about the called runner.
+func (c *Calls) Overloaded(now time.Duration) bool {
+	c.judge(now)
+	return now < c.lateUntil || c.mostSlow
+}
+
+// Delay returns the median delay of the recent calls; 0 if too few runners were called to tell.
+func (c *Calls) Delay(now time.Duration) time.Duration {
+	c.judge(now)
+	return c.median
+}
+
+// judge counts the recent calls by runner. Calls that are overdue count like slow answers: the first timeouts are known
+// only when all calls have been stuck for long.
+func (c *Calls) judge(now time.Duration) {
+	if c.judgedAt > 0 && now-c.judgedAt < verdictInterval {
+		return
+	}
+	c.judgedAt = now
+	first := 0
+	for first < len(c.samples) && now-c.samples[first].at > sampleWindow {
+		first++
+	}
+	c.samples = slices.Delete(c.samples, 0, first)
+	delays := make([]time.Duration, 0, len(c.samples))
+	slow, all := map[string]bool{}, map[string]bool{}
+	count := func(runner string, delay time.Duration) {
+		delays = append(delays, delay)
+		all[runner] = true
+		if delay >= slowAfter {
+			slow[runner] = true
+		}
+	}
+	for _, s := range c.samples {
+		count(s.runner, s.delay)
+	}
+	for call := range c.inFlight {
+		if delay := now - call.sent - call.wait; delay >= slowAfter {
+			count(call.runner, delay)
+		}
+	}
+	c.median = 0
+	if len(all) >= minSlowRunners {
+		slices.Sort(delays)
+		c.median = delays[len(delays)/2]
+	}
+	c.mostSlow = len(slow) >= minSlowRunners && 2*len(slow) > len(all)
+}
--- /dev/null
+++ b/internal/pacing/calls_test.go
@@ -0,0 +1,104 @@
+package pacing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// play sends calls of the given durations at time 0, one to each runner, and ends those that have ended by the given time.
+func play(now time.Duration, durations ...time.Duration) *Calls {
+	c := NewCalls()
+	for i, d := range durations {
+		if call := c.Sent(fmt.Sprint("r", i), 0, time.Second); d <= now {
+			c.Done(call, time.Second+d)
+		}
+	}
+	return c
+}
+
+func repeat(n int, d time.Duration) []time.Duration {
+	out := make([]time.Duration, n)
+	for i := range out {
+		out[i] = d
+	}
+	return out
+}
+
+// TestOverload guards against an owner at its limit that blames runners (Adwenpa scale-1: 460 starts without an answer in
+// two seconds, 500 runners "silent"), and against an owner that never blames runners that are cut off.
+func TestOverload(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		durations []time.Duration
+		want      bool
+	}{
+		{"all fast", repeat(350, 5*ms), false},
+		{"all time out", repeat(350, 500*ms), true},
+		{"all are overdue, none has ended", repeat(350, time.Hour), true},
+		{"a third is cut off", append(repeat(117, time.Hour), repeat(233, 5*ms)...), false},
+		{"a few runners, all cut off", repeat(5, time.Hour), false},
+		{"most are slow", append(repeat(200, 300*ms), repeat(150, 5*ms)...), true},
+	} {
+		const at = 450 * ms
+		calls := play(at, c.durations...)
+		if got := calls.Overloaded(time.Second + at); got != c.want {
+			t.Errorf("%s: overloaded %v", c.name, got)
+		}
+	}
+}
+
+// TestLateProcessBlamesNobody guards against runners blamed for answers that arrived in time and were handled late.
+func TestLateProcessBlamesNobody(t *testing.T) {
+	c := NewCalls()
+	c.Lagged(maxLag/2, time.Second)
+	if c.Overloaded(time.Second) {
+		t.Error("a short delay counts")
+	}
+	c.Lagged(maxLag, time.Second)
+	if !c.Overloaded(time.Second + 100*ms) {
+		t.Error("a late process is not recognized")
+	}
+	if c.Overloaded(time.Second + 2*sampleWindow) {
+		t.Error("the lateness never ends")
+	}
+}
+
+// TestWaitOfPollsIsNoDelay guards against polls that wait at the runner for a run to end and so count as slow.
+func TestWaitOfPollsIsNoDelay(t *testing.T) {
+	c := NewCalls()
+	for i := range 100 {
+		call := c.Sent(fmt.Sprint(i), 1500*ms, time.Second)
+		c.Done(call, time.Second+time.Duration(15*i)*ms+10*ms)
+	}
+	if now := 2500 * ms; c.Overloaded(now) || c.Delay(now) > 20*ms {
+		t.Errorf("delay %s", c.Delay(now))
+	}
+}
+
+// TestFewRunnersDoNotSlowPolls guards against polls that pause because the only call that tells a delay was to a runner that
+// is cut off, in a cell of a few runners.
+func TestFewRunnersDoNotSlowPolls(t *testing.T) {
+	c := play(500*ms, repeat(4, 500*ms)...)
+	if got := c.Delay(1500 * ms); got != 0 {
+		t.Errorf("delay %s", got)
+	}
+}
+
+// TestPollPause guards against pauses of an owner without load, and against ones during which a lease expires.
+func TestPollPause(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		delay := time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * ms
+		busy, idle := PollPause(delay, true), PollPause(delay, false)
+		if delay <= minPollDelay && idle > 0 {
+			t.Fatalf("pause of %s at a delay of %s", idle, delay)
+		}
+		if busy < 0 || busy > maxPollPause || idle < busy || idle > 1500*ms {
+			t.Fatalf("pauses %s and %s", busy, idle)
+		}
+	})
+}
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -32,6 +32,19 @@
 	}
 }
 
+// TestFaultsWhileOverloaded guards against a task that runs twice, or is lost, because starts without an answer are settled
+// by polls.
+func TestFaultsWhileOverloaded(t *testing.T) {
+	for seed := range 100 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newMixedSimulation(int64(seed), 8)
+			sim.failOneIn = 25
+			sim.overloaded = true
+			runFaults(t, sim)
+		})
+	}
+}
+
 func runFaults(t *testing.T, sim *simulation) {
 	sim.run(200 * time.Millisecond)
 	sim.faults = true
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -10,7 +10,7 @@
 
 // placeGang reserves capacity for all tasks of a gang. If there is not enough, it preempts runs or claims runners.
 func (s *Scheduler) placeGang(st *stage, runners []*runner) {
-	if !st.idle() {
+	if !st.idle() || s.startBudget <= 0 {
 		return
 	}
 	candidates := s.candidates(st, runners)
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -154,6 +154,9 @@
 		if !t.waiting() {
 			continue
 		}
+		if s.startBudget <= st.reservedCount {
+			break // the owner can't deliver more starts at present
+		}
 		r := s.bestFit(st, t, need, candidates)
 		if r == nil {
 			return
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -179,6 +179,7 @@
 		}
 		s.updateRunning(x, row)
 	}
+	s.stopMissingUnsettled(r, rep, listed, ended)
 	missing := r.sortedRuns(func(x *run) bool {
 		return x.confirmedAt() > 0 && x.confirmedAt() < rep.RequestedAt && !listed[x.key()] && !ended[x.key()]
 	})
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -25,6 +25,7 @@
 	reason           string        // why it is being stopped
 	startSentAt      time.Duration // when the start request was sent; until then, and for adopted runs, when the run was added
 	startConfirmedAt time.Duration // when the start was confirmed; 0 if it wasn't
+	unsettledAt      time.Duration // when the start was given up without an answer and without blame; 0 if it wasn't
 	stopSentAt       time.Duration
 	stopConfirmedAt  time.Duration // when the stop was confirmed; 0 if it wasn't
 	resumed          bool          // started from a checkpoint or by another owner
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -39,6 +40,8 @@
 	takenOverAt    time.Duration
 	discoveryRead  bool // all runners in discovery have been listed once
 	needsPass      bool
+	startBudget    int         // number of starts that may be sent now
+	unsettled      []*run      // runs that a poll has to find
 	unsent         []*run      // runs whose start requests this process could not send
 	expired        []string    // jobs whose records may be deleted
 	finalJobs      []*jobState // in the order in which they finished
@@ -64,6 +67,7 @@
 		eligibleShares: map[string]float64{},
 		dirty:          map[string]*jobState{},
 		takenOverAt:    now,
+		startBudget:    math.MaxInt,
 	}
 }
 
@@ -106,6 +110,7 @@
 	s.openDueOccurrences()
 	s.expireLeases()
 	s.resendStarts()
+	s.stopUnsettled()
 	s.resendStops()
 	s.evacuateRuns()
 	s.removeExpiredJobs()
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -36,6 +36,7 @@
 	failOneIn   int                      // one of this many runs fails; 0: none
 	firstStarts map[string]time.Duration // start of the first run, by job
 	noSendUntil time.Duration            // until then the owner can send no start request
+	overloaded  bool                     // starts without an answer blame no runner
 }
 
 type timedEvent struct {
@@ -233,7 +234,11 @@
 	delay := 5 * time.Millisecond
 	if lost {
 		delay = time.Duration(sim.rng.Intn(6000)) * time.Millisecond
-		sim.afterFunc(500*time.Millisecond, func() { sched.StartAnswered(e.Runner.ID, e.Task, e.Run, StartUnknown) })
+		outcome := StartUnknown
+		if sim.overloaded {
+			outcome = StartUnsettled
+		}
+		sim.afterFunc(500*time.Millisecond, func() { sched.StartAnswered(e.Runner.ID, e.Task, e.Run, outcome) })
 	}
 	until := sim.now + testConfig().RunLease
 	sim.afterFunc(delay, func() {
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -15,6 +15,7 @@
 	StartUnhealthy                  // the run was not started: the runner accepts no connection or no work
 	StartUnknown                    // no valid response: the run may exist or start later
 	StartNotSent                    // this process could not send the request, which says nothing about the runner
+	StartUnsettled                  // as StartUnknown, while this process or its link was overloaded: a poll may find the run
 )
 
 // start sends the start request of a reserved run.
@@ -23,6 +24,7 @@
 	x.state = runStarting
 	t.stage.reservedCount--
 	x.startSentAt = s.now
+	s.startBudget--
 	t.lastRun = max(t.lastRun, x.number)
 	t.stage.job.started = true
 	x.resumed = s.checkpointOf(t) != ""
@@ -74,8 +76,7 @@
 		}
 	case StartUnknown:
 		if x.state == runStarting {
-			s.stop(x, "the start got no answer")
-			s.allowCopy(x)
+			s.stopUnanswered(x)
 		}
 	case StartTicketInvalid:
 		x.task.stage.advice.discard(r)
@@ -86,6 +87,8 @@
 		s.startRefused(x, "runner unhealthy")
 	case StartRefused:
 		s.startRefused(x, "refused")
+	case StartUnsettled:
+		s.settle(x)
 	case StartNotSent:
 		s.unsent = append(s.unsent, x)
 	}
@@ -137,7 +140,7 @@
 
 var outcomeNames = map[StartOutcome]string{
 	StartOK: "ok", StartRefused: "refused", StartTicketInvalid: "no-ticket", StartUnhealthy: "unhealthy", StartUnknown: "unknown",
-	StartNotSent: "not-sent",
+	StartNotSent: "not-sent", StartUnsettled: "unsettled",
 }
 
 // String returns the outcome's name for logs and metrics.
