--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -178,6 +178,9 @@
 		if !s.mayCharge(st, 1) || !s.excessMayTake(st, 1) {
 			break
 		}
+		if s.startBudget <= st.reservedCount {
+			break // the owner can't deliver more starts at present
+		}
 		r := s.bestFit(st, t, need, candidates, costs)
 		if r == nil {
 			return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -45,6 +46,8 @@
 	discoveryRead   bool // all runners in discovery have been listed once
 	needsPass       bool
 	heldBack        bool        // the stage that passStage has just visited waits for its tenant's limits
+	startBudget     int         // number of starts that may be sent now
+	unsettled       []*run      // runs that a poll has to find
 	unsent          []*run      // runs whose start requests this process could not send
 	expired         []string    // jobs whose records may be deleted
 	finalJobs       []*jobState // in the order in which they finished
@@ -70,6 +73,7 @@
 		eligibleShares: map[string]float64{},
 		dirty:          map[string]*jobState{},
 		takenOverAt:    now,
+		startBudget:    math.MaxInt,
 	}
 }
 
@@ -112,6 +116,7 @@
 	s.openDueOccurrences()
 	s.expireLeases()
 	s.resendStarts()
+	s.stopUnsettled()
 	s.resendStops()
 	s.evacuateRuns()
 	s.removeExpiredJobs()
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -39,6 +39,7 @@
 	work        func(task job.TaskID, run int) (length time.Duration, outcome string) // nil: runFor and failOneIn
 	finished    map[string]JobFinished
 	finishedAt  map[string]time.Duration
+	overloaded  bool                                      // starts without an answer blame no runner
 	noSendUntil time.Duration                             // until then the owner can send no start request
 	eligible    func(step job.StepID, runner string) bool // nil: see isEligible
 	tenants     []tenant.Tenant                           // none: work without tenants
@@ -265,7 +266,11 @@
 	delay := 5 * time.Millisecond
 	if lost {
 		delay = time.Duration(sim.rng.Intn(6000)) * time.Millisecond
-		sim.afterFunc(500*time.Millisecond, func() { sched.StartAnswered(e.Runner.ID, e.Task, e.Run, StartUnknown) })
+		outcome := StartUnknown
+		if sim.overloaded {
+			outcome = StartUnsettled
+		}
+		sim.afterFunc(500*time.Millisecond, func() { sched.StartAnswered(e.Runner.ID, e.Task, e.Run, outcome) })
 	}
 	until := sim.now + testConfig().RunLease
 	key := runKey{e.Task, e.Run}
