scheduler: inherited work counts against a cap only as far as silent runners can hold it

Cause: after a takeover a tenant was charged for every waiting task of its inherited jobs until the last runner had answered or its leases had expired. Change: the charge is bounded by the capacity of the inherited runners that have not answered. Result: TestBacklogAfterTakeover.

--- a/internal/model/resources.go
+++ b/internal/model/resources.go
@@ -39,6 +39,26 @@
 	}
 }
 
+// Min returns the smaller amount of each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		CoresMilli:   min(r.CoresMilli, o.CoresMilli),
+		MemoryMB:     min(r.MemoryMB, o.MemoryMB),
+		Accelerators: min(r.Accelerators, o.Accelerators),
+		Slots:        min(r.Slots, o.Slots),
+	}
+}
+
+// Max returns the larger amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		CoresMilli:   max(r.CoresMilli, o.CoresMilli),
+		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+		Slots:        max(r.Slots, o.Slots),
+	}
+}
+
 // Fits reports whether r is at most free in every field.
 func (r Resources) Fits(free Resources) bool {
 	return r.CoresMilli <= free.CoresMilli &&
--- a/internal/scheduler/caps.go
+++ b/internal/scheduler/caps.go
@@ -23,8 +23,14 @@
 	return s.tenants.set && (j.tenant.configured || j.spec.ConfigVersion <= s.tenants.version)
 }
 
-// committed returns what counts against the cap of a tenant.
-func (t *tenantState) committed() model.Resources { return t.charged.Add(t.inherited) }
+// committed returns what counts against the cap of a tenant. On inherited runners that have not answered, a tenant has at
+// most what they hold together.
+func (s *Scheduler) committed(t *tenantState) model.Resources {
+	if !s.tenants.inheriting {
+		return t.charged
+	}
+	return t.charged.Add(t.inherited.Min(s.tenants.unreported))
+}
 
 // mayCharge reports whether the cap of the stage's tenant leaves room for the given number of further tasks. What is held
 // for a gang of the tenant that comes earlier in the pass counts as used.
@@ -36,7 +42,7 @@
 	if !s.tenantKnown(st.job) {
 		return false
 	}
-	wanted := t.committed().Add(st.step.Need.Scale(int64(count)))
+	wanted := s.committed(t).Add(st.step.Need.Scale(int64(count)))
 	if t.heldPass == s.passCount {
 		wanted = wanted.Add(t.heldFor)
 	}
@@ -68,7 +74,7 @@
 // charged since they were reserved.
 func (s *Scheduler) mayStartReserved(st *stage) bool {
 	t := st.job.tenant
-	return t == nil || s.tenantKnown(st.job) && withinCap(t.committed(), t.Cap)
+	return t == nil || s.tenantKnown(st.job) && withinCap(s.committed(t), t.Cap)
 }
 
 // oversized reports whether a task of the job, or a gang as a whole, is larger than the cap.
--- a/internal/scheduler/caps_test.go
+++ b/internal/scheduler/caps_test.go
@@ -198,6 +198,41 @@
 	}
 }
 
+// TestBacklogAfterTakeover guards against a new owner that starts next to nothing of a tenant with a long queue until the
+// last silent runner's leases have expired: at most one runner's capacity can be in use there.
+func TestBacklogAfterTakeover(t *testing.T) {
+	sim := newMixedSimulation(6, 8)
+	sim.setTenants(capped("a", 40_000))
+	for i := range 20 {
+		sim.submitFor("a", "fill", fmt.Sprintf("f%015d", i), job.Step{Count: 10, Need: model.Resources{CoresMilli: 2000}, Estimate: 20_000})
+	}
+	sim.run(time.Second)
+	sim.runners["r00"].unreachable = true
+	sim.takeover()
+	for i := range 40 {
+		sim.submitFor("a", "urgent", fmt.Sprintf("u%015d", i), job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 20_000})
+	}
+	for _, r := range sim.runners {
+		if !r.unreachable {
+			r.runs = map[runKey]*fakeRun{} // what ran there has just ended
+		}
+	}
+	sim.run(2 * time.Second)
+	started := 0
+	for i := range 40 {
+		if _, ok := sim.firstStarts[fmt.Sprintf("u%015d", i)]; ok {
+			started++
+		}
+	}
+	const want = 32 // the cap less one runner of 8 cores
+	if started < want {
+		t.Errorf("%d urgent jobs have started beside a silent runner, want %d", started, want)
+	}
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+}
+
 // TestRunsOfFinishedJobsCount guards against a new owner that doesn't count runs of a cancelled job, of which it has
 // only the record of the finished job.
 func TestRunsOfFinishedJobsCount(t *testing.T) {
--- a/internal/scheduler/excess.go
+++ b/internal/scheduler/excess.go
@@ -90,7 +90,7 @@
 // has value.
 func (s *Scheduler) admitAtCap(t *tenantState, spec *job.Spec, valueTime, objective time.Duration) *Refusal {
 	largest := (&jobState{spec: *spec}).largestTask()
-	if withinCap(t.committed().Add(largest), t.Cap) {
+	if withinCap(s.committed(t).Add(largest), t.Cap) {
 		return nil
 	}
 	var wait time.Duration
--- a/internal/scheduler/inherited_charges.go
+++ b/internal/scheduler/inherited_charges.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/agateyard/agateyard/internal/model"
+import (
+	"math"
+
+	"github.com/agateyard/agateyard/internal/model"
+)
 
 // maxCopies is how many runs of one speculative task of a tenant may exist. A new owner charges the tenant for as many,
 // as it doesn't know them yet.
@@ -10,6 +14,7 @@
 // it, a new owner would fill the cap of a tenant whose runs on a silent runner it doesn't know yet.
 func (s *Scheduler) chargeInherited() {
 	s.tenants.inheriting = true
+	s.updateUnreported()
 	for _, j := range s.jobs {
 		if j.tenant == nil || !j.inherited {
 			continue
@@ -65,6 +70,32 @@
 	s.setInherited(t, min(t.inheritedRuns, t.maxInherited()))
 }
 
+// updateUnreported adds up the capacity of the inherited runners that have not answered. One that discovery doesn't list any
+// more counts as the largest runner that it lists.
+func (s *Scheduler) updateUnreported() {
+	var known, largest model.Resources
+	var unlisted int64
+	for _, r := range s.runners {
+		largest = largest.Max(r.Capacity)
+		switch {
+		case !r.inherited:
+		case r.Capacity == model.Resources{}:
+			unlisted++
+		default:
+			known = known.Add(r.Capacity)
+		}
+	}
+	s.tenants.unreported = known.Add(largest.Scale(unlisted))
+	if unlisted > 0 && largest == (model.Resources{}) {
+		s.tenants.unreported = unboundedResources
+	}
+}
+
+// unboundedResources is more than any fleet has.
+var unboundedResources = model.Resources{
+	CoresMilli: math.MaxInt64 / 4, MemoryMB: math.MaxInt64 / 4, Accelerators: math.MaxInt64 / 4, Slots: math.MaxInt64 / 4,
+}
+
 // releaseInherited ends the charges for tasks that may be inherited: every inherited runner has answered, or its leases
 // have expired.
 func (s *Scheduler) releaseInherited() {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -28,7 +28,11 @@
 		r.claimedBy = nil
 	}
 	awaitingInherited := s.awaitsInheritedRunners()
-	if !awaitingInherited && s.tenants.inheriting {
+	switch {
+	case !s.tenants.inheriting:
+	case awaitingInherited:
+		s.updateUnreported()
+	default:
 		s.releaseInherited()
 	}
 	s.updateFreeCapacity(runners)
--- a/internal/scheduler/tenant_state.go
+++ b/internal/scheduler/tenant_state.go
@@ -33,9 +33,10 @@
 	version    int64 // of the configuration in force
 	set        bool  // SetTenants has been called
 	byName     map[string]*tenantState
-	configured bool           // the configuration in force has tenants
-	sorted     []*tenantState // by name
-	inheriting bool           // inherited runners may have runs that are not known yet
+	configured bool            // the configuration in force has tenants
+	sorted     []*tenantState  // by name
+	inheriting bool            // inherited runners may have runs that are not known yet
+	unreported model.Resources // capacity of the inherited runners that have not answered; only while inheriting
 }
 
 // SetTenants replaces the settings of the tenants. Version is that of the configuration that holds them; an older
