--- a/internal/control/keys_test.go
+++ b/internal/control/keys_test.go
@@ -344,6 +344,41 @@
 	}
 }
 
+// silentStore never answers.
+type silentStore struct{ Store }
+
+func (silentStore) Get(ctx context.Context, _ string) (Item, bool, error) {
+	<-ctx.Done()
+	return Item{}, false, ctx.Err()
+}
+
+func (silentStore) Range(ctx context.Context, _ string) ([]Item, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// TestCallersDoNotWaitForSilentStore guards against callers with known keys who wait for a store that answers nothing, while
+// the process has no peers to ask.
+func TestCallersDoNotWaitForSilentStore(t *testing.T) {
+	c := newKeyStore(t)
+	n := c.idleNode(Options{}, 0)
+	n.dep.Store = silentStore{n.dep.Store}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.keepConfirmed(ctx)
+	}()
+	defer func() { cancel(); <-ended }()
+	time.Sleep(2*knownKeyAge + time.Second)
+	for started := time.Now(); time.Since(started) < recheckPause+500*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+		asked := time.Now()
+		if got := authenticate(n, "ant-1").Result; got != AuthKnownKey || time.Since(asked) > 100*time.Millisecond {
+			t.Fatalf("%s after %s", got, time.Since(asked))
+		}
+	}
+}
+
 // startWithoutStore starts a process that never reaches the store.
 func (c *keyCell) startWithoutStore(seeds ...string) *testNode {
 	c.t.Helper()
