scheduler: share the capacity between tenants

Cause: one tenant's flood delayed all others, work that could not end with value for its caller was accepted, and nothing told why a job of a tenant waited.

Change: the package fairshare computes weighted max-min shares of the dominant resource, accounts and token buckets. Jobs beyond a tenant's weight a second are excess (durable in the record): ranked after other work with value, with advice only while most machines have no call in flight, without claims and preemption, and only on capacity beyond what other work is expected to request in 0.5 s. Overflowing tokens make the oldest excess job ordinary. While more is requested than fits, work of a tenant over its share follows that of others, and a gang within its share may preempt it whatever the priorities. Admit refuses a job whose predicted wait, behind excess jobs or at its tenant's cap, is longer than three times its objective. The line tenant-wait and the metric agateyard_tenant tell about waits and figures.

What a tenant uses now counts for one second in advance, and the shares are scaled to what is in use.

No code of the shares runs without a configured tenant.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -43,6 +43,8 @@
 		o.n.dep.Log.Log("run-ended", logrus.Fields{
 			"task": e.Task.String(), "run": e.Run, "runner": e.Runner, "how": e.Outcome, "after_ms": e.After.Milliseconds(),
 		})
+	case scheduler.TenantWait:
+		o.n.dep.Log.Log("tenant-wait", logrus.Fields{"step": e.Step.String(), "tenant": e.Tenant, "reason": e.Reason, "ended": e.Ended})
 	case scheduler.RunnerChanged:
 		o.n.dep.Log.Log("runner", logrus.Fields{"runner": e.Runner, "change": e.Change, "detail": e.Detail})
 	}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -24,6 +24,7 @@
 	runTime    prometheus.Histogram
 	jobs       *prometheus.CounterVec
 	gauges     *prometheus.GaugeVec
+	tenants    *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -57,8 +58,11 @@
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "owned", Help: "State of the owner by kind.",
 		}, []string{"kind"}),
+		tenants: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "agateyard", Name: "tenant", Help: "State of the tenants with the most usage, as seen by the owner, by kind.",
+		}, []string{"tenant", "kind"}),
 	}
-	r.MustRegister(m.Owner, m.gauges)
+	r.MustRegister(m.Owner, m.gauges, m.tenants)
 	return m
 }
 
@@ -90,6 +94,7 @@
 func (m *Metrics) jobEnded(state job.State) { m.jobs.WithLabelValues(string(state)).Inc() }
 
 func (m *Metrics) setStats(s scheduler.Stats) {
+	m.setTenants(s.Tenants)
 	for kind, value := range map[string]float64{
 		"active_jobs": float64(s.ActiveJobs), "open_stages": float64(s.OpenStages), "waiting_tasks": float64(s.WaitingTasks), "runs": float64(s.Runs),
 		"runners": float64(s.Runners), "usable_runners": float64(s.UsableRunners), "used_cpu_milli": float64(s.UsedCPU), "cpu_milli": float64(s.CapacityCPU),
@@ -97,3 +102,17 @@
 		m.gauges.WithLabelValues(kind).Set(value)
 	}
 }
+
+// setTenants replaces the figures of the tenants, so that those without usage don't keep old ones.
+func (m *Metrics) setTenants(stats []scheduler.TenantStats) {
+	m.tenants.Reset()
+	for _, t := range stats {
+		for kind, value := range map[string]float64{
+			"running_cores": float64(t.UsedCPU) / 1000, "cap_cores": float64(t.CapCPU) / 1000, "fair_share": t.FairShare, "account": t.Account,
+			"waiting_cores": float64(t.WaitingCPU) / 1000, "excess_jobs": float64(t.ExcessJobs), "refused_jobs": float64(t.Refused),
+			"over_share": float64(t.OverShare),
+		} {
+			m.tenants.WithLabelValues(t.Name, kind).Set(value)
+		}
+	}
+}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -18,8 +18,25 @@
 	if t == nil || !t.configured || s.jobs[spec.ID] != nil {
 		return nil
 	}
+	refusal := s.admit(t, spec)
+	if refusal != nil {
+		t.refused++
+	}
+	return refusal
+}
+
+func (s *Scheduler) admit(t *tenantState, spec *job.Spec) *Refusal {
 	if oversized(spec, t.Cap) {
 		return &Refusal{Reason: "larger than the cap of its tenant", RetryAfter: oversizeRetry}
 	}
-	return nil
+	if spec.Occurrences > 0 {
+		return nil // its caller doesn't wait for it
+	}
+	queue := s.queues[spec.Queue]
+	objective := s.objectiveOf(spec, &queue)
+	valueTime := lateFactor * objective
+	if refusal := s.admitExcess(t, valueTime, objective); refusal != nil {
+		return refusal
+	}
+	return s.admitAtCap(t, spec, valueTime, objective)
 }
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -49,6 +49,9 @@
 	if st.job.queue.Advice == nil || st.advice.pending > 0 || s.now < st.advice.retryAt || st.advice.exhaustedVersion == s.fleetVersion {
 		return
 	}
+	if s.isLimitedExcess(st) && !s.dispatcher.MostlyIdle() {
+		return
+	}
 	if !s.fleetReported() || !s.dispatcher.HasCapacity(st.job.queue.Advice.CallDuration(1), s.now) {
 		return
 	}
--- a/internal/scheduler/caps.go
+++ b/internal/scheduler/caps.go
@@ -84,3 +84,28 @@
 	}
 	return false
 }
+
+// tenantAllows reports whether the limits of a stage's tenant let it place anything now.
+func (s *Scheduler) tenantAllows(st *stage) bool {
+	count := 1
+	if st.step.Gang {
+		count = len(st.tasks)
+	}
+	return s.capAllows(st) && s.excessMayTake(st, count)
+}
+
+// countHeld counts a stage that its tenant's limits have held back in this pass.
+func (s *Scheduler) countHeld(st *stage) {
+	t := st.job.tenant
+	if t.countedPass != s.passCount {
+		t.countedPass, t.held = s.passCount, 0
+	}
+	t.held++
+}
+
+// manyHeld reports whether the limits of a stage's tenant have held back so many stages in this pass that the others wait
+// for a pass over all stages. A tenant with a long queue would otherwise slow every pass down.
+func (s *Scheduler) manyHeld(st *stage) bool {
+	t := st.job.tenant
+	return t != nil && t.countedPass == s.passCount && t.held >= maxUnplacedStages
+}
--- a/internal/scheduler/caps_test.go
+++ b/internal/scheduler/caps_test.go
@@ -330,3 +330,32 @@
 		})
 	}
 }
+
+// TestTenantWaitLines guards against a job whose decision lines don't say that it waits for its tenant's cap, and against
+// figures of tenants without a bound.
+func TestTenantWaitLines(t *testing.T) {
+	sim := newMixedSimulation(9, 8)
+	sim.setTenants(capped("a", 4000))
+	for i := range 3 {
+		sim.submitFor("a", "fill", fmt.Sprintf("f%015d", i), job.Step{Count: 2, Need: model.Resources{CoresMilli: 2000}, Estimate: 2000})
+	}
+	sim.run(time.Second)
+	if lines := sim.history("tenant at its cap: 4 of 4 cores"); len(lines) != 2 {
+		t.Errorf("lines about the cap: %v, want one for each of the two stages that wait", lines)
+	}
+	if stats := sim.sched.Stats().Tenants; len(stats) != 1 || stats[0].UsedCPU != 4000 || stats[0].CapCPU != 4000 || stats[0].WaitingCPU != 8000 {
+		t.Errorf("figures %+v", stats)
+	}
+	sim.mustFinish(t, 20*time.Second)
+	if lines := sim.history("Ended:true"); len(lines) != 2 {
+		t.Errorf("lines about the end of the wait: %v", lines)
+	}
+	var many []tenant.Tenant
+	for i := range 80 {
+		many = append(many, capped(fmt.Sprintf("t%02d", i), 1000))
+	}
+	sim.setTenants(many...)
+	if stats := sim.sched.Stats().Tenants; len(stats) != maxTenantStats+1 || stats[maxTenantStats].Name != otherTenants {
+		t.Errorf("figures of %d tenants", len(stats))
+	}
+}
--- a/internal/scheduler/charges.go
+++ b/internal/scheduler/charges.go
@@ -15,6 +15,10 @@
 	st.job.countRun(st, 1)
 	if t := st.job.tenant; t != nil {
 		t.charged = t.charged.Add(st.step.Need)
+		if st.job.excess {
+			s.shares.excessBudget -= x.reserved.CoresMilli
+		}
+		t.over = t.over || s.isOver(t)
 	}
 }
 
@@ -30,7 +34,13 @@
 	}
 }
 
-func (j *jobState) countRun(st *stage, change int) {
+// recordedSize is what the record of a finished job says about the runs that were left.
+type recordedSize struct {
+	largest model.Resources
+	runs    int
+}
+
+func (j *jobState) countRun(st *stage, change int32) {
 	if st.step.Gang {
 		j.gangRuns += change
 		return
@@ -41,15 +51,22 @@
 // remainingRuns returns how many runs of a finished job may still exist. The members of a gang end together, so those of
 // a completed job have ended, although some ends are not reported yet.
 func (j *jobState) remainingRuns() int {
-	if j.finalState == job.Done {
-		return j.recordedRuns + j.runs
+	remaining := int(j.runs)
+	if j.recorded != nil {
+		remaining += j.recorded.runs
 	}
-	return j.recordedRuns + j.runs + j.gangRuns
+	if j.finalState != job.Done {
+		remaining += int(j.gangRuns)
+	}
+	return remaining
 }
 
 // largestTask returns, for each resource, the largest amount that a task of the job requests.
 func (j *jobState) largestTask() model.Resources {
-	largest := j.recordedLargest
+	var largest model.Resources
+	if j.recorded != nil {
+		largest = j.recorded.largest
+	}
 	for i := range j.spec.Steps {
 		need := j.spec.Steps[i].Need
 		largest.CoresMilli = max(largest.CoresMilli, need.CoresMilli)
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -67,6 +67,7 @@
 	t.done = true
 	t.stage.doneCount++
 	s.inheritedDone(t)
+	s.updateDemand(t.stage)
 	if t.current != nil && !t.stage.step.Gang {
 		s.stop(t.current, "another copy is done")
 	}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -16,6 +16,9 @@
 	candidates := s.candidates(st, runners)
 	chosen := s.planGang(st, candidates, false)
 	if chosen == nil {
+		if s.isLimitedExcess(st) {
+			return
+		}
 		if !s.preemptFor(st, candidates) {
 			s.claimRunners(st, candidates, runners)
 		}
--- a/internal/scheduler/inherited_charges.go
+++ b/internal/scheduler/inherited_charges.go
@@ -14,7 +14,9 @@
 		if j.tenant == nil || !j.inherited {
 			continue
 		}
-		j.tenant.inherited = j.tenant.inherited.Add(j.recordedLargest.Scale(int64(j.recordedRuns)))
+		if j.recorded != nil {
+			j.tenant.inherited = j.tenant.inherited.Add(j.recorded.largest.Scale(int64(j.recorded.runs)))
+		}
 		for _, st := range j.stages {
 			s.chargeInheritedStage(st)
 		}
@@ -47,22 +49,22 @@
 
 // setInherited changes for how many runs on inherited runners a task is charged.
 func (s *Scheduler) setInherited(t *task, runs int) {
-	if !s.tenants.inheriting || t.stage.job.tenant == nil || runs == t.inheritedRuns {
+	if !s.tenants.inheriting || t.stage.job.tenant == nil || runs == int(t.inheritedRuns) {
 		return
 	}
 	owner := t.stage.job.tenant
-	owner.inherited = owner.inherited.Add(t.stage.step.Need.Scale(int64(runs - t.inheritedRuns)))
-	t.inheritedRuns = runs
+	owner.inherited = owner.inherited.Add(t.stage.step.Need.Scale(int64(runs - int(t.inheritedRuns))))
+	t.inheritedRuns = int8(runs)
 }
 
 // inheritedFound removes the charge for an inherited run that is now known and charged itself.
 func (s *Scheduler) inheritedFound(t *task) {
-	s.setInherited(t, max(t.inheritedRuns-1, 0))
+	s.setInherited(t, max(int(t.inheritedRuns)-1, 0))
 }
 
 // inheritedDone removes the charge for the run that has completed a task.
 func (s *Scheduler) inheritedDone(t *task) {
-	s.setInherited(t, min(t.inheritedRuns, t.maxInherited()))
+	s.setInherited(t, min(int(t.inheritedRuns), t.maxInherited()))
 }
 
 // releaseInherited ends the charges for tasks that may be inherited: every inherited runner has answered, or its leases
--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
-	"github.com/agateyard/agateyard/internal/model"
 )
 
 type jobState struct {
@@ -14,6 +13,8 @@
 	finalState        job.State
 	finishedAt        int64
 	stored            bool // the acceptance is durable
+	excess            bool // beyond its tenant's rate
+	excessWaiting     bool // the same, and not started
 	inherited         bool // restored from a predecessor's record; the predecessor may have started tasks
 	started           bool
 	stages            []*stage // stages of occurrences that are due or have progress
@@ -23,10 +24,9 @@
 	durable           int64 // last durable version
 	objective         time.Duration
 	queue             Queue
-	tenant            *tenantState    // nil without a tenant
-	runs, gangRuns    int             // runs that may exist, by whether they are members of a gang
-	recordedRuns      int             // runs that existed when a predecessor finished the job
-	recordedLargest   model.Resources // largest task, from the record of a finished job
+	tenant            *tenantState  // nil without a tenant
+	runs, gangRuns    int32         // runs that may exist, by whether they are members of a gang
+	recorded          *recordedSize // of a job that a predecessor has finished; nil otherwise
 }
 
 func (j *jobState) state() job.State {
--- a/internal/scheduler/occurrences.go
+++ b/internal/scheduler/occurrences.go
@@ -63,6 +63,8 @@
 	}
 	st.open = true
 	s.openStages = append(s.openStages, st)
+	s.updateDemand(st)
+	s.recordArrival(st)
 	s.needsPass = true
 }
 
@@ -70,6 +72,7 @@
 func (s *Scheduler) stageDone(st *stage) {
 	st.open = false
 	st.claimedRunners = nil
+	s.updateDemand(st)
 	s.removeClosedStages()
 	j := st.job
 	for i := st.id.Step + 1; i < len(j.spec.Steps); i++ {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -32,6 +32,7 @@
 		s.releaseInherited()
 	}
 	s.updateFreeCapacity(runners)
+	s.updateShares()
 	full := s.now-s.lastFullPass >= fullPassInterval
 	if full {
 		s.lastFullPass = s.now
@@ -40,14 +41,22 @@
 		s.startReserved(st) // reserved capacity is idle until the runs start
 	}
 	unplaced := 0
-	for _, entry := range s.rank() {
+	for entry := range s.inShareOrder(s.rank()) {
 		before := len(s.effects)
+		if !full && s.manyHeld(entry.stage) {
+			continue
+		}
 		s.passStage(entry.stage, runners, awaitingInherited)
+		placed := len(s.effects) > before
+		if entry.stage.job.tenant != nil {
+			s.reportWait(entry.stage, s.waitsForTenant(entry.stage))
+		}
 		if s.heldBack {
+			s.countHeld(entry.stage)
 			continue // a tenant at its cap says nothing about the capacity for the stages that follow
 		}
 		unplaced++
-		if len(s.effects) > before {
+		if placed {
 			unplaced = 0
 		}
 		if unplaced == maxUnplacedStages && !full {
@@ -102,7 +111,7 @@
 		}
 		return
 	}
-	if s.heldBack = !s.capAllows(st); s.heldBack {
+	if s.heldBack = !s.tenantAllows(st); s.heldBack {
 		return
 	}
 	if st.step.Gang {
@@ -164,7 +173,7 @@
 		if !t.waiting() {
 			continue
 		}
-		if !s.mayCharge(st, 1) {
+		if !s.mayCharge(st, 1) || !s.excessMayTake(st, 1) {
 			break
 		}
 		r := s.bestFit(st, t, need, candidates)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -146,7 +146,8 @@
 		reserved.Accelerators > 0 && wanted.Accelerators > available.Accelerators
 }
 
-// mayPreempt reports whether a run may be stopped for work of a queue with higher priority. The run must save
+// mayPreempt reports whether a run may be stopped for work of a queue with higher priority, or of a tenant within its
+// share. The run must save
 // checkpoints, so that no progress is lost, and its job must have enough slack or be late and no more urgent than the
 // preemptor.
 func (s *Scheduler) mayPreempt(x *run, preemptor rankedStage) bool {
@@ -157,7 +158,7 @@
 	if s.now-x.startSentAt < minRunBeforePreemption || s.expectedEnd(x)-s.now < minRemainingForPreemption {
 		return false
 	}
-	if st.job.queue.Priority <= preemptor.stage.job.queue.Priority {
+	if !s.outranks(preemptor, st) {
 		return false
 	}
 	rank := s.rankOf(st)
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -6,7 +6,7 @@
 )
 
 // urgencyClass orders stages by the value that completing their job still has for its caller.
-type urgencyClass int
+type urgencyClass int32
 
 const (
 	classUrgent     urgencyClass = iota // urgent priority, can still meet its objective, or is long-running
@@ -23,28 +23,42 @@
 type rankedStage struct {
 	stage *stage
 	class urgencyClass
+	group shareGroup
 	due   time.Duration
 }
 
-// rank sorts the open stages by urgency class, then by priority, then by due time.
+// rank sorts the open stages by the share of their tenant, then by urgency class, then by priority, then by due time.
 func (s *Scheduler) rank() []rankedStage {
 	out := make([]rankedStage, 0, len(s.openStages))
 	for _, st := range s.openStages {
 		out = append(out, s.rankOf(st))
 	}
 	sort.SliceStable(out, func(i, k int) bool {
-		a, b := out[i], out[k]
-		if a.class != b.class {
-			return a.class < b.class
+		a, b := &out[i], &out[k]
+		if a.group != b.group {
+			return a.group < b.group
 		}
-		if pa, pb := a.stage.job.queue.Priority, b.stage.job.queue.Priority; pa != pb {
-			return pa < pb
-		}
-		return a.due < b.due
+		return a.precedes(b)
 	})
 	return out
 }
 
+// sortByUrgency sorts ranked stages by urgency class, then by priority, then by due time.
+func sortByUrgency(stages []rankedStage) {
+	sort.SliceStable(stages, func(i, k int) bool { return stages[i].precedes(&stages[k]) })
+}
+
+// precedes reports whether a stage is more urgent than another one.
+func (r *rankedStage) precedes(other *rankedStage) bool {
+	if r.class != other.class {
+		return r.class < other.class
+	}
+	if a, b := r.stage.job.queue.Priority, other.stage.job.queue.Priority; a != b {
+		return a < b
+	}
+	return r.due < other.due
+}
+
 func (s *Scheduler) rankOf(st *stage) rankedStage {
 	arrived := st.objectiveStart(s.wall, s.now)
 	due := arrived + st.job.objective
@@ -66,5 +80,6 @@
 			r.class = classUrgentLate
 		}
 	}
+	r.group = s.shareGroupOf(st, r.class)
 	return r
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -216,6 +216,7 @@
 	x := &run{task: t, number: key.run, runner: r, reserved: st.step.Reserved(), state: runRunning, startSentAt: s.now, startConfirmedAt: s.now, resumed: true}
 	s.charge(x)
 	j.started = true
+	s.excessLeft(j)
 	if t.current == nil && !t.done {
 		t.current = x
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -22,6 +22,7 @@
 	stages         map[job.StepID]*stage
 	runtimeModels  map[string]*runtimeModel // by queue
 	tenants        tenants
+	shares         shares
 	dispatcher     *AdviceDispatcher
 	openStages     []*stage // also those whose tasks are all running; see stage.open
 	scheduledJobs  []*jobState
@@ -111,6 +112,8 @@
 	s.resendStops()
 	s.evacuateRuns()
 	s.removeExpiredJobs()
+	s.promoteExcess()
+	s.endWaits()
 	s.needsPass = true
 }
 
@@ -161,12 +164,13 @@
 // Stats are figures for metrics and status pages.
 type Stats struct {
 	ActiveJobs, OpenStages, WaitingTasks, Runs, Runners, UsableRunners int
-	UsedCPU, CapacityCPU                                               int64 // millicores
+	UsedCPU, CapacityCPU                                               int64         // millicores
+	Tenants                                                            []TenantStats // those with the most usage, and "other"
 }
 
 // Stats returns the current figures.
 func (s *Scheduler) Stats() Stats {
-	var st Stats
+	st := Stats{Tenants: s.tenantStats()}
 	for _, j := range s.jobs {
 		if j.finalState == "" {
 			st.ActiveJobs++
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -18,6 +18,8 @@
 	advice             stageAdvice
 	claimedRunners     []*runner     // runners that a gang has claimed
 	nextPreemption     time.Duration // earliest time to look for runs to preempt again
+	requested          int32         // tasks that count in the demand of the job's tenant
+	runSeconds         float32       // expected run time of a task when it was first counted there
 	preemptionDeadline time.Duration // when the runs preempted for reserved runs should have ended; 0 if none were
 	remainingPath      time.Duration // expected run time of the longest dependency chain among this and all later steps of the job
 }
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -25,6 +25,7 @@
 	x.startSentAt = s.now
 	t.lastRun = max(t.lastRun, x.number)
 	t.stage.job.started = true
+	s.excessLeft(t.stage.job)
 	x.resumed = s.checkpointOf(t) != ""
 	s.sendStart(x, reason)
 }
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -18,6 +18,7 @@
 	j := &jobState{spec: spec, acceptedAt: s.wall.UnixMilli(), arrivedAt: s.now, queue: s.queues[spec.Queue], tenant: s.tenantOf(spec.Tenant)}
 	j.objective = s.objectiveOf(&j.spec, &j.queue)
 	s.jobs[spec.ID] = j
+	s.classifyArrival(j)
 	s.stateChanged(j)
 	if spec.Occurrences == 0 {
 		s.openOccurrence(j, 0) // overlaps advice calls with the write of the acceptance
@@ -29,7 +30,10 @@
 	j := &jobState{
 		spec: r.Spec, acceptedAt: r.Accepted, finalState: r.Final, finishedAt: r.Finished,
 		stored: true, inherited: true, queue: s.queues[r.Queue],
-		tenant: s.tenantOf(r.Tenant), recordedRuns: r.Runs, recordedLargest: r.Largest,
+		tenant: s.tenantOf(r.Tenant),
+	}
+	if r.Runs > 0 || !r.Largest.IsZero() {
+		j.recorded = &recordedSize{largest: r.Largest, runs: r.Runs}
 	}
 	s.jobs[r.ID] = j
 	if j.finalState != "" {
@@ -41,6 +45,10 @@
 	for _, p := range r.Progress {
 		s.restoreProgress(j, p)
 	}
+	j.excess = r.Excess && j.tenant != nil
+	if j.excess && !j.started {
+		s.addExcess(j)
+	}
 	if j.spec.Occurrences == 0 {
 		s.openOccurrence(j, 0)
 	} else {
@@ -57,6 +65,7 @@
 		}
 	}
 	s.openDueOccurrences()
+	s.sortExcess()
 	s.chargeInherited()
 }
 
@@ -94,10 +103,12 @@
 func (s *Scheduler) finish(j *jobState, state job.State, reason string) {
 	j.finalState = state
 	j.finishedAt = s.wall.UnixMilli()
+	s.excessLeft(j)
 	s.finalJobs = append(s.finalJobs, j)
 	for _, st := range j.stages {
 		st.open = false
 		st.claimedRunners = nil
+		s.updateDemand(st)
 		for _, t := range st.tasks {
 			if t.current != nil && (state != job.Done || !st.step.Gang) { // the members of a gang end together
 				s.stop(t.current, "job "+string(state))
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -3,17 +3,16 @@
 import "github.com/agateyard/agateyard/internal/job"
 
 type task struct {
-	stage       *stage
-	index       int
-	done        bool
-	current     *run   // run that is to complete the task; nil if it has none
-	lastRun     int    // highest run number known, also of adopted runs
-	failedRuns  []int  // numbers of the failed runs
-	checkpoint  string // last checkpoint
-	avoidRunner string // runner of the last run that failed or was refused
-	runs        int    // runs that may exist, including copies and those that are being stopped
-	// inheritedRuns is for how many runs that may exist on inherited runners the tenant is charged.
-	inheritedRuns int
+	stage         *stage
+	index         int
+	done          bool
+	inheritedRuns int8   // runs that may exist on inherited runners, for which the tenant is charged
+	runs          int32  // runs that may exist, including copies and those that are being stopped
+	current       *run   // run that is to complete the task; nil if it has none
+	lastRun       int    // highest run number known, also of adopted runs
+	failedRuns    []int  // numbers of the failed runs
+	checkpoint    string // last checkpoint
+	avoidRunner   string // runner of the last run that failed or was refused
 }
 
 func (t *task) id() job.TaskID {
--- a/internal/scheduler/tenant_state.go
+++ b/internal/scheduler/tenant_state.go
@@ -1,6 +1,10 @@
 package scheduler
 
 import (
+	"slices"
+	"strings"
+
+	"github.com/agateyard/agateyard/internal/fairshare"
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/tenant"
 )
@@ -8,11 +12,20 @@
 // tenantState is what the scheduler knows of one tenant. It is rebuilt by every owner.
 type tenantState struct {
 	tenant.Tenant
-	configured bool            // the configuration in force has the tenant
-	charged    model.Resources // requested by the runs of the tenant that may exist
-	inherited  model.Resources // requested by tasks that may run on inherited runners that have not answered
-	heldFor    model.Resources // kept free under the cap for a gang, in the pass heldPass
-	heldPass   int
+	configured  bool            // the configuration in force has the tenant
+	charged     model.Resources // requested by the runs of the tenant that may exist
+	inherited   model.Resources // requested by tasks that may run on inherited runners that have not answered
+	heldFor     model.Resources // kept free under the cap for a gang, in the pass heldPass
+	heldPass    int
+	held        int // stages that the tenant's limits have held back in the pass countedPass
+	countedPass int
+	demand      demand
+	arrivals    fairshare.Bucket // tokens of jobs within the tenant's rate
+	excess      excessState
+	account     fairshare.Account
+	fairShare   float64 // dominant share of the capacity that the tenant is owed, as of the last update
+	over        bool    // over its share
+	refused     int     // jobs refused since the ownership began
 }
 
 // tenants holds the tenants of a scheduler. It stays empty without jobs of tenants.
@@ -20,7 +33,10 @@
 	version    int64 // of the configuration in force
 	set        bool  // SetTenants has been called
 	byName     map[string]*tenantState
-	inheriting bool // inherited runners may have runs that are not known yet
+	configured bool                  // the configuration in force has tenants
+	sorted     []*tenantState        // by name
+	waits      map[*stage]tenantWait // reported waits
+	inheriting bool                  // inherited runners may have runs that are not known yet
 }
 
 // SetTenants replaces the settings of the tenants. Version is that of the configuration that holds them; an older
@@ -30,6 +46,10 @@
 		return
 	}
 	s.tenants.version, s.tenants.set = version, true
+	if !s.tenants.configured {
+		s.shares = shares{updatedAt: s.now - shareInterval}
+	}
+	s.tenants.configured = len(settings) > 0
 	for _, t := range s.tenants.byName {
 		t.configured = false
 		t.Tenant = tenant.Tenant{Name: t.Name}
@@ -40,6 +60,7 @@
 		}
 		t := s.tenantOf(setting.Name)
 		t.Tenant, t.configured = setting, true
+		t.arrivals.SetRate(setting.Weight, s.now)
 	}
 	s.needsPass = true
 }
@@ -56,6 +77,8 @@
 			s.tenants.byName = map[string]*tenantState{}
 		}
 		s.tenants.byName[name] = t
+		s.tenants.sorted = append(s.tenants.sorted, t)
+		slices.SortFunc(s.tenants.sorted, func(a, b *tenantState) int { return strings.Compare(a.Name, b.Name) })
 	}
 	return t
 }
