--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
-	"github.com/agateyard/agateyard/internal/model"
 )
 
 type jobState struct {
@@ -26,10 +25,9 @@
 	durable           int64 // last durable version
 	objective         time.Duration
 	queue             Queue
-	tenant            *tenantState    // nil without a tenant
-	runs, gangRuns    int             // runs that may exist, by whether they are members of a gang
-	recordedRuns      int             // runs that existed when a predecessor finished the job
-	recordedLargest   model.Resources // largest task, from the record of a finished job
+	tenant            *tenantState  // nil without a tenant
+	runs, gangRuns    int32         // runs that may exist, by whether they are members of a gang
+	recorded          *recordedSize // of a job that a predecessor has finished; nil otherwise
 }
 
 func (j *jobState) state() job.State {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -52,12 +52,16 @@
 			continue
 		}
 		s.passStage(entry.stage, runners, awaitingInherited)
+		placed := len(s.effects) > before
+		if entry.stage.job.tenant != nil {
+			s.reportWait(entry.stage, s.waitsForTenant(entry.stage))
+		}
 		if s.heldBack {
 			s.countHeld(entry.stage)
 			continue // a tenant at its cap says nothing about the capacity for the stages that follow
 		}
 		unplaced++
-		if len(s.effects) > before {
+		if placed {
 			unplaced = 0
 		}
 		if unplaced == maxUnplacedStages && !full {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -121,6 +121,7 @@
 	s.evacuateRuns()
 	s.removeExpiredJobs()
 	s.promoteExcess()
+	s.endWaits()
 	s.needsPass = true
 }
 
@@ -171,12 +172,13 @@
 // Stats are figures for metrics and status pages.
 type Stats struct {
 	ActiveJobs, OpenStages, WaitingTasks, Runs, Runners, UsableRunners int
-	UsedCPU, CapacityCPU                                               int64 // millicores
+	UsedCPU, CapacityCPU                                               int64         // millicores
+	Tenants                                                            []TenantStats // those with the most usage, and "other"
 }
 
 // Stats returns the current figures.
 func (s *Scheduler) Stats() Stats {
-	var st Stats
+	st := Stats{Tenants: s.tenantStats()}
 	for _, j := range s.jobs {
 		if j.finalState == "" {
 			st.ActiveJobs++
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -30,7 +30,10 @@
 	j := &jobState{
 		spec: r.Spec, acceptedAt: r.Accepted, finalState: r.Final, finishedAt: r.Finished,
 		stored: true, inherited: true, queue: s.queues[r.Queue],
-		tenant: s.tenantOf(r.Tenant), recordedRuns: r.Runs, recordedLargest: r.Largest,
+		tenant: s.tenantOf(r.Tenant),
+	}
+	if r.Runs > 0 || !r.Largest.IsZero() {
+		j.recorded = &recordedSize{largest: r.Largest, runs: r.Runs}
 	}
 	s.jobs[r.ID] = j
 	if j.finalState != "" {
