scheduler: the most urgent records are written first

Change: records for which a caller may wait come first, then by priority of the queue and by due time.

--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/agateyard/agateyard/internal/job"
 )
@@ -13,25 +15,44 @@
 	Record  *job.Record
 }
 
-// TakeDirty removes and returns up to limit changed records, urgent ones first. Jobs for which busy returns true are
-// skipped.
+// TakeDirty removes and returns up to limit changed records, in the order of compareDirty. Jobs for which busy returns true
+// are skipped.
 func (s *Scheduler) TakeDirty(limit int, busy func(id string) bool) []DirtyRecord {
-	var out []DirtyRecord
-	for _, urgent := range []bool{true, false} {
-		for id, j := range s.dirty {
-			if len(out) == limit {
-				return out
-			}
-			if j.callerWaits() != urgent || busy(id) {
-				continue
-			}
-			delete(s.dirty, id)
-			out = append(out, DirtyRecord{ID: id, Version: j.version, Record: j.record()})
+	first := make([]*jobState, 0, limit+1)
+	for id, j := range s.dirty {
+		if busy(id) || len(first) == limit && compareDirty(j, first[limit-1]) > 0 {
+			continue
 		}
+		at, _ := slices.BinarySearchFunc(first, j, compareDirty)
+		first = slices.Insert(first, at, j)
+		first = first[:min(len(first), limit)]
+	}
+	out := make([]DirtyRecord, 0, len(first))
+	for _, j := range first {
+		delete(s.dirty, j.spec.ID)
+		out = append(out, DirtyRecord{ID: j.spec.ID, Version: j.version, Record: j.record()})
 	}
 	return out
 }
 
+// compareDirty orders the records of which only a part fits into a commit: those for which a caller may be waiting first,
+// then by the priority of the queue, then by the time at which the job is due. After an outage of the store the
+// first commits hold what is lost first if it waits longer.
+func compareDirty(a, b *jobState) int {
+	waits := func(j *jobState) int {
+		if j.callerWaits() {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(waits(a), waits(b)),
+		cmp.Compare(a.queue.Priority, b.queue.Priority),
+		cmp.Compare(a.arrivedAt+a.objective, b.arrivedAt+b.objective),
+		strings.Compare(a.spec.ID, b.spec.ID),
+	)
+}
+
 // MarkDirty marks a job's record to be written again.
 func (s *Scheduler) MarkDirty(id string) {
 	if j := s.jobs[id]; j != nil {
