control, entry, configstore: replays, lost SYNs and undecodable values

Cause: a watch that starts before the later pages of a read delivered older entries of runners, so that a draining one counted as ready for a moment. One lost SYN outlasts the time limit of a dial, which quarantined a sound runner.

--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -141,7 +141,8 @@
 
 func isPermanent(err error) bool {
 	var conflict *ConflictError
-	return errors.As(err, &conflict) || errors.Is(err, ErrTooLarge)
+	var malformed *malformedError
+	return errors.As(err, &conflict) || errors.Is(err, ErrTooLarge) || errors.As(err, &malformed)
 }
 
 func conflictError(current Document, c Change) error {
@@ -172,9 +173,17 @@
 		return Document{}, 0, nil, err
 	}
 	d, err := decodeDocument(entry.Value)
-	return d, entry.Version, entry.Value, err
+	if err != nil {
+		return Document{}, 0, nil, &malformedError{err}
+	}
+	return d, entry.Version, entry.Value, nil
 }
 
+// malformedError is the error of a stored document that can't be decoded. Reading it again doesn't help.
+type malformedError struct{ error }
+
+func (e *malformedError) Unwrap() error { return e.error }
+
 func (s *Store) offerToCache(name string, revision uint64, value []byte) {
 	if s.cache != nil && revision > 0 {
 		s.cache.Offer([]Doc{{Name: name, Revision: revision, JSON: value}})
@@ -236,13 +245,23 @@
 	if err != nil {
 		return nil, err
 	}
-	page, err := s.list(ctx, historyKeyPrefix(name), "", maxHistory+pruneBatch)
-	if err != nil {
-		return nil, oops.In("configstore").Wrapf(err, "list history of %s", name)
+	var entries []platform.Entry // the last ones, as the entries are sorted by revision and deleted late
+	after := ""
+	for {
+		page, err := s.list(ctx, historyKeyPrefix(name), after, maxHistory+pruneBatch)
+		if err != nil {
+			return nil, oops.In("configstore").Wrapf(err, "list history of %s", name)
+		}
+		entries = append(entries, page.Entries...)
+		entries = entries[max(0, len(entries)-maxHistory):]
+		if !page.More || len(page.Entries) == 0 {
+			break
+		}
+		after = page.Entries[len(page.Entries)-1].Key
 	}
 	out := []Document{current}
-	for i := len(page.Entries) - 1; i >= 0 && len(out) < maxHistory; i-- {
-		d, err := decodeDocument(page.Entries[i].Value)
+	for i := len(entries) - 1; i >= 0 && len(out) < maxHistory; i-- {
+		d, err := decodeDocument(entries[i].Value)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -394,3 +394,49 @@
 		t.Errorf("%d writes", n)
 	}
 }
+
+// Guards against a caller that waits until its deadline because a stored document can't
+// be decoded: reading it again doesn't help.
+func TestMalformedDocumentIsNotRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newFakeStore()
+		if _, err := kv.Put(t.Context(), documentKey(WorkspaceName("a")), []byte("{"), platform.PutOptions{IfVersion: platform.CreateOnly}); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+		defer cancel()
+		start := time.Now()
+		_, err := NewStore(kv, nil, discardLogger()).Apply(ctx, workspaceChange("a", "c", 1))
+		if err == nil || time.Since(start) > time.Second {
+			t.Errorf("got %v after %s", err, time.Since(start))
+		}
+	})
+}
+
+// Guards against a history without its newest revisions while old ones have not been
+// deleted yet, as after a time in which the deletions failed.
+func TestHistoryShowsTheNewest(t *testing.T) {
+	kv := newFakeStore()
+	s := NewStore(kv, nil, discardLogger())
+	const changes = 2 * (maxHistory + pruneBatch)
+	kv.chooseFault = func(op, _ string) (fault, time.Duration) {
+		if op == "delete" {
+			return faultUnavailable, 0
+		}
+		return faultNone, 0
+	}
+	for i := range changes {
+		if _, err := s.Apply(t.Context(), workspaceChange("a", fmt.Sprintf("c%d", i), uint64(i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	revisions, err := s.History(t.Context(), WorkspaceName("a"))
+	if err != nil || len(revisions) != maxHistory {
+		t.Fatalf("got %d revisions, %v", len(revisions), err)
+	}
+	for i, d := range revisions {
+		if d.Revision != uint64(changes-i) {
+			t.Errorf("entry %d: revision %d", i, d.Revision)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/handover_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/job"
+	"github.com/agateyard/agateyard/internal/scheduler"
+)
+
+// fencingRunners refuse requests of replaced owners, as real ones do, and count the starts of each task.
+type fencingRunners struct {
+	*fakeRunners
+	mu     sync.Mutex
+	fences map[string]int64
+	starts map[job.TaskID]int
+}
+
+func (f *fencingRunners) check(id string, fence int64) error {
+	if fence < f.fences[id] {
+		return ErrFenced
+	}
+	f.fences[id] = fence
+	return nil
+}
+
+func (f *fencingRunners) Start(ctx context.Context, r scheduler.RunnerRef, req StartRequest) (scheduler.StartOutcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.check(r.ID, req.Fence); err != nil {
+		return scheduler.StartRefused, err
+	}
+	f.starts[req.Task]++
+	return f.fakeRunners.Start(ctx, r, req)
+}
+
+func (f *fencingRunners) Poll(ctx context.Context, r scheduler.RunnerRef, req PollRequest) (scheduler.Report, error) {
+	f.mu.Lock()
+	err := f.check(r.ID, req.Fence)
+	f.mu.Unlock()
+	if err != nil {
+		return scheduler.Report{}, err
+	}
+	return f.fakeRunners.Poll(ctx, r, req)
+}
+
+// TestHandoverStartsNothingTwice guards against tasks that both the old and the new owner start around a hand-over, and
+// against callers that are told otherwise.
+func TestHandoverStartsNothingTwice(t *testing.T) {
+	runners := &fencingRunners{fakeRunners: newFakeRunners(), fences: map[string]int64{}, starts: map[job.TaskID]int{}}
+	deps := testDeps()
+	deps.Runners, deps.Advisor, deps.Directory = runners, allEligibleAdvisor{}, fakeDirectory{}
+	store := newMemoryStore()
+	putValue(t, store, "op/config", "\x01")
+	for _, id := range []string{"a", "b", "c"} {
+		putValue(t, store, "servers/"+id, "ready")
+	}
+	var nodes []*testNode
+	for range 3 {
+		nodes = append(nodes, startNodeWith(t, deps, store, testWeight))
+	}
+	eventually(t, 5*time.Second, "an owner that accepts jobs", func() bool {
+		return len(ownersOf(nodes)) == 1 && submit(nodes[0], testSpec(0)) == OutcomeStored
+	})
+	const jobs, handovers = 240, 4
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		for range handovers {
+			time.Sleep(500 * time.Millisecond)
+			for _, owner := range ownersOf(nodes) {
+				owner.handOver(context.Background(), owner.ownership.Load(), owner.view.memberList())
+			}
+		}
+	}()
+	for i := 1; i < jobs; i++ {
+		if got := submit(nodes[i%3], testSpec(i)); got != OutcomeStored {
+			t.Errorf("job %d: %s", i, got)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	<-handedOver
+	eventually(t, 15*time.Second, "all jobs are done", func() bool {
+		for i := range jobs {
+			if state, _ := stateOf(t, nodes[0], testSpec(i).ID); state != job.Done {
+				return false
+			}
+		}
+		return true
+	})
+	if o, _ := nodes[0].view.currentOwner(); o.Term <= handovers {
+		t.Errorf("the term is %d after %d hand-overs", o.Term, handovers)
+	}
+	runners.mu.Lock()
+	defer runners.mu.Unlock()
+	for task, starts := range runners.starts {
+		if starts != 1 {
+			t.Errorf("%s was started %d times", task, starts)
+		}
+	}
+}
--- a/internal/control/peer_client.go
+++ b/internal/control/peer_client.go
@@ -6,39 +6,17 @@
 	"net"
 	"net/rpc"
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
-	// dialTimeout limits one attempt to connect, far above a round trip between availability zones. It tolerates the loss of a
-	// SYN packet only where the system retransmits it within this time; the Linux default is 1 s.
+	// dialTimeout limits a dial, far above a round trip between availability zones.
 	dialTimeout = 600 * time.Millisecond
 	// userTimeoutMillis is the TCP user timeout, in milliseconds. It closes connections whose peer acknowledges no data for
 	// twice ownerSilenceLimit.
 	userTimeoutMillis = 1500
 )
 
-// Dialer returns a dialer for TCP connections that fail when the peer stops acknowledging data.
-func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout:   timeout,
-		KeepAlive: -1,
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var failed error
-			err := c.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMillis)
-			})
-			if err != nil {
-				return err
-			}
-			return failed
-		},
-	}
-}
-
 // errNotConnected means that a call has certainly not been sent.
 var errNotConnected = errors.New("no connection to the peer")
 
@@ -114,7 +92,7 @@
 	dial := p.dial
 	if dial == nil {
 		dial = func(ctx context.Context) (net.Conn, error) {
-			return Dialer(dialTimeout).DialContext(ctx, "tcp", p.address)
+			return DialFunc(dialTimeout)(ctx, "tcp", p.address)
 		}
 	}
 	conn, err := dial(ctx)
--- a/internal/control/watch_runners.go
+++ b/internal/control/watch_runners.go
@@ -22,7 +22,7 @@
 // watchRunners keeps the list of runners up to date until the ownership ends.
 func (o *ownership) watchRunners() {
 	prefix := o.n.dep.Directory.RunnerPrefix()
-	known := map[string]scheduler.RunnerInfo{} // as last passed to the event loop
+	entries := newRunnerEntries(o)
 	failed := false
 	for o.ctx.Err() == nil {
 		items, rev, err := o.n.readRange(o.ctx, prefix)
@@ -31,20 +31,11 @@
 			ctxtime.Sleep(o.ctx, storeRetry)
 			continue
 		}
-		present := map[string]bool{}
-		for _, item := range items {
-			o.applyRunnerItem(item, known)
-			present[o.n.dep.Directory.RunnerID(item.Key)] = true
-		}
 		grace := time.Duration(0)
 		if failed {
 			grace = reregisterGrace
 		}
-		for id := range known {
-			if !present[id] {
-				o.removeAfter(id, grace, known)
-			}
-		}
+		entries.reset(items, grace)
 		o.post(o.sched.DiscoveryRead)
 		failed = false
 		regained := o.n.clock.Now()
@@ -60,11 +51,7 @@
 				grace = reregisterGrace
 			}
 			for _, item := range changes {
-				if item.Deleted {
-					o.removeAfter(o.n.dep.Directory.RunnerID(item.Key), grace, known)
-					continue
-				}
-				o.applyRunnerItem(item, known)
+				entries.apply(item, grace)
 			}
 			if len(changes) < busyWatchChanges {
 				ctxtime.Sleep(o.ctx, runnersWatchPause)
@@ -73,28 +60,69 @@
 	}
 }
 
-// applyRunnerItem applies a runner's entry if it differs from the last one: most changes are heartbeats, which say nothing
-// new. An entry that can't be decoded doesn't change the state of the runner.
-func (o *ownership) applyRunnerItem(item Item, known map[string]scheduler.RunnerInfo) {
+// runnerEntries are the entries of runners as last passed to the event loop. Only watchRunners uses them.
+type runnerEntries struct {
+	o     *ownership
+	known map[string]scheduler.RunnerInfo
+	revs  map[string]int64 // revision of the last change, by key
+}
+
+func newRunnerEntries(o *ownership) *runnerEntries {
+	return &runnerEntries{o: o, known: map[string]scheduler.RunnerInfo{}}
+}
+
+// reset applies a full read.
+func (e *runnerEntries) reset(items []Item, grace time.Duration) {
+	e.revs = make(map[string]int64, len(items))
+	present := map[string]bool{}
+	for _, item := range items {
+		e.apply(item, grace)
+		present[e.o.n.dep.Directory.RunnerID(item.Key)] = true
+	}
+	for id := range e.known {
+		if !present[id] {
+			e.remove(id, grace)
+		}
+	}
+}
+
+// apply applies a change, unless a later one of the same key has been applied: a read of several pages is watched from the
+// revision of its first page, so changes from before the later pages are delivered again.
+func (e *runnerEntries) apply(item Item, grace time.Duration) {
+	if item.Rev > 0 && item.Rev <= e.revs[item.Key] {
+		return
+	}
+	e.revs[item.Key] = item.Rev
+	if item.Deleted {
+		e.remove(e.o.n.dep.Directory.RunnerID(item.Key), grace)
+		return
+	}
+	e.set(item)
+}
+
+// set applies a runner's entry if it differs from the last one: most changes are heartbeats, which say nothing new. An
+// entry that can't be decoded doesn't change the state of the runner.
+func (e *runnerEntries) set(item Item) {
+	o := e.o
 	info, err := o.n.dep.Directory.DecodeRunner(item)
 	if err != nil {
 		o.n.dep.Log.Log("bad-runner-entry", logrus.Fields{"key": item.Key, "error": err.Error()})
 		return
 	}
-	if last, ok := known[info.ID]; ok && last.Equal(info) {
+	if last, ok := e.known[info.ID]; ok && last.Equal(info) {
 		return
 	}
-	known[info.ID] = info
+	e.known[info.ID] = info
 	o.post(func() {
 		delete(o.removeAt, info.ID)
 		o.usedRunners.add(info)
 	})
 }
 
-// removeAfter schedules the removal of a runner, which is canceled if its entry comes back within the grace period.
-func (o *ownership) removeAfter(id string, grace time.Duration, known map[string]scheduler.RunnerInfo) {
-	delete(known, id)
-	o.post(func() { o.removeAt[id] = o.loopTime + grace })
+// remove schedules the removal of a runner, which is canceled if its entry comes back within the grace period.
+func (e *runnerEntries) remove(id string, grace time.Duration) {
+	delete(e.known, id)
+	e.o.post(func() { e.o.removeAt[id] = e.o.loopTime + grace })
 }
 
 // removeDue removes the runners whose entries have not come back within their grace period.
--- a/internal/control/watch_runners_test.go
+++ b/internal/control/watch_runners_test.go
@@ -55,3 +55,28 @@
 		t.Errorf("state %q", state)
 	}
 }
+
+// TestOlderEntriesAreNotReplayed guards against a drained runner that gets work again because a watch delivers changes from
+// before the read of its entry (a read of several pages is watched from the revision of its first page).
+func TestOlderEntriesAreNotReplayed(t *testing.T) {
+	n := newTestNode(newMemoryStore(), "127.0.0.1:1", testWeight)
+	n.dep.Directory = fakeDirectory{}
+	o := newTestOwnership(n.Node)
+	defer o.cancel()
+	entries := newRunnerEntries(o)
+	entries.reset([]Item{{Key: "servers/a", Value: []byte("draining"), Rev: 9}}, 0)
+	for _, change := range []struct {
+		item     Item
+		draining bool
+	}{
+		{Item{Key: "servers/a", Value: []byte("ready"), Rev: 7}, true},
+		{Item{Key: "servers/a", Rev: 8, Deleted: true}, true},
+		{Item{Key: "servers/a", Value: []byte("draining"), Rev: 9}, true},
+		{Item{Key: "servers/a", Value: []byte("ready"), Rev: 10}, false},
+	} {
+		entries.apply(change.item, 0)
+		if info, ok := entries.known["a"]; !ok || info.Draining != change.draining {
+			t.Errorf("after revision %d: %+v, known %v", change.item.Rev, info, ok)
+		}
+	}
+}
--- a/internal/entry/compaction.go
+++ b/internal/entry/compaction.go
@@ -68,7 +68,7 @@
 	if l.takeover.inProgress() {
 		return nil
 	}
-	var out [][]byte
+	out := [][]byte{} // not nil: a process without shards has nothing to keep
 	add := func(e journalEntry) bool {
 		data, err := e.encode()
 		if err != nil {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -6,13 +6,15 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/agateyard/agateyard/internal/journal"
 	"github.com/agateyard/agateyard/internal/model"
 )
 
 // metricsTimeout limits the time that one scrape waits for the loop.
 const metricsTimeout = 2 * time.Second
 
-// collector exports the state of the event loop as metrics.
+// collector exports the state of the event loop, and the metrics of the journal of the
+// current incarnation.
 type collector struct {
 	process *Process
 
@@ -52,6 +54,9 @@
 	for _, d := range []*prometheus.Desc{c.view, c.store, c.shards, c.queued, c.running, c.oldest, c.total, c.free, c.waiting} {
 		ch <- d
 	}
+	for _, c := range journal.NewWriter(journal.Config{}).Collectors() {
+		c.Describe(ch)
+	}
 }
 
 // Collect sends the current values. It sends none between two incarnations.
@@ -60,6 +65,9 @@
 	if n == nil {
 		return
 	}
+	for _, j := range n.journal.Collectors() {
+		j.Collect(ch)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), metricsTimeout)
 	defer cancel()
 	s, err := n.status(ctx)
--- a/internal/entry/view_change.go
+++ b/internal/entry/view_change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/agateyard/agateyard/internal/model"
 )
@@ -79,22 +80,32 @@
 	}
 	go func() {
 		defer n.fetchingView.Unlock()
-		ctx, cancel := context.WithTimeout(n.ctx, gossipTimeout)
-		defer cancel()
-		var reply ViewReply
-		if err := n.peers.call(ctx, from, connControl, "Peer.View", Empty{}, &reply); err != nil {
-			return
-		}
-		n.post(peerViewReceived{view: reply.View})
+		n.fetchViewFrom(from)
 	}()
 }
 
-// refetchView calls fetchView for every peer. fetchView does nothing while another
-// fetch is in flight.
+func (n *Node) fetchViewFrom(from string) {
+	ctx, cancel := context.WithTimeout(n.ctx, gossipTimeout)
+	defer cancel()
+	var reply ViewReply
+	if err := n.peers.call(ctx, from, connControl, "Peer.View", Empty{}, &reply); err != nil {
+		return // another process may answer
+	}
+	n.post(peerViewReceived{view: reply.View})
+}
+
+// refetchView fetches the views of all peers, unless another fetch is in flight: one
+// peer alone may be unreachable, or not know the newer view either.
 func (n *Node) refetchView() {
+	if !n.fetchingView.TryLock() {
+		return
+	}
+	defer n.fetchingView.Unlock()
+	var fetches sync.WaitGroup
 	for _, m := range n.currentView().Members {
 		if m.Incarnation != n.self.Incarnation {
-			n.fetchView(m.Incarnation)
+			fetches.Go(func() { n.fetchViewFrom(m.Incarnation) })
 		}
 	}
+	fetches.Wait()
 }
--- a/internal/membership/edit.go
+++ b/internal/membership/edit.go
@@ -154,7 +154,7 @@
 		var v model.View // empty if there is no view yet
 		if err == nil {
 			if err = json.Unmarshal(e.Value, &v); err != nil {
-				return fmt.Errorf("value of %s: %w", viewKey, err)
+				return fmt.Errorf("%w: value of %s: %w", errMalformed, viewKey, err)
 			}
 		}
 		if !edit(&v) {
@@ -167,13 +167,16 @@
 	})
 }
 
-// retry calls op with increasing delays until it succeeds, returns ErrReplaced or
-// ErrNotJoined, or ctx ends.
+// errMalformed is the error of a value that can't be decoded. Reading it again doesn't help.
+var errMalformed = errors.New("malformed value in the store")
+
+// retry calls op with increasing delays until it succeeds, returns ErrReplaced,
+// ErrNotJoined or errMalformed, or ctx ends.
 func (m *Manager) retry(ctx context.Context, op func(context.Context) error) error {
 	retryDelay := platform.NewBackOff(initialRetryDelay/4, maxRetryDelay)
 	for {
 		err := op(ctx)
-		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, ErrNotJoined) {
+		if err == nil || errors.Is(err, ErrReplaced) || errors.Is(err, ErrNotJoined) || errors.Is(err, errMalformed) {
 			return err
 		}
 		if platform.Sleep(ctx, retryDelay.NextBackOff()) != nil {
