entry: a panic in a peer's call doesn't end the process

Cause: net/rpc runs handlers in goroutines of its own, so a panic in one of them ended the older entry process.

Change: each handler recovers, logs the stack and returns an error that says nothing about the effect; so does the goroutine that decodes.

--- a/internal/entry/digest.go
+++ b/internal/entry/digest.go
@@ -43,7 +43,8 @@
 }
 
 // Summaries returns all known summaries to a process that has missed some.
-func (s *PeerService) Summaries(args Empty, reply *SummariesReply) error {
+func (s *PeerService) Summaries(args Empty, reply *SummariesReply) (failure error) {
+	defer s.n.recoverCall("Peer.Summaries", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -87,8 +87,11 @@
 		}
 		p.track(conn, n)
 		go func() {
+			defer p.untrack(conn)
+			var failure error // logged by recoverCall
+			defer n.recoverCall("decode", &failure)
+			defer conn.Close() // also after a panic of the decoder
 			server.ServeConn(conn)
-			p.untrack(conn)
 		}()
 	}
 }
--- a/internal/entry/rpc_peer.go
+++ b/internal/entry/rpc_peer.go
@@ -12,7 +12,8 @@
 type PeerService struct{ n *Node }
 
 // Gossip handles a gossip message from a peer.
-func (s *PeerService) Gossip(args GossipArgs, reply *Empty) error {
+func (s *PeerService) Gossip(args GossipArgs, reply *Empty) (failure error) {
+	defer s.n.recoverCall("Peer.Gossip", &failure)
 	s.n.observe(args.Header)
 	s.n.post(gossipReceived{args: args})
 	go s.n.fetchDocuments(s.n.ctx, args.From, args.Revisions)
@@ -21,7 +22,8 @@
 }
 
 // View returns the newest view that this process knows.
-func (s *PeerService) View(_ Empty, reply *ViewReply) error {
+func (s *PeerService) View(_ Empty, reply *ViewReply) (failure error) {
+	defer s.n.recoverCall("Peer.View", &failure)
 	reply.Header, reply.View = s.n.header(), s.n.currentView()
 	return nil
 }
@@ -39,7 +41,8 @@
 }
 
 // Find returns the address of a process.
-func (s *PeerService) Find(args FindArgs, reply *FindReply) error {
+func (s *PeerService) Find(args FindArgs, reply *FindReply) (failure error) {
+	defer s.n.recoverCall("Peer.Find", &failure)
 	s.n.observe(args.Header)
 	if p, ok := s.n.peers.get(args.Incarnation); ok {
 		reply.Address = p.address
@@ -72,7 +75,8 @@
 }
 
 // Documents returns configuration documents.
-func (s *PeerService) Documents(args DocumentsArgs, reply *DocumentsReply) error {
+func (s *PeerService) Documents(args DocumentsArgs, reply *DocumentsReply) (failure error) {
+	defer s.n.recoverCall("Peer.Documents", &failure)
 	s.n.observe(args.Header)
 	reply.Header, reply.Documents = s.n.header(), s.n.config.Docs(args.Names...)
 	return nil
@@ -94,7 +98,8 @@
 }
 
 // Events returns the recorded events.
-func (s *OperatorService) Events(args EventsArgs, reply *EventsReply) error {
+func (s *OperatorService) Events(args EventsArgs, reply *EventsReply) (failure error) {
+	defer s.n.recoverCall("Operator.Events", &failure)
 	s.n.observe(args.Header)
 	reply.Events = s.n.recorder.Events(args.Request)
 	reply.Header = s.n.header()
@@ -114,7 +119,8 @@
 }
 
 // Jobs returns the requests that match the filter.
-func (s *OperatorService) Jobs(args JobsArgs, reply *JobsReply) error {
+func (s *OperatorService) Jobs(args JobsArgs, reply *JobsReply) (failure error) {
+	defer s.n.recoverCall("Operator.Jobs", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
@@ -130,7 +136,8 @@
 }
 
 // Status returns the status of the process.
-func (s *OperatorService) Status(args Empty, reply *NodeStatusReply) error {
+func (s *OperatorService) Status(args Empty, reply *NodeStatusReply) (failure error) {
+	defer s.n.recoverCall("Operator.Status", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
--- a/internal/entry/rpc_pool.go
+++ b/internal/entry/rpc_pool.go
@@ -8,7 +8,8 @@
 type PoolService struct{ n *Node }
 
 // Demand records the demand of a shard owner.
-func (s *PoolService) Demand(args DemandArgs, reply *Empty) error {
+func (s *PoolService) Demand(args DemandArgs, reply *Empty) (failure error) {
+	defer s.n.recoverCall("Pool.Demand", &failure)
 	return s.n.acceptNotification(args.Header, demandReceived{args: args}, reply)
 }
 
@@ -25,7 +26,8 @@
 }
 
 // Return releases unused grants.
-func (s *PoolService) Return(args ReturnArgs, reply *Empty) error {
+func (s *PoolService) Return(args ReturnArgs, reply *Empty) (failure error) {
+	defer s.n.recoverCall("Pool.Return", &failure)
 	return s.n.acceptNotification(args.Header, returnReceived{grants: args.Grants}, reply)
 }
 
@@ -37,7 +39,8 @@
 func (e returnReceived) apply(l *loop) { l.releaseGrants(e.grants) }
 
 // Dispatch starts the attempts of a grant. An error means that nothing has started.
-func (s *PoolService) Dispatch(args DispatchArgs, reply *DispatchReply) error {
+func (s *PoolService) Dispatch(args DispatchArgs, reply *DispatchReply) (failure error) {
+	defer s.n.recoverCall("Pool.Dispatch", &failure)
 	s.n.observe(args.Header)
 	r, err := s.n.dispatchLocal(s.n.ctx, args)
 	*reply = r
@@ -45,12 +48,14 @@
 }
 
 // Delivered confirms attempt completions.
-func (s *PoolService) Delivered(args DeliveredArgs, reply *Empty) error {
+func (s *PoolService) Delivered(args DeliveredArgs, reply *Empty) (failure error) {
+	defer s.n.recoverCall("Pool.Delivered", &failure)
 	return s.n.acceptNotification(args.Header, deliveryConfirmed{args: args}, reply)
 }
 
 // Stop cancels attempts.
-func (s *PoolService) Stop(args StopAttemptsArgs, reply *Empty) error {
+func (s *PoolService) Stop(args StopAttemptsArgs, reply *Empty) (failure error) {
+	defer s.n.recoverCall("Pool.Stop", &failure)
 	return s.n.acceptNotification(args.Header, stopReceived{args: args}, reply)
 }
 
@@ -62,7 +67,8 @@
 func (e stopReceived) apply(l *loop) { l.stopAttempts(e.args.Pool, e.args.Attempts) }
 
 // Attempts returns the attempts of shards that the pool owner knows.
-func (s *PoolService) Attempts(args AttemptsArgs, reply *AttemptsReply) error {
+func (s *PoolService) Attempts(args AttemptsArgs, reply *AttemptsReply) (failure error) {
+	defer s.n.recoverCall("Pool.Attempts", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
@@ -73,7 +79,8 @@
 }
 
 // Hold reserves capacity for one part of a gang that spans pools.
-func (s *PoolService) Hold(args HoldArgs, reply *HoldReply) error {
+func (s *PoolService) Hold(args HoldArgs, reply *HoldReply) (failure error) {
+	defer s.n.recoverCall("Pool.Hold", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
--- a/internal/entry/rpc_shard.go
+++ b/internal/entry/rpc_shard.go
@@ -18,7 +18,8 @@
 type ShardService struct{ n *Node }
 
 // Submit handles a submission and returns when its reply is known.
-func (s *ShardService) Submit(args SubmitArgs, reply *SubmitReply) error {
+func (s *ShardService) Submit(args SubmitArgs, reply *SubmitReply) (failure error) {
+	defer s.n.recoverCall("Shard.Submit", &failure)
 	s.n.observe(args.Header)
 	r, err := s.n.submitLocal(s.n.ctx, args.Submission)
 	if err != nil {
@@ -29,7 +30,8 @@
 }
 
 // Cancel cancels requests.
-func (s *ShardService) Cancel(args CancelArgs, reply *CancelReply) error {
+func (s *ShardService) Cancel(args CancelArgs, reply *CancelReply) (failure error) {
+	defer s.n.recoverCall("Shard.Cancel", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
@@ -39,7 +41,8 @@
 }
 
 // Status returns the state of a request.
-func (s *ShardService) Status(args StatusArgs, reply *StatusReply) error {
+func (s *ShardService) Status(args StatusArgs, reply *StatusReply) (failure error) {
+	defer s.n.recoverCall("Shard.Status", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
@@ -50,7 +53,8 @@
 }
 
 // Grants accepts grants from a pool owner.
-func (s *ShardService) Grants(args GrantsArgs, reply *Empty) error {
+func (s *ShardService) Grants(args GrantsArgs, reply *Empty) (failure error) {
+	defer s.n.recoverCall("Shard.Grants", &failure)
 	return s.n.acceptNotification(args.Header, grantsReceived{grants: args.Grants}, reply)
 }
 
@@ -62,7 +66,8 @@
 func (e grantsReceived) apply(l *loop) { l.bindGrants(e.grants) }
 
 // Ended accepts attempt completions.
-func (s *ShardService) Ended(args EndedArgs, reply *EndedReply) error {
+func (s *ShardService) Ended(args EndedArgs, reply *EndedReply) (failure error) {
+	defer s.n.recoverCall("Shard.Ended", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, outboxTimeout)
 	defer cancel()
@@ -90,7 +95,8 @@
 }
 
 // Claim hands over the state of shards that a view assigns to the sender.
-func (s *ShardService) Claim(args ClaimArgs, reply *ClaimReply) error {
+func (s *ShardService) Claim(args ClaimArgs, reply *ClaimReply) (failure error) {
+	defer s.n.recoverCall("Shard.Claim", &failure)
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
@@ -128,7 +134,8 @@
 }
 
 // Released drops shards whose state the sender has recorded in its journal.
-func (s *ShardService) Released(args ReleasedArgs, reply *Empty) error {
+func (s *ShardService) Released(args ReleasedArgs, reply *Empty) (failure error) {
+	defer s.n.recoverCall("Shard.Released", &failure)
 	return s.n.acceptNotification(args.Header, releaseReceived{shards: args.Shards}, reply)
 }
 
