control: unreadable records are kept

Cause: a job whose record could not be decoded counted as unknown, so a repeated submission started it again and overwrote the record.

Result: the test fails without the check (stored, record overwritten) and passes with it.

--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
@@ -32,6 +33,7 @@
 		}
 		if err != nil {
 			o.n.dep.Log.Log("bad-record", logrus.Fields{"key": item.Key, "error": err.Error()})
+			o.unreadable[strings.TrimPrefix(item.Key, jobPrefix)] = true
 			continue
 		}
 		o.writer.revs[record.ID] = item.Rev
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -56,6 +56,7 @@
 	loopTime       time.Duration // when the event loop last ran
 	lastPass       time.Duration // start of the last placement pass
 	passInterval   time.Duration
+	unreadable     map[string]bool          // jobs whose records can't be decoded; they are left as they are
 	paused         bool                     // the claim is being read again
 	checkingClaim  bool                     // a regular read of the claim is in flight
 	nextClaimCheck time.Duration            // when to read the claim next
@@ -90,7 +91,7 @@
 	o := &ownership{
 		n: n, info: info, ctx: ctx, cancel: cancel,
 		events: make(chan func(), 4096), ended: make(chan struct{}),
-		lastPings: map[string]receivedPing{}, removeAt: map[string]time.Duration{},
+		lastPings: map[string]receivedPing{}, removeAt: map[string]time.Duration{}, unreadable: map[string]bool{},
 	}
 	now := n.clock.Now()
 	o.loopTime, o.confirmedAt = now, now
--- a/internal/control/panic_test.go
+++ b/internal/control/panic_test.go
@@ -232,3 +232,25 @@
 		}()
 	}
 }
+
+// TestUnreadableRecordIsKept guards against a job that is started again, and its record overwritten, because the record
+// can't be decoded: a caller that repeats its request would have work run twice.
+func TestUnreadableRecordIsKept(t *testing.T) {
+	store := newMemoryStore()
+	putValue(t, store, "op/config", "\x01")
+	spec := testSpec(7)
+	const record = `{"id":1}`
+	putValue(t, store, jobPrefix+spec.ID, record)
+	node := startNode(t, store, testWeight)
+	eventually(t, 5*time.Second, "an owner that accepts jobs", func() bool { return submit(node, testSpec(1)) == OutcomeStored })
+	o := node.ownership.Load()
+	if got := o.submit(spec, time.Second); got != OutcomeUnknown {
+		t.Errorf("submission: %s", got)
+	}
+	if got := o.cancelJob(spec.ID, time.Second); got != OutcomeUnknown {
+		t.Errorf("cancellation: %s", got)
+	}
+	if item, _, _ := store.Get(context.Background(), jobPrefix+spec.ID); string(item.Value) != record {
+		t.Errorf("the record is now %s", item.Value)
+	}
+}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -14,6 +14,10 @@
 // submit stores a job at this owner. A nil owner returns OutcomeNotOwner.
 func (o *ownership) submit(spec job.Spec, within time.Duration) Outcome {
 	return o.runRequest(within, func(done chan Outcome) {
+		if o.unreadable[spec.ID] {
+			done <- OutcomeUnknown // a record of the job exists: starting it again could repeat work that has run
+			return
+		}
 		if o.sched.Stored(spec.ID) {
 			done <- OutcomeStored // a resubmission; it doesn't create another job
 			return
@@ -34,6 +38,10 @@
 
 func (o *ownership) cancelJob(id string, within time.Duration) Outcome {
 	return o.runRequest(within, func(done chan Outcome) {
+		if o.unreadable[id] {
+			done <- OutcomeUnknown
+			return
+		}
 		if !o.sched.Cancel(id) {
 			done <- OutcomeNoJob
 			return
