--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -22,6 +22,10 @@
 			done <- denied
 			return
 		}
+		if o.unreadable[spec.ID] {
+			done <- OutcomeUnknown // a record of the job exists: starting it again could repeat work that has run
+			return
+		}
 		if o.sched.Stored(spec.ID) {
 			done <- OutcomeStored // a resubmission; it doesn't create another job
 			return
@@ -71,6 +75,10 @@
 			done <- denied
 			return
 		}
+		if o.unreadable[id] {
+			done <- OutcomeUnknown
+			return
+		}
 		if !o.sched.Cancel(id) {
 			done <- OutcomeNoJob
 			return
