--- a/internal/candidacy/score.go
+++ b/internal/candidacy/score.go
@@ -51,17 +51,3 @@
 	}
 	return rate
 }
-
-// relayScore is the score of processor and link below which an owner has its calls to runners relayed, and
-// directScore that from which on it calls them itself again. Over relays 3,000 runners took a fifth less of the owner's
-// processor (docs/CAPACITY.md), but each call has one more hop.
-const relayScore, directScore = 0.5, 0.6
-
-// Relay reports whether an owner should have its calls relayed because of its processor or link.
-func Relay(m Machine, l Load, relaying bool) bool {
-	score := Score(Machine{CPU: m.CPU, LinkMbps: m.LinkMbps}, l)
-	if relaying {
-		return score < directScore
-	}
-	return score < relayScore
-}
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -7,7 +7,6 @@
 
 	"github.com/samber/oops"
 
-	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/relay"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
@@ -62,11 +61,9 @@
 	if c.relaying {
 		limit -= limit / directMaxHysteresis
 	}
-	load := c.o.n.view.ownerLoad()
-	unfit := load.Runners > 0 && candidacy.Relay(c.o.n.self().candidate().Machine, load, c.relaying)
-	if relaying := c.directMax > 0 && runners > limit || unfit; relaying != c.relaying {
+	if relaying := c.directMax > 0 && runners > limit; relaying != c.relaying {
 		c.relaying = relaying
-		c.o.n.dep.Log.Log("relaying", map[string]any{"on": relaying, "runners": runners, "direct_max": c.directMax, "unfit": unfit})
+		c.o.n.dep.Log.Log("relaying", map[string]any{"on": relaying, "runners": runners, "direct_max": c.directMax})
 	}
 	var processes []relay.Process
 	if c.relaying {
