scheduler, control: bounds of two new tests come from the targets again; a fake gang ends with its slowest member

The fake gang ended with its first finished member, so TestUnevenRunners passed for gangs that are late; its bound for wide jobs (0.6) and that of TestSmallOwnerAtItsLimit (60 starts a second) had been lowered to what was measured. Change: the fake gang ends with its slowest member; TestUnevenRunners asks for 0.95 of the oracle in each queue; the small owner for 80 starts a second, from what its processor carries.

--- a/internal/control/small_owner_test.go
+++ b/internal/control/small_owner_test.go
@@ -107,7 +107,9 @@
 	if unknown > 0 || lapsed > 0 || stops > 0 || twice > 0 {
 		t.Errorf("%d starts without an answer, %d runs lapsed, %d stops, %d tasks twice", unknown, lapsed, stops, twice)
 	}
-	if rate := float64(started) / (duration - min(starved, duration/2)).Seconds(); rate < 60 {
+	// 0.144 cores carry 178 starts a second of 0.81 ms; half of that is kept for bursts, and polls take a tenth of the rest.
+	const wanted = 80
+	if rate := float64(started) / (duration - min(starved, duration/2)).Seconds(); rate < wanted {
 		t.Errorf("%.0f starts a second, this process got no processor for %s", rate, starved)
 	}
 	for _, event := range []string{"silent", "quarantined", "owner-vote", "ownership-ended", "start-failed"} {
--- a/internal/scheduler/fake_runner_test.go
+++ b/internal/scheduler/fake_runner_test.go
@@ -79,7 +79,7 @@
 		case r.sim.now >= r.leaseExpiresAt:
 			r.end(key, EndLeaseExpired)
 		case r.sim.now >= x.endsAt && x.gang && x.outcome == EndDone:
-			r.sim.endGang(key, EndDone)
+			r.sim.memberDone(key, x)
 		case r.sim.now >= x.endsAt:
 			r.end(key, x.outcome)
 			if x.gang {
@@ -89,13 +89,25 @@
 	}
 }
 
+// memberDone ends a gang once all its members are done. The count avoids a search for the members in each step.
+func (sim *simulation) memberDone(key runKey, x *fakeRun) {
+	gang := runKey{job.TaskID{StepID: key.task.StepID}, key.run}
+	if !x.counted {
+		x.counted = true
+		sim.membersDone[gang]++
+	}
+	if sim.membersDone[gang] >= sim.specs[key.task.Job].Steps[key.task.Step].Count {
+		sim.endGang(key, EndDone)
+	}
+}
+
 // endGang ends the run of all members of a gang. The run can complete only if all members are present.
 func (sim *simulation) endGang(key runKey, outcome string) {
 	count := sim.specs[key.task.Job].Steps[key.task.Step].Count
-	present := 0
+	present := 0 // members that are done, as a gang ends with its slowest one
 	for _, r := range sim.runners {
-		for k := range r.runs {
-			if k.task.StepID == key.task.StepID && k.run == key.run {
+		for k, x := range r.runs {
+			if k.task.StepID == key.task.StepID && k.run == key.run && (outcome != EndDone || sim.now >= x.endsAt) {
 				present++
 			}
 		}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -38,6 +38,7 @@
 	firstStarts map[string]time.Duration                                              // start of the first run, by job
 	work        func(task job.TaskID, run int) (length time.Duration, outcome string) // nil: runFor and failOneIn
 	finished    map[string]JobFinished
+	membersDone map[runKey]int // members of a gang's run that are done; the index of the task is 0
 	finishedAt  map[string]time.Duration
 	overloaded  bool                                      // starts without an answer blame no runner
 	noSendUntil time.Duration                             // until then the owner can send no start request
@@ -81,6 +82,7 @@
 	gang        bool
 	checkpoints bool
 	startedAt   time.Duration // start time minus the work saved in the checkpoint
+	counted     bool          // in membersDone
 	checkpoint  string        // completed work when it was stopped
 }
 
@@ -101,6 +103,7 @@
 	sim.runFor = func(job.Step) time.Duration { return time.Duration(100+sim.rng.Intn(800)) * time.Millisecond }
 	sim.firstStarts = map[string]time.Duration{}
 	sim.inFlight = map[runKey]startInFlight{}
+	sim.membersDone = map[runKey]int{}
 	sim.finished, sim.finishedAt = map[string]JobFinished{}, map[string]time.Duration{}
 	for i := range runners {
 		r := &fakeRunner{sim: sim, incarnation: 1, runs: map[runKey]*fakeRun{}, stoppedUpTo: map[job.TaskID]int{}}
--- a/internal/scheduler/speed_cost.go
+++ b/internal/scheduler/speed_cost.go
@@ -11,8 +11,8 @@
 	// lateCost is added to the cores left unused, in millicores, for a task that is certain to be late. It exceeds the
 	// size of a runner, so that free capacity is no reason to be late.
 	lateCost = 150_000
-	// lateValueShare is the share of a job's value that is left when it is late but within lateFactor times its
-	// objective.
+	// lateValueShare is the share of a job's value that is left for its caller when it is late but within lateFactor times
+	// its objective: all customers name a fifth.
 	lateValueShare = 0.2
 	// fastCost is added for work that isn't urgent on a runner that is faster by a factor of e, so that fast runners are
 	// left to urgent work.
--- a/internal/scheduler/uneven_load_test.go
+++ b/internal/scheduler/uneven_load_test.go
@@ -170,9 +170,10 @@
 		l.run(26 * time.Second)
 		got, oracle := l.shares(start + 6*time.Second)
 		t.Logf("labels %v: in time %v, oracle %v", labeled, got, oracle)
-		// Without placement by speed 0.70 of the urgent jobs are in time.
-		if got["urgent"] < 0.95*oracle["urgent"] || got["gang"] < 0.95*oracle["gang"] || got["fill"] < 0.6 {
-			t.Errorf("labels %v: in time %v, an oracle reaches %v", labeled, got, oracle)
+		for queue, best := range oracle { // the target: within 5 % of the oracle
+			if got[queue] < 0.95*best {
+				t.Errorf("labels %v: %.2f of %s jobs in time, an oracle reaches %.2f", labeled, got[queue], queue, best)
+			}
 		}
 		for _, violation := range l.sim.violations {
 			t.Error(violation)
