control, scheduler: certain answers only by a confirmed owner; inherited work without a known list has no bound

Cause: found in the read of the whole change. A replaced owner that did not know it answered 429 (limits of a tenant) and 410 (cancellation of a job that it doesn't know), although its successor may have stored the job. If the list of used runners could not be read, inherited work counted against a cap as if it could hold one runner only. Result: TestPausedOwnerRefusesNoTenant, the cancellation in TestPausedOwnerRefusesNothing and TestUnknownInheritedRunnersCount failed before.

--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/scheduler"
+	"github.com/agateyard/agateyard/internal/tenant"
 )
 
 // pollCounter counts polls that renew leases or acknowledge ends.
@@ -104,6 +107,38 @@
 	if got.Outcome != OutcomeUnknown {
 		t.Errorf("submission to an owner whose claim is unconfirmed: %s", got.Outcome)
 	}
+	if got := o.cancelJob(JobArgs{ID: spreadID(1)}, 200*time.Millisecond); got != OutcomeUnknown {
+		t.Errorf("cancellation of a job that a successor may have stored: %s", got)
+	}
+}
+
+// TestPausedOwnerRefusesNoTenant guards against a refusal for a tenant's limits, which says as well that the job never runs,
+// by an owner that may have been replaced: its successor may have stored the job.
+func TestPausedOwnerRefusesNoTenant(t *testing.T) {
+	_, nodes := startCell(t, 1)
+	n := nodes[0]
+	o := n.ownership.Load()
+	spec := testSpec(1)
+	spec.Steps[0].Need = model.Resources{CoresMilli: 1000}
+	args := SubmitArgs{
+		Spec: spec, Caller: Caller{Tenant: "a", ConfigVersion: math.MaxInt64}, Within: 200 * time.Millisecond,
+	}
+	limited := make(chan struct{})
+	o.post(func() {
+		o.sched.SetTenants(math.MaxInt64, []tenant.Tenant{{Name: "a", Weight: 1, Cap: model.Resources{CoresMilli: 1}}})
+		close(limited)
+	})
+	<-limited
+	if got := o.submit(args).Outcome; got != OutcomeOverLimit {
+		t.Fatalf("submission to a confirmed owner: %s, want a refusal", got)
+	}
+	n.store.setPartitioned(true)
+	paused := make(chan struct{})
+	o.post(func() { o.recheckClaim(0); close(paused) })
+	<-paused
+	if got := o.submit(args).Outcome; got != OutcomeUnknown {
+		t.Errorf("submission to an owner whose claim is unconfirmed: %s", got)
+	}
 }
 
 // TestTicketsAgeWhileTheirAnswerWaits guards against tickets that count as valid from when a paused owner reads them.
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -38,6 +38,10 @@
 		}
 		if !known {
 			if refusal = o.sched.Admit(&spec); refusal != nil {
+				if !o.mayRefuse() {
+					done <- OutcomeUnknown // a successor may have stored the job
+					return
+				}
 				o.n.dep.Log.Log("refused", logrus.Fields{
 					"job": spec.ID, "reason": refusal.Reason, "tenant": spec.Tenant, "retry_after_ms": refusal.RetryAfter.Milliseconds(),
 				})
@@ -80,6 +84,10 @@
 			return
 		}
 		if !o.sched.Cancel(id) {
+			if !o.mayRefuse() {
+				done <- OutcomeUnknown // a successor may have stored the job
+				return
+			}
 			done <- OutcomeNoJob
 			return
 		}
--- a/internal/scheduler/caps_test.go
+++ b/internal/scheduler/caps_test.go
@@ -233,6 +233,35 @@
 	}
 }
 
+// TestUnknownInheritedRunnersCount guards against a new owner that starts work above a cap because it can't read which
+// runners its predecessor has used: all inherited work may run on any of them.
+func TestUnknownInheritedRunnersCount(t *testing.T) {
+	sim := newMixedSimulation(7, 8)
+	sim.setTenants(capped("a", 40_000))
+	for i := range 10 {
+		sim.submitFor("a", "fill", fmt.Sprintf("f%015d", i), job.Step{Count: 2, Need: model.Resources{CoresMilli: 2000}, Estimate: 20_000})
+	}
+	sim.run(time.Second)
+	sched := New(testConfig(), 2, sim.now, sim.wall)
+	sched.SetQueues(sim.queues)
+	sched.SetTenants(sim.version, sim.tenants)
+	sched.RunnerInherited("unreadable", "") // instead of the runners in use
+	for _, r := range sim.records {
+		sched.Restore(r)
+	}
+	sched.RestoreDone()
+	for _, r := range sim.runners {
+		sched.RunnerListed(r.info)
+	}
+	if got := sched.committed(sched.tenants.byName["a"]).CoresMilli; got < 40_000 {
+		t.Errorf("%d millicores count against the cap, want the inherited 40000", got)
+	}
+	sched.updateUnreported()
+	if got := sched.committed(sched.tenants.byName["a"]).CoresMilli; got < 40_000 {
+		t.Errorf("%d millicores count against the cap after runners were listed, want the inherited 40000", got)
+	}
+}
+
 // TestRunsOfFinishedJobsCount guards against a new owner that doesn't count runs of a cancelled job, of which it has
 // only the record of the finished job.
 func TestRunsOfFinishedJobsCount(t *testing.T) {
--- a/internal/scheduler/inherited_charges.go
+++ b/internal/scheduler/inherited_charges.go
@@ -73,14 +73,18 @@
 }
 
 // updateUnreported adds up the capacity of the inherited runners that have not answered. One that discovery doesn't list any
-// more counts as the largest runner that it lists.
+// more counts as the largest runner that it lists. One without an address stands for a list of runners that can't be read, so
+// that any number of them may be missing.
 func (s *Scheduler) updateUnreported() {
 	var known, largest model.Resources
 	var unlisted int64
+	unknown := false
 	for _, r := range s.runners {
 		largest = largest.Max(r.Capacity)
 		switch {
 		case !r.inherited:
+		case r.Addr == "":
+			unknown = true
 		case r.Capacity == model.Resources{}:
 			unlisted++
 		default:
@@ -88,7 +92,7 @@
 		}
 	}
 	s.tenants.unreported = known.Add(largest.Scale(unlisted))
-	if unlisted > 0 && largest == (model.Resources{}) {
+	if unknown || unlisted > 0 && largest == (model.Resources{}) {
 		s.tenants.unreported = unboundedResources
 	}
 }
