endpoint/standin: TestOwnersOverBadLinks runs until its outcomes suffice

The test counted outcomes after a fixed 4 s; on a busy machine most sessions exceed their deadline of 50 ms, so fewer starts are answered.

Change: the owners and faults go on until both outcomes have occurred 50 times, for 4 s at least and 60 s at most. The bound of 50 and all other checks are unchanged; a run that never reaches it still fails.

--- a/internal/endpoint/standin/owners_test.go
+++ b/internal/endpoint/standin/owners_test.go
@@ -14,12 +14,45 @@
 	"github.com/agateyard/agateyard/internal/model"
 )
 
+// minOutcomes is the number of answered starts, and of starts with an unknown
+// outcome, that the test needs for its comparison to mean something.
+const minOutcomes = 50
+
 // startResult is the result of one start command as the owner sees it.
 type startResult struct {
 	req endpoint.StartRequest
 	err error
 }
 
+// startResults collects the results of all owners.
+type startResults struct {
+	mu  sync.Mutex
+	all []startResult
+}
+
+func (r *startResults) add(result startResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, result)
+}
+
+// outcomes counts the results by outcome.
+func (r *startResults) outcomes() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := map[string]int{}
+	for _, s := range r.all {
+		n[outcomeOf(s.err)]++
+	}
+	return n
+}
+
+// enough reports whether both kinds of outcome have occurred often enough.
+func (r *startResults) enough() bool {
+	n := r.outcomes()
+	return n["answered"] >= minOutcomes && n[endpoint.ErrOutcomeUnknown.Error()] >= minOutcomes
+}
+
 // Guards against differences between the results that owners receive and the
 // effect log of the endpoint. Several owners with increasing tokens start and
 // cancel work over a link with delays and random resets, while the endpoint
@@ -40,27 +73,30 @@
 	}
 	defer link.Close()
 
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	// The last owner starts after 3 s. On a busy machine the run lasts until the
+	// outcomes suffice, because most sessions exceed their deadline there.
+	const minDuration, maxDuration = 4 * time.Second, 60 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), maxDuration)
 	defer cancel()
-	var mu sync.Mutex
-	var results []startResult
+	var results startResults
 	var wg sync.WaitGroup
 	for owner := range 4 {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(seed, uint64(owner)))
 			if sleep(ctx, time.Duration(owner)*time.Second) {
-				got := runOwner(ctx, link.Address(), uint64(owner+1), rng)
-				mu.Lock()
-				results = append(results, got...)
-				mu.Unlock()
+				runOwner(ctx, link.Address(), uint64(owner+1), rng, &results)
 			}
 		})
 	}
 	wg.Go(func() { injectFaults(ctx, e, rand.New(rand.NewPCG(seed, 100))) })
+	sleep(ctx, minDuration)
+	for !results.enough() && sleep(ctx, 50*time.Millisecond) {
+	}
+	cancel()
 	wg.Wait()
 	e.SetFaults(Faults{})
 	e.Close()
-	checkOwners(t, results, e.Effects())
+	checkOwners(t, &results, e.Effects())
 }
 
 // sleep waits for the duration. It reports false if the context ends first.
@@ -74,13 +110,11 @@
 }
 
 // runOwner simulates a pool owner that continues after it has been replaced.
-func runOwner(ctx context.Context, address string, token uint64, rng *rand.Rand) []startResult {
+func runOwner(ctx context.Context, address string, token uint64, rng *rand.Rand, results *startResults) {
 	c := endpoint.NewHTTPClient(address, endpoint.DefaultOptions())
 	defer c.Close()
-	var mu sync.Mutex
-	var results []startResult
 	var wg sync.WaitGroup
-	defer func() { wg.Wait() }()
+	defer wg.Wait()
 	var last endpoint.SessionReply
 	for i := 0; ctx.Err() == nil; i++ {
 		if i%5 == 0 {
@@ -104,14 +138,10 @@
 				go func() { _, _ = c.Cancel(callCtx, token, req.Attempt) }()
 			}
 			_, err := c.Start(callCtx, req)
-			mu.Lock()
-			results = append(results, startResult{req, err})
-			mu.Unlock()
+			results.add(startResult{req, err})
 		})
 		sleep(ctx, 4*time.Millisecond)
 	}
-	wg.Wait()
-	return results
 }
 
 // injectFaults injects random faults until the context ends.
@@ -136,7 +166,7 @@
 	}
 }
 
-func checkOwners(t *testing.T, results []startResult, log EffectLog) {
+func checkOwners(t *testing.T, results *startResults, log EffectLog) {
 	starts, effects := map[model.AttemptID]int{}, map[model.AttemptID]int{}
 	// A restart resets the highest token, so the order of tokens is checked per
 	// instance.
@@ -153,8 +183,7 @@
 			effects[e.Attempt]++
 		}
 	}
-	outcomes := map[string]int{}
-	for _, s := range results {
+	for _, s := range results.all {
 		id := s.req.Attempt
 		n, performed := starts[id], effects[id]
 		switch {
@@ -167,10 +196,10 @@
 		case s.err != nil && !errors.Is(s.err, endpoint.ErrOutcomeUnknown) && n > 0:
 			t.Errorf("%s: started, but the owner received the error %v", id, s.err)
 		}
-		outcomes[outcomeOf(s.err)]++
 	}
-	t.Logf("%d start commands sent, %d attempts started, outcomes %v", len(results), len(starts), outcomes)
-	if outcomes["answered"] < 50 || outcomes[endpoint.ErrOutcomeUnknown.Error()] < 50 {
+	outcomes := results.outcomes()
+	t.Logf("%d start commands sent, %d attempts started, outcomes %v", len(results.all), len(starts), outcomes)
+	if !results.enough() {
 		t.Errorf("too few answered or unknown outcomes: %v", outcomes)
 	}
 }
