control: callers refused during an outage come back spread over time

Change: Retry-After is about the time that the outage has lasted so far, 1 to 8 s in the mean, spread by job between half and one and a half times that. It travels in SubmitReply.RetryAfter; owners of earlier builds send 0 and the process then names 2 s as before.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -95,7 +95,7 @@
 // SubmitReply is the result of a submission or cancellation.
 type SubmitReply struct {
 	Outcome       Outcome
-	RetryAfter    time.Duration // of OutcomeOverLimit
+	RetryAfter    time.Duration // of OutcomeOverLimit and OutcomeRefused; 0 from owners of earlier builds
 	ConfigVersion int64         // in force at the owner; 0 from older processes
 }
 
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -9,14 +9,13 @@
 
 	"github.com/agateyard/agateyard/internal/ctxtime"
 	"github.com/agateyard/agateyard/internal/job"
-	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
 // submit stores a job at this owner. A nil owner returns OutcomeNotOwner.
 func (o *ownership) submit(args SubmitArgs) SubmitReply {
 	spec := args.Spec
 	args.Caller.claim(&spec)
-	var refusal *scheduler.Refusal
+	var retryAfter time.Duration // read once the outcome has been received
 	outcome := o.runRequest(args.Within, func(done chan Outcome) {
 		if denied := o.checkAccess(spec.ID, args.Caller); denied != OutcomeUnknown {
 			done <- denied
@@ -32,12 +31,15 @@
 		}
 		_, durable, known := o.sched.Durable(spec.ID)
 		if !known && o.n.health.failingFor(o.loopTime) > refuseSubmissionsAfter && o.mayRefuse() {
-			o.n.dep.Log.Log("refused", logrus.Fields{"job": spec.ID, "reason": "store away"})
+			retryAfter = outageRetryAfter(o.n.health.failingFor(o.loopTime), spec.ID)
+			o.n.dep.Log.Log("refused", logrus.Fields{
+				"job": spec.ID, "reason": "store away", "retry_after_ms": retryAfter.Milliseconds(),
+			})
 			done <- OutcomeRefused
 			return
 		}
 		if !known {
-			if refusal = o.sched.Admit(&spec); refusal != nil {
+			if refusal := o.sched.Admit(&spec); refusal != nil {
 				if !o.mayRefuse() {
 					done <- OutcomeUnknown // a successor may have stored the job
 					return
@@ -45,6 +47,7 @@
 				o.n.dep.Log.Log("refused", logrus.Fields{
 					"job": spec.ID, "reason": refusal.Reason, "tenant": spec.Tenant, "retry_after_ms": refusal.RetryAfter.Milliseconds(),
 				})
+				retryAfter = refusal.RetryAfter
 				done <- OutcomeOverLimit
 				return
 			}
@@ -54,8 +57,8 @@
 		o.answerWhenStored(spec.ID, firstVersion, durable, done)
 	})
 	reply := SubmitReply{Outcome: outcome}
-	if outcome == OutcomeOverLimit {
-		reply.RetryAfter = refusal.RetryAfter
+	if outcome == OutcomeOverLimit || outcome == OutcomeRefused {
+		reply.RetryAfter = retryAfter
 	}
 	return reply
 }
@@ -180,7 +183,7 @@
 // Answer is the result of a submission or cancellation.
 type Answer struct {
 	Outcome    Outcome
-	RetryAfter time.Duration // of OutcomeOverLimit
+	RetryAfter time.Duration // of OutcomeOverLimit and OutcomeRefused; 0 from owners of earlier builds
 }
 
 // Submit stores a job at the owner, locally or in another process. The job becomes the caller's. OutcomeRefused means that
