control: commits notice the end of an outage within 100 ms

Cause: while the store is silent, all commits of the owner (up to 32) time out together after 0.8 s and are repeated together 0.1 s later. A store that returns in between is noticed only at the next time-out.

Change: commitWindow (decisions without I/O) starts one commit of one record every 100 ms after one has failed, gives up earlier commits once a later one is answered, and otherwise those older than 0.6 s. A record that the store refuses doesn't hold up the others. A commit that is given up is written again under the same conditions, as after a time-out.

--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,7 +27,8 @@
 	leases        int64
 	changed       chan struct{}
 	refuse        bool
-	loseResponses int // number of next commits that are applied but whose response is lost
+	silent        bool // commits of records of jobs get no answer and aren't applied
+	loseResponses int  // number of next commits that are applied but whose response is lost
 	commits       int
 	compactedRev  int64 // changes up to this revision have been compacted
 	reads         map[string]int
@@ -46,6 +48,25 @@
 	m.refuse = refuse
 }
 
+func (m *memoryStore) setSilent(silent bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent = silent
+}
+
+// countItems returns the number of items under a prefix.
+func (m *memoryStore) countItems(prefix string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for key := range m.items {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *memoryStore) loseNextResponses(n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -146,9 +167,15 @@
 	}
 }
 
-func (m *memoryStore) Commit(_ context.Context, c Commit) (int64, error) {
+func (m *memoryStore) Commit(ctx context.Context, c Commit) (int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.silent && slices.ContainsFunc(c.Puts, func(p Put) bool { return strings.HasPrefix(p.Key, jobPrefix) }) {
+		m.mu.Unlock()
+		<-ctx.Done()
+		m.mu.Lock()
+		return 0, ctx.Err()
+	}
 	if err := m.refused(); err != nil {
 		return 0, err
 	}
--- a/internal/control/record_writer.go
+++ b/internal/control/record_writer.go
@@ -15,15 +15,9 @@
 	// recordsPerCommit is how many records fit into a commit: each needs a condition and a write, and one more condition is
 	// on the owner's claim.
 	recordsPerCommit = (MaxCommitEntries - 1) / 2
-	// maxCommits bounds the commits in flight. With a slow store that takes a third of a second for each, full commits still
-	// write more than a thousand records a second.
-	maxCommits = 32
 	// deferredCommitDelay is the minimum time from the start of a commit to a commit without urgent changes, so that these
 	// are collected into a batch.
 	deferredCommitDelay = 150 * time.Millisecond
-	// commitOverlapDelay is the time after which another commit starts although one is still in flight. A full commit doesn't
-	// wait for it.
-	commitOverlapDelay = 25 * time.Millisecond
 	// refuseSubmissionsAfter is how long the store must have failed before new submissions are refused on arrival.
 	refuseSubmissionsAfter = 300 * time.Millisecond
 )
@@ -31,15 +25,15 @@
 // recordWriter writes the durable state of jobs to the store with group commits. Each write of a record is conditional on
 // the record's last known revision, so that a write that timed out can't overwrite a later one.
 type recordWriter struct {
-	o               *ownership
-	revs            map[string]int64
-	writing         map[string]bool
-	commits         int
-	lastCommitStart time.Duration
-	deferralStart   time.Duration
-	retryAt         time.Duration
-	deleting        bool // a deletion is in flight
-	waiters         map[string][]recordWaiter
+	o             *ownership
+	revs          map[string]int64
+	writing       map[string]bool
+	lastFailed    map[string]bool // records of the last commit, if it failed
+	window        commitWindow
+	cancels       map[int]context.CancelFunc // of the commits in flight, by number
+	deferralStart time.Duration
+	deleting      bool // a deletion is in flight
+	waiters       map[string][]recordWaiter
 }
 
 type recordWaiter struct {
@@ -50,6 +44,7 @@
 func newRecordWriter(o *ownership) *recordWriter {
 	return &recordWriter{
 		o: o, revs: map[string]int64{}, writing: map[string]bool{}, waiters: map[string][]recordWaiter{},
+		cancels: map[int]context.CancelFunc{},
 	}
 }
 
@@ -62,7 +57,7 @@
 // deleteExpired deletes the records of jobs whose final states have been kept for their retention time, one batch at a
 // time. A record that could not be deleted is found and deleted by the next owner.
 func (w *recordWriter) deleteExpired() {
-	if w.deleting || w.o.loopTime < w.retryAt {
+	if w.deleting || w.window.failing {
 		return
 	}
 	expired := w.o.sched.TakeExpired(recordsPerCommit)
@@ -96,8 +91,10 @@
 // flush starts as many commits as are due.
 func (w *recordWriter) flush() {
 	for w.commitDue() {
-		batch := w.o.sched.TakeDirty(recordsPerCommit, func(id string) bool { return w.writing[id] })
+		// A record that the store doesn't take must not hold up the others while commits hold one record each.
+		batch := w.o.sched.TakeDirty(w.window.maxRecords(), func(id string) bool { return w.writing[id] || w.lastFailed[id] })
 		if len(batch) == 0 {
+			w.lastFailed = nil
 			return
 		}
 		w.commit(batch)
@@ -106,11 +103,8 @@
 
 func (w *recordWriter) commitDue() bool {
 	now := w.o.loopTime
-	if w.commits >= maxCommits || now < w.retryAt {
-		return false
-	}
 	dirty, urgent := w.o.sched.Dirty()
-	if !dirty || w.commits > 0 && now-w.lastCommitStart < commitOverlapDelay && w.o.sched.DirtyCount() < recordsPerCommit {
+	if !dirty || !w.window.mayStart(now, w.o.sched.DirtyCount() >= recordsPerCommit) {
 		return false
 	}
 	return urgent || now-w.deferralStart >= deferredCommitDelay
@@ -124,25 +118,29 @@
 		c.Expected[key] = w.revs[d.ID]
 		c.Puts = append(c.Puts, Put{Key: key, Value: d.Record.Encode()})
 	}
-	w.commits++
-	w.lastCommitStart = w.o.loopTime
 	w.deferralStart = w.o.loopTime
+	number := w.window.start(w.o.loopTime)
+	ctx, cancel := context.WithTimeout(w.o.ctx, storeTimeout)
+	w.cancels[number] = cancel
 	go func() {
-		ctx, cancel := context.WithTimeout(w.o.ctx, storeTimeout)
 		defer cancel()
 		rev, err := w.o.n.dep.Store.Commit(ctx, c)
-		w.o.post(func() { w.commitFinished(batch, rev, err) })
+		w.o.post(func() { w.commitFinished(number, batch, rev, err) })
 	}()
 }
 
-func (w *recordWriter) commitFinished(batch []scheduler.DirtyRecord, rev int64, err error) {
-	w.commits--
+// commitFinished handles the result of a commit. One that was given up is written again under the same conditions, as after
+// a time-out: it may have been applied, or be applied later.
+func (w *recordWriter) commitFinished(number int, batch []scheduler.DirtyRecord, rev int64, err error) {
 	for _, d := range batch {
 		delete(w.writing, d.ID)
 	}
+	_, waitedFor := w.cancels[number]
+	delete(w.cancels, number)
 	var conflict *Conflict
 	switch {
 	case err == nil:
+		w.lastFailed = nil
 		w.o.n.recordStoreCall("commit", nil)
 		for _, d := range batch {
 			w.revs[d.ID] = rev
@@ -153,12 +151,28 @@
 	case errors.As(err, &conflict):
 		w.o.n.recordStoreCall("commit", nil)
 		w.resolveConflict(batch, conflict)
+	case !waitedFor:
+		w.markDirty(batch)
+		return
 	default:
 		w.o.n.recordStoreCall("commit", err)
 		w.o.n.dep.Log.Log("commit-failed", logrus.Fields{"records": len(batch), "error": err.Error()})
-		w.retryAt = w.o.loopTime + storeRetry/2
+		w.lastFailed = make(map[string]bool, len(batch))
+		for _, d := range batch {
+			w.lastFailed[d.ID] = true
+		}
 		w.markDirty(batch)
 	}
+	for _, hung := range w.window.finish(number, err == nil || conflict != nil, w.o.loopTime) {
+		w.giveUp(hung)
+	}
+}
+
+// giveUp ends the wait for a commit that the store will not answer, so that its records are written again at once.
+func (w *recordWriter) giveUp(number int) {
+	w.window.giveUp(number)
+	w.cancels[number]()
+	delete(w.cancels, number)
 }
 
 // resolveConflict handles a commit whose expected revisions didn't match: another process has claimed ownership, or an
