scheduler: gangs, urgent tasks and last attempts avoid runners that fail often

With two attempts, the second failure ends the job.

Change: failure rates per runner, zone and fleet over about 10 s; a runner that exceeds the fleet by 0.1 is used by gangs only if they don't fit otherwise, and by urgent tasks and last attempts only if no other runner has capacity. Work with slack still uses it. Nothing waits for a better runner.

--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -98,11 +98,13 @@
 	switch outcome {
 	case EndDone:
 		r.health.succeeded()
+		s.observeOutcome(x, false)
 		s.observe(x)
 	case EndFailed:
 		if x.task.stage.step.LongRunning && s.now-x.startSentAt > probeDuration {
 			return // a long-running task may fail at any time, which doesn't indicate a faulty runner
 		}
+		s.observeOutcome(x, true)
 		if r.health.failed(x.task.stage.id.Job, s.now) {
 			s.emit(RunnerChanged{Runner: r.ID, Change: "quarantined", Detail: "runs of different jobs have failed"})
 		}
--- /dev/null
+++ b/internal/scheduler/failure_rate.go
@@ -0,0 +1,94 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// failureMemory is the time in which the weight of a run decays by a factor of e. Faults of runners last from seconds to
+	// minutes; a runner that has recovered is trusted again within that time.
+	failureMemory = 10 * time.Second
+	// runnerPriorRuns and zonePriorRuns are the numbers of runs that weigh as much as what is known of the zone and of the
+	// fleet: one failure among the first few runs is evidence against a runner, but says little about its zone.
+	runnerPriorRuns = 4
+	zonePriorRuns   = 50
+	// suspectMargin is by how much a runner's failure rate must exceed the fleet's before gangs and last attempts avoid it:
+	// it adds that much to the probability that a whole gang is broken or a job fails.
+	suspectMargin = 0.1
+	// suspectRefresh is the interval at which a runner's rate is compared again.
+	suspectRefresh = 200 * time.Millisecond
+)
+
+// failureRate counts the runs that have ended lately, and those of them that have failed.
+type failureRate struct {
+	runs, failures float64
+	at             time.Duration
+}
+
+func (f *failureRate) observe(failed bool, now time.Duration) {
+	weight := f.weight(now)
+	f.runs, f.failures, f.at = f.runs*weight+1, f.failures*weight, now
+	if failed {
+		f.failures++
+	}
+}
+
+// weight returns what is left of the weight of the runs that have been counted.
+func (f *failureRate) weight(now time.Duration) float64 {
+	return math.Exp(-float64(now-f.at) / float64(failureMemory))
+}
+
+// estimate returns the probability that a run fails, given a prior estimate that weighs as much as priorRuns runs.
+func (f *failureRate) estimate(prior, priorRuns float64, now time.Duration) float64 {
+	weight := f.weight(now)
+	return (f.failures*weight + prior*priorRuns) / (f.runs*weight + priorRuns)
+}
+
+// fleetFailures holds the failure rates of all runners together and of each zone. The number of zones is bounded by the
+// platform.
+type fleetFailures struct {
+	all   failureRate
+	zones map[string]*failureRate
+}
+
+func (f *fleetFailures) zone(name string) *failureRate {
+	if f.zones == nil {
+		f.zones = map[string]*failureRate{}
+	}
+	if f.zones[name] == nil {
+		f.zones[name] = &failureRate{}
+	}
+	return f.zones[name]
+}
+
+// observeOutcome counts a run that is done or has failed by its own fault or its runner's. A task that has failed on
+// another runner before says nothing about this one.
+func (s *Scheduler) observeOutcome(x *run, failed bool) {
+	if before := x.task.avoidRunner; failed && before != "" && before != x.runner.ID {
+		return
+	}
+	for _, rate := range []*failureRate{&s.failures.all, s.failures.zone(x.runner.Zone), &x.runner.failures} {
+		rate.observe(failed, s.now)
+	}
+	x.runner.suspectCheckedAt = 0
+}
+
+// isSuspect reports whether runs fail on a runner clearly more often than elsewhere. Runners of a zone in which many runs
+// fail are suspect earlier.
+func (s *Scheduler) isSuspect(r *runner) bool {
+	if r.suspectCheckedAt > 0 && s.now-r.suspectCheckedAt < suspectRefresh {
+		return r.suspect
+	}
+	fleet := s.failures.all.estimate(0, runnerPriorRuns, s.now)
+	zone := s.failures.zone(r.Zone).estimate(fleet, zonePriorRuns, s.now)
+	r.suspect = r.failures.estimate(zone, runnerPriorRuns, s.now)-fleet > suspectMargin
+	r.suspectCheckedAt = s.now
+	return r.suspect
+}
+
+// isLastAttempt reports whether a job fails if the next run of a task fails.
+func (st *stage) isLastAttempt(t *task) bool {
+	limit := st.job.queue.Attempts
+	return limit > 1 && len(t.failedRuns) >= limit-1
+}
--- a/internal/scheduler/fake_runner_test.go
+++ b/internal/scheduler/fake_runner_test.go
@@ -41,6 +41,9 @@
 	} else {
 		length = sim.runFor(step)
 	}
+	if n := sim.failsOneIn[r.info.ID]; n > 0 && sim.rng.Intn(n) == 0 {
+		length, outcome = 30*time.Millisecond, EndFailed
+	}
 	if slowdown := sim.slowdown[r.info.ID]; slowdown > 0 {
 		length = time.Duration(float64(length) * slowdown)
 	}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -46,8 +46,9 @@
 }
 
 type gangPlacement struct {
-	runner *runner
-	count  int
+	runner  *runner
+	count   int
+	suspect bool
 }
 
 // planGang distributes a gang over runners with enough capacity; nil if it doesn't fit. With ignoreUsage, the total
@@ -72,8 +73,9 @@
 	return s.packGang(st, candidates, ignoreUsage) // across several racks, which is slower
 }
 
-// packGang fills the runners with capacity for the most tasks first, so that a gang uses few runners. With ignoreUsage,
-// the runners that are expected to be idle soonest come first.
+// packGang fills the runners with capacity for the most tasks first, so that a gang uses few runners. Runners on which runs
+// fail often come last, as one member that fails breaks the whole gang. With ignoreUsage, the runners that are expected to be
+// idle soonest come first.
 func (s *Scheduler) packGang(st *stage, candidates []*runner, ignoreUsage bool) []gangPlacement {
 	need := st.step.Reserved()
 	var placements []gangPlacement
@@ -91,7 +93,7 @@
 			limit = min(limit, 1)
 		}
 		if n := need.Copies(capacity, limit); n > 0 {
-			placements = append(placements, gangPlacement{r, n})
+			placements = append(placements, gangPlacement{runner: r, count: n, suspect: s.isSuspect(r)})
 		}
 	}
 	sort.SliceStable(placements, func(i, k int) bool {
@@ -99,6 +101,9 @@
 		if ignoreUsage && a.runner.idleAt != b.runner.idleAt {
 			return a.runner.idleAt < b.runner.idleAt // idle soonest
 		}
+		if !ignoreUsage && a.suspect != b.suspect {
+			return b.suspect
+		}
 		return a.count > b.count
 	})
 	left := len(st.tasks)
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -205,6 +205,9 @@
 	var best *runner
 	bestCost := int64(0)
 	runtime := s.expectedRunTime(st)
+	// A failed run costs urgent work its objective, and others what a last attempt decides. Work with slack may use suspect
+	// runners, which shows whether they have recovered.
+	avoidSuspects := st.job.queue.Priority == urgentPriority || st.isLastAttempt(t)
 	for _, r := range candidates {
 		if !s.mayPlace(st, r, s.onRunner(runtime, r)) || !need.Fits(r.free()) || !r.health.admits(s.now) {
 			continue
@@ -220,6 +223,8 @@
 		}
 		if r.ID == t.avoidRunner {
 			cost += avoidedRunnerCost
+		} else if avoidSuspects && s.isSuspect(r) {
+			cost += suspectRunnerCost
 		}
 		if st.step.DataRack != "" && st.step.DataRack != r.Rack {
 			cost += remoteRackCost
@@ -235,9 +240,10 @@
 }
 
 const (
-	// avoidedRunnerCost and remoteRackCost are added to the cores left unused, in millicores. They exceed the size of any
-	// runner, so that such a runner is chosen only if no other has capacity.
+	// avoidedRunnerCost, suspectRunnerCost and remoteRackCost are added to the cores left unused, in millicores. They exceed
+	// the size of any runner, so that such a runner is chosen only if no other has capacity.
 	avoidedRunnerCost = 10_000_000
+	suspectRunnerCost = 3_000_000
 	remoteRackCost    = 1_000_000
 	// slownessCost is added for urgent work on a runner that is slower by a factor of e: 10 % of run time counts
 	// about as much as 3 cores.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -123,7 +123,7 @@
 	for _, x := range preemptible {
 		allFree = allFree.Add(x.reserved)
 	}
-	p := preemption{placement: gangPlacement{r, need.Copies(allFree, limit)}}
+	p := preemption{placement: gangPlacement{runner: r, count: need.Copies(allFree, limit)}}
 	wanted := need.Scale(int64(p.placement.count))
 	for _, x := range preemptible {
 		if wanted.Fits(available) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	// mostlyFreeSince is when at least half of the usable cores became free; meaningful only while they are.
 	mostlyFreeSince time.Duration
 	fleetSpeed      fleetSpeed
+	failures        fleetFailures
 	runnersByID     []*runner // cached list of the runners, sorted by identifier; nil if outdated
 	takenOverAt     time.Duration
 	discoveryRead   bool // all runners in discovery have been listed once
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -35,6 +35,7 @@
 	slowdown    map[string]float64                                                    // factor by which runs take longer, by runner
 	estimate    int64                                                                 // declared run time of random jobs, milliseconds
 	failOneIn   int                                                                   // one of this many runs fails; 0: none
+	failsOneIn  map[string]int                                                        // one of this many runs on a runner fails at once; 0: none
 	firstStarts map[string]time.Duration                                              // start of the first run, by job
 	work        func(task job.TaskID, run int) (length time.Duration, outcome string) // nil: runFor and failOneIn
 	finished    map[string]JobFinished
