--- a/internal/scheduler/failure_rate.go
+++ b/internal/scheduler/failure_rate.go
@@ -14,8 +14,9 @@
 	runnerPriorRuns = 4
 	zonePriorRuns   = 50
 	// suspectMargin is by how much a runner's failure rate must exceed the fleet's before gangs and last attempts avoid it:
-	// it adds that much to the probability that a whole gang is broken or a job fails.
-	suspectMargin = 0.1
+	// it adds that much to the probability that a whole gang is broken or a job fails. With 0.1, a fleet whose tasks
+	// fail by their own fault in 5 of 100 runs has so many wrong suspects that gangs find fewer runners.
+	suspectMargin = 0.2
 	// suspectRefresh is the interval at which a runner's rate is compared again.
 	suspectRefresh = 200 * time.Millisecond
 )
