scheduler: excess work leaves free memory and accelerators too

What other work is expected to request in the next 0.5 s was measured in cores only, so excess work took all memory or accelerators where these are scarce. TestExcessLeavesHeadroom failed before: 1.5 units free instead of 5 of memory and of accelerators.

--- a/internal/scheduler/charges.go
+++ b/internal/scheduler/charges.go
@@ -16,7 +16,7 @@
 	if t := st.job.tenant; t != nil {
 		t.charged = t.charged.Add(st.step.Need)
 		if st.job.excess {
-			s.shares.excessBudget -= x.reserved.CoresMilli
+			s.shares.excessBudget.add(amountsOf(x.reserved), -1)
 		}
 		t.over = t.over || s.isOver(t)
 	}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -7,7 +7,7 @@
 // demand is what a tenant requests: the tasks of its open stages that are not done.
 type demand struct {
 	tasks   model.Resources
-	work    [3]float64   // the same times the expected run time, in seconds: millicores, MB, accelerators
+	work    amounts      // the same times the expected run time, in seconds: millicores, MB, accelerators
 	largest largestStage // stage with the most work since the tenant last requested nothing
 }
 
@@ -56,8 +56,8 @@
 }
 
 // waitingWork returns the work that waits, per resource: the total less that of the tasks that run.
-func (t *tenantState) waitingWork() [3]float64 {
-	var out [3]float64
+func (t *tenantState) waitingWork() amounts {
+	var out amounts
 	charged, requested := amountsOf(t.charged), amountsOf(t.demand.tasks)
 	for i, work := range t.demand.work {
 		if requested[i] > charged[i] {
@@ -67,6 +67,15 @@
 	return out
 }
 
-func amountsOf(r model.Resources) [3]float64 {
-	return [3]float64{float64(r.CoresMilli), float64(r.MemoryMB), float64(r.Accelerators)}
+// amounts holds an amount of each resource: millicores, MB, accelerators.
+type amounts [3]float64
+
+func (a *amounts) add(b amounts, factor float64) {
+	for r := range a {
+		a[r] += factor * b[r]
+	}
+}
+
+func amountsOf(r model.Resources) amounts {
+	return amounts{float64(r.CoresMilli), float64(r.MemoryMB), float64(r.Accelerators)}
 }
--- a/internal/scheduler/shares.go
+++ b/internal/scheduler/shares.go
@@ -37,9 +37,9 @@
 	contested    bool // more is requested than fits
 	updatedAt    time.Duration
 	capacity     model.Resources // of the usable runners
-	arrivalRate  float64         // millicores a second that work other than excess requests, measured
-	arrived      float64         // millicores requested since the last update
-	excessBudget int64           // millicores that excess work may still take in this pass
+	arrivalRate  amounts         // requested a second by work other than excess, measured
+	arrived      amounts         // requested since the last update
+	excessBudget amounts         // what excess work may still take in this pass
 	budgetPass   int             // pass of excessBudget
 }
 
@@ -188,14 +188,16 @@
 // recordArrival adds what a stage requests to the measured requests of work other than excess.
 func (s *Scheduler) recordArrival(st *stage) {
 	if s.tenants.configured && !st.job.excess {
-		s.shares.arrived += float64(st.step.Reserved().CoresMilli) * float64(len(st.tasks)-st.doneCount)
+		s.shares.arrived.add(amountsOf(st.step.Reserved()), float64(len(st.tasks)-st.doneCount))
 	}
 }
 
 func (s *Scheduler) updateArrivalRate(interval time.Duration) {
 	weight := min(interval.Seconds()/arrivalWindow.Seconds(), 1)
-	s.shares.arrivalRate += weight * (s.shares.arrived/interval.Seconds() - s.shares.arrivalRate)
-	s.shares.arrived = 0
+	for r, arrived := range s.shares.arrived {
+		s.shares.arrivalRate[r] += weight * (arrived/interval.Seconds() - s.shares.arrivalRate[r])
+	}
+	s.shares.arrived = amounts{}
 }
 
 // contested reports whether shares between tenants apply: more is requested than fits.
@@ -223,20 +225,25 @@
 func (s *Scheduler) isLimitedExcess(st *stage) bool { return st.job.excess && s.contested() }
 
 // excessMayTake reports whether excess work may take capacity for a number of tasks: other work is expected to request
-// the rest within excessHeadroom.
+// the rest of each resource within excessHeadroom.
 func (s *Scheduler) excessMayTake(st *stage, count int) bool {
 	if !s.isLimitedExcess(st) {
 		return true
 	}
 	if s.shares.budgetPass != s.passCount {
 		s.shares.budgetPass = s.passCount
-		free := int64(0)
+		s.shares.excessBudget = amounts{}
 		for _, r := range s.byFreeCores {
-			free += max(r.free().CoresMilli, 0)
+			s.shares.excessBudget.add(amountsOf(r.free().Max(model.Resources{})), 1)
+		}
+		s.shares.excessBudget.add(s.shares.arrivalRate, -excessHeadroom.Seconds())
+	}
+	for r, need := range amountsOf(st.step.Reserved()) {
+		if need > 0 && need*float64(count) > s.shares.excessBudget[r] {
+			return false
 		}
-		s.shares.excessBudget = free - int64(s.shares.arrivalRate*excessHeadroom.Seconds())
 	}
-	return st.step.Reserved().CoresMilli*int64(count) <= s.shares.excessBudget
+	return true
 }
 
 // outranks reports whether a stage may preempt runs of another one. While shares apply, work within its share may preempt
--- a/internal/scheduler/shares_test.go
+++ b/internal/scheduler/shares_test.go
@@ -177,6 +177,50 @@
 	}
 }
 
+// TestExcessLeavesHeadroom guards against excess work that takes what other work is expected to request in the next 0.5 s, of
+// whichever resource is scarce, and against headroom of a resource that excess work doesn't request.
+func TestExcessLeavesHeadroom(t *testing.T) {
+	const runners, perRunner, perSecond = 4, 8, 10 // units of the scarce resource; requests of other work
+	cores, memory, accelerators := model.Resources{CoresMilli: 1000, MemoryMB: 100}, model.Resources{CoresMilli: 100, MemoryMB: 1000}, model.Resources{CoresMilli: 100, MemoryMB: 100, Accelerators: 1}
+	for name, c := range map[string]struct {
+		excess, other model.Resources
+		unit          model.Resources // of the scarce resource
+		headroom      float64         // units left free
+	}{
+		"cores":        {cores, cores, model.Resources{CoresMilli: 1000}, 5},
+		"memory":       {memory, memory, model.Resources{MemoryMB: 1000}, 5},
+		"accelerators": {accelerators, accelerators, model.Resources{Accelerators: 1}, 5},
+		"others":       {memory, accelerators, model.Resources{MemoryMB: 1000}, 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newShareSimulation(7, runners)
+			for _, r := range sim.runners {
+				r.info.Capacity = model.Resources{CoresMilli: 1000, MemoryMB: 1000, Accelerators: 1}.Scale(perRunner)
+			}
+			sim.setTenants(tenant.Tenant{Name: "flood", Weight: 1}, tenant.Tenant{Name: "calm", Weight: 100})
+			sim.takeover()
+			samples, free := 0, 0.0
+			for tick := range 300 { // 6 s
+				sim.submitFor("flood", "fill", fmt.Sprintf("f%015d", tick), job.Step{Count: 1, Need: c.excess, Estimate: 1000})
+				if tick%(50/perSecond) == 0 {
+					sim.submitFor("calm", "fill", fmt.Sprintf("c%015d", tick), job.Step{Count: 1, Need: c.other, Estimate: 400})
+				}
+				sim.run(20 * time.Millisecond)
+				if tick < 150 {
+					continue
+				}
+				samples++
+				free += runners*perRunner - sim.existing("flood").Add(sim.existing("calm")).DominantShare(c.unit)
+			}
+			free /= float64(samples)
+			t.Logf("%.1f units free", free)
+			if free < 0.8*c.headroom || free > c.headroom+2.5 { // fragments and the time until the next start add some
+				t.Errorf("%.1f units free, want %.1f", free, c.headroom)
+			}
+		})
+	}
+}
+
 // TestRefusalAtArrival guards against jobs that are accepted although they would end without value, and against refusals
 // of a tenant within its rate and under its cap.
 func TestRefusalAtArrival(t *testing.T) {
