scheduler: the state of a removed tenant goes when nothing of it is left

It stayed in the owner's map for ever. It is kept while the tenant is configured, has jobs that have not ended or is charged for runs, so that a tenant which is added again finds its charges. A late run of a finished job is charged to the tenant by name. TestCapsUnderFaults also removes tenants and adds them again; it and TestRemovedTenantsLeaveNothing failed before.

--- a/internal/scheduler/caps_test.go
+++ b/internal/scheduler/caps_test.go
@@ -61,13 +61,17 @@
 }
 
 // TestCapsUnderFaults guards against a start that exceeds the cap of its tenant: random starts and ends, lost answers,
-// late starts, silent and restarted runners, owner changes, cancellations, and caps that change. All jobs finish.
+// late starts, silent and restarted runners, owner changes, cancellations, caps that change, and tenants that are removed
+// and added again. All jobs finish, and removed tenants leave nothing.
 func TestCapsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(int64(rapid.IntRange(0, 1<<30).Draw(rt, "seed")), 8)
 		drawCaps := func() []tenant.Tenant {
 			var out []tenant.Tenant
 			for i := range 3 {
+				if i > 0 && rapid.IntRange(0, 3).Draw(rt, "removed") == 0 {
+					continue
+				}
 				limit := model.Resources{CoresMilli: int64(rapid.IntRange(18, 45).Draw(rt, "cores")) * 1000}
 				if i == 2 {
 					limit = model.Resources{MemoryMB: int64(rapid.IntRange(5, 20).Draw(rt, "memory")) * 1000}
@@ -114,6 +118,9 @@
 				rt.Errorf("%s is charged for %+v and %+v although nothing runs", x.Name, x.charged, x.inherited)
 			}
 		}
+		if known := len(sim.sched.tenants.byName); known != len(sim.tenants) || known != len(sim.sched.tenants.sorted) {
+			rt.Errorf("%d tenants are known, %d in order, %d are configured", known, len(sim.sched.tenants.sorted), len(sim.tenants))
+		}
 	})
 }
 
@@ -423,3 +430,104 @@
 		t.Errorf("figures of %d tenants", len(stats))
 	}
 }
+
+// TestRemovedTenantsLeaveNothing guards against states of removed tenants that stay for ever, as operators may add and
+// remove thousands of tenants while one process is the owner.
+func TestRemovedTenantsLeaveNothing(t *testing.T) {
+	const rounds, perRound = 60, 50
+	sim := newMixedSimulation(10, 8)
+	most := 0
+	for round := range rounds {
+		var tenants []tenant.Tenant
+		for i := range perRound {
+			tenants = append(tenants, tenant.Tenant{Name: fmt.Sprintf("t%d-%d", round, i), Weight: 1, Cap: model.Resources{CoresMilli: 2000}})
+		}
+		sim.setTenants(tenants...)
+		for i := range 3 { // the second job of a tenant is excess
+			sim.submitFor(tenants[i/2].Name, "fill", fmt.Sprintf("%08d%08d", round, i), job.Step{Count: 2, Need: model.Resources{CoresMilli: 1000}, Estimate: 500})
+		}
+		sim.run(100 * time.Millisecond)
+		most = max(most, len(sim.sched.tenants.byName))
+	}
+	if limit := 2 * perRound; most > limit { // those in force and those whose work has not ended yet
+		t.Errorf("up to %d tenants were known, want at most %d", most, limit)
+	}
+	sim.setTenants()
+	sim.mustFinish(t, 10*time.Second)
+	x := sim.sched.tenants
+	if len(x.byName)+len(x.sorted)+len(x.waits) > 0 {
+		t.Errorf("%d tenants by name, %d in order and %d waits are left of %d removed tenants", len(x.byName), len(x.sorted), len(x.waits), rounds*perRound)
+	}
+}
+
+// TestRemovedTenantKeepsItsCharges guards against a tenant that exceeds its cap after it was removed and added again,
+// because its runs, on a silent runner or left of a cancelled job, were forgotten with it.
+func TestRemovedTenantKeepsItsCharges(t *testing.T) {
+	for _, c := range []struct{ silent, cancelled, takeover bool }{
+		{silent: true},
+		{cancelled: true},
+		{silent: true, cancelled: true},
+		{silent: true, takeover: true},
+		{cancelled: true, takeover: true},
+		{silent: true, cancelled: true, takeover: true},
+	} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			sim := newMixedSimulation(11, 8)
+			sim.setTenants(capped("a", 8000), capped("waits", 8000))
+			const id, next = "f000000000000001", "u000000000000001"
+			sim.submitFor("waits", "fill", "w000000000000001", job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, RequiredLabel: "none"})
+			sim.submitFor("a", "fill", id, job.Step{Count: 4, Need: model.Resources{CoresMilli: 2000}, Estimate: 20_000})
+			sim.run(time.Second)
+			for _, r := range sim.runners {
+				r.unreachable = c.silent && len(r.runs) > 0
+			}
+			if c.cancelled {
+				sim.sched.Cancel(id)
+				sim.sched.Effects() // the stops are lost
+				for _, r := range sim.runners {
+					for _, x := range r.runs { // stops take long
+						x.endsAt, x.outcome = sim.now+2*time.Second, EndStopped
+					}
+				}
+			}
+			sim.setTenants()
+			sim.run(200 * time.Millisecond)
+			if c.takeover {
+				sim.takeover()
+				sim.run(200 * time.Millisecond)
+			}
+			if got := sim.sched.tenants.byName["a"]; got == nil || sim.sched.committed(got).CoresMilli != 8000 {
+				t.Fatalf("the removed tenant is charged %+v, want 8000 millicores", got)
+			}
+			sim.setTenants(capped("a", 8000), capped("waits", 8000))
+			if got := sim.sched.tenants.byName["waits"].requested(); got.CoresMilli != 1000 {
+				t.Errorf("the tenant whose work waits requests %+v, want 1000 millicores", got)
+			}
+			sim.submitFor("a", "urgent", next, job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 100})
+			sim.run(time.Second)
+			if _, ok := sim.firstStarts[next]; ok {
+				t.Error("the next job started beside runs that fill the cap")
+			}
+			sim.run(9 * time.Second)
+			if _, ok := sim.firstStarts[next]; !ok && c.cancelled {
+				t.Error("the next job did not start after the runs had ended")
+			}
+			sim.setTenants()
+			sim.sched.Cancel(id)
+			sim.sched.Cancel("w000000000000001")
+			sim.run(15 * time.Second)
+			if n := len(sim.sched.tenants.byName); n > 0 {
+				t.Errorf("%d tenants are known after all work has ended", n)
+			}
+			late := runKey{job.TaskID{StepID: job.StepID{Job: id}}, 99} // a start that a runner executes late
+			sim.sched.chargeUnknown(sim.sched.sortedRunners()[0], late)
+			sim.setTenants(capped("a", 8000))
+			if got := sim.sched.tenants.byName["a"].charged; got.CoresMilli != 2000 {
+				t.Errorf("charged %+v for a late run of a finished job, want 2000 millicores", got)
+			}
+			for _, violation := range sim.violations {
+				t.Error(violation)
+			}
+		})
+	}
+}
--- a/internal/scheduler/charges.go
+++ b/internal/scheduler/charges.go
@@ -89,9 +89,10 @@
 	if j == nil || j.tenant == nil {
 		return
 	}
+	t := s.tenantOf(j.spec.Tenant) // not that of the finished job, which may have been removed and added again
 	need := j.largestTask()
-	j.tenant.charged = j.tenant.charged.Add(need)
-	r.unknownCharges = append(r.unknownCharges, unknownCharge{j.tenant, need})
+	t.charged = t.charged.Add(need)
+	r.unknownCharges = append(r.unknownCharges, unknownCharge{t, need})
 }
 
 // releaseUnknown releases the charges for a runner's runs that belong to no active job: the runner has listed its runs
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -122,6 +122,7 @@
 	s.removeExpiredJobs()
 	s.promoteExcess()
 	s.endWaits()
+	s.removeUnusedTenants()
 	s.needsPass = true
 }
 
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -18,6 +18,7 @@
 	j := &jobState{spec: spec, acceptedAt: s.wall.UnixMilli(), arrivedAt: s.now, queue: s.queues[spec.Queue], tenant: s.tenantOf(spec.Tenant)}
 	j.objective = s.objectiveOf(&j.spec, &j.queue)
 	s.jobs[spec.ID] = j
+	j.countActive(1)
 	s.classifyArrival(j)
 	s.stateChanged(j)
 	if spec.Occurrences == 0 {
@@ -40,6 +41,7 @@
 		s.finalJobs = append(s.finalJobs, j)
 		return
 	}
+	j.countActive(1)
 	j.objective = s.objectiveOf(&j.spec, &j.queue)
 	j.arrivedAt = s.now - max(0, time.Duration(s.wall.UnixMilli()-r.Accepted)*time.Millisecond)
 	for _, p := range r.Progress {
@@ -104,6 +106,7 @@
 	j.finalState = state
 	j.finishedAt = s.wall.UnixMilli()
 	s.excessLeft(j)
+	j.countActive(-1)
 	s.finalJobs = append(s.finalJobs, j)
 	for _, st := range j.stages {
 		st.open = false
@@ -126,6 +129,13 @@
 	s.needsPass = true
 }
 
+// countActive changes the number of the tenant's jobs that have not ended.
+func (j *jobState) countActive(change int) {
+	if j.tenant != nil {
+		j.tenant.activeJobs += change
+	}
+}
+
 // removeClosedStages removes closed stages from the list of open stages.
 func (s *Scheduler) removeClosedStages() {
 	keep := s.openStages[:0]
--- a/internal/scheduler/tenant_state.go
+++ b/internal/scheduler/tenant_state.go
@@ -9,7 +9,8 @@
 	"github.com/agateyard/agateyard/internal/tenant"
 )
 
-// tenantState is what the scheduler knows of one tenant. It is rebuilt by every owner.
+// tenantState is what the scheduler knows of one tenant. It is rebuilt by every owner and removed when it is not in use any
+// more.
 type tenantState struct {
 	tenant.Tenant
 	configured  bool            // the configuration in force has the tenant
@@ -25,7 +26,8 @@
 	account     fairshare.Account
 	fairShare   float64 // dominant share of the capacity that the tenant is owed, as of the last update
 	over        bool    // over its share
-	refused     int     // jobs refused since the ownership began
+	activeJobs  int     // jobs that have not ended
+	refused     int     // jobs refused since the ownership began, or since the state was created
 }
 
 // tenants holds the tenants of a scheduler. It stays empty without jobs of tenants.
@@ -78,8 +80,25 @@
 			s.tenants.byName = map[string]*tenantState{}
 		}
 		s.tenants.byName[name] = t
-		s.tenants.sorted = append(s.tenants.sorted, t)
-		slices.SortFunc(s.tenants.sorted, func(a, b *tenantState) int { return strings.Compare(a.Name, b.Name) })
+		at, _ := slices.BinarySearchFunc(s.tenants.sorted, name, func(t *tenantState, name string) int { return strings.Compare(t.Name, name) })
+		s.tenants.sorted = slices.Insert(s.tenants.sorted, at, t)
 	}
 	return t
 }
+
+// inUse reports whether the state of a tenant is needed: the configuration has the tenant, or it has work that is not
+// proved to have ended. Finished jobs don't need it: what is left of their runs is charged.
+func (t *tenantState) inUse() bool {
+	return t.configured || t.activeJobs > 0 || !t.charged.IsZero() || !t.inherited.IsZero()
+}
+
+// removeUnusedTenants removes the states of the tenants that are not in use any more. Operators may add and remove any
+// number of tenants during one ownership.
+func (s *Scheduler) removeUnusedTenants() {
+	s.tenants.sorted = slices.DeleteFunc(s.tenants.sorted, func(t *tenantState) bool {
+		if !t.inUse() {
+			delete(s.tenants.byName, t.Name)
+		}
+		return !t.inUse()
+	})
+}
