--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -353,6 +353,7 @@
 	o.n.view.recordOwnerReply(o.n.clock.Now()) // it was the owner until now, which counts as contact with the owner
 	o.n.ownership.CompareAndSwap(o, nil)
 	o.n.dep.Metrics.Owner.Set(0)
+	o.n.dep.Metrics.setTenants(nil) // the next owner reports them
 	o.mu.Lock()
 	reason := o.reason
 	o.mu.Unlock()
