--- a/internal/scheduler/caps_test.go
+++ b/internal/scheduler/caps_test.go
@@ -110,9 +110,7 @@
 		if left := sim.sched.Stats().ActiveJobs; left > 0 {
 			rt.Errorf("%d jobs have not finished", left)
 		}
-		for _, violation := range sim.violations {
-			rt.Error(violation)
-		}
+		sim.reportViolations(rt)
 		for _, x := range sim.sched.tenants.byName {
 			if !x.charged.IsZero() || !x.inherited.IsZero() {
 				rt.Errorf("%s is charged for %+v and %+v although nothing runs", x.Name, x.charged, x.inherited)
@@ -200,9 +198,7 @@
 	if _, ok := sim.firstStarts["near100000000000"]; ok {
 		t.Error("the job of the tenant at its cap started beside the inherited runs")
 	}
-	for _, violation := range sim.violations {
-		t.Error(violation)
-	}
+	sim.reportViolations(t)
 }
 
 // TestBacklogAfterTakeover guards against a new owner that starts next to nothing of a tenant with a long queue until the
@@ -235,9 +231,7 @@
 	if started < want {
 		t.Errorf("%d urgent jobs have started beside a silent runner, want %d", started, want)
 	}
-	for _, violation := range sim.violations {
-		t.Error(violation)
-	}
+	sim.reportViolations(t)
 }
 
 // TestUnknownInheritedRunnersCount guards against a new owner that starts work above a cap because it can't read which
@@ -299,9 +293,7 @@
 			if _, ok := sim.firstStarts["u000000000000001"]; !ok {
 				t.Error("the next job did not start after the runs had ended")
 			}
-			for _, violation := range sim.violations {
-				t.Error(violation)
-			}
+			sim.reportViolations(t)
 		})
 	}
 }
@@ -376,8 +368,7 @@
 	for _, unsent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("unsent %t", unsent), func(t *testing.T) {
 			sim := newMixedSimulation(8, 8)
-			sim.queues[2].Advice = nil
-			sim.sched.SetQueues(sim.queues)
+			sim.removeAdvice("fill")
 			sim.setTenants(capped("a", 8000))
 			const id = "f000000000000001"
 			if unsent {
@@ -525,9 +516,7 @@
 			if got := sim.sched.tenants.byName["a"].charged; got.CoresMilli != 2000 {
 				t.Errorf("charged %+v for a late run of a finished job, want 2000 millicores", got)
 			}
-			for _, violation := range sim.violations {
-				t.Error(violation)
-			}
+			sim.reportViolations(t)
 		})
 	}
 }
--- a/internal/scheduler/faults_test.go
+++ b/internal/scheduler/faults_test.go
@@ -77,9 +77,7 @@
 			break
 		}
 	}
-	for _, b := range sim.violations {
-		t.Error(b)
-	}
+	sim.reportViolations(t)
 	if len(sim.violations) > 0 {
 		task := strings.Fields(sim.violations[0])[1]
 		t.Logf("history of %s:\n%s", task, strings.Join(sim.history(task), "\n"))
@@ -180,8 +178,7 @@
 // Kalnins grown (rule ROUTE).
 func TestMaxPerRunnerCountsStoppingRuns(t *testing.T) {
 	sim := newMixedSimulation(7, 1)
-	sim.queues[2].Advice = nil
-	sim.sched.SetQueues(sim.queues)
+	sim.removeAdvice("fill")
 	sim.submitStep("fill", "f000000000000001", job.Step{
 		Count: 3, Need: model.Resources{CoresMilli: 1000}, Estimate: 5000, MaxPerRunner: 2, Speculative: true,
 	})
--- a/internal/scheduler/kinds_test.go
+++ b/internal/scheduler/kinds_test.go
@@ -12,8 +12,7 @@
 // itself, with outcome done.
 func TestLongRunningTasksAreRestarted(t *testing.T) {
 	sim := newMixedSimulation(9, 4)
-	sim.queues[2].Advice = nil
-	sim.sched.SetQueues(sim.queues)
+	sim.removeAdvice("fill")
 	sim.runFor = func(job.Step) time.Duration { return 500 * time.Millisecond } // ends by itself with outcome done
 	const id = "f000000000000001"
 	sim.submitStep("fill", id, job.Step{Count: 3, Need: model.Resources{CoresMilli: 1000}, LongRunning: true})
@@ -43,8 +42,7 @@
 // takeover, or runs again after a takeover.
 func TestOccurrencesStartOnTime(t *testing.T) {
 	sim := newMixedSimulation(10, 4)
-	sim.queues[2].Advice = nil
-	sim.sched.SetQueues(sim.queues)
+	sim.removeAdvice("fill")
 	first := sim.wall.Add(700 * time.Millisecond)
 	spec := job.Spec{
 		ID: "f000000000000001", Queue: "fill", Occurrences: 5, FirstStart: first.UnixMilli(), Interval: 1000,
@@ -82,17 +80,14 @@
 	if state, _ := sim.sched.State(spec.ID); state != job.Done {
 		t.Errorf("state %q after all occurrences", state)
 	}
-	for _, violation := range sim.violations {
-		t.Error(violation)
-	}
+	sim.reportViolations(t)
 }
 
 // TestLabelsAndRacks guards against a task on a runner without the required label, and against a task placed outside
 // the rack of its data although that rack has capacity.
 func TestLabelsAndRacks(t *testing.T) {
 	sim := newMixedSimulation(11, 8) // racks rack0 and rack1, all with label a
-	sim.queues[2].Advice = nil
-	sim.sched.SetQueues(sim.queues)
+	sim.removeAdvice("fill")
 	info := sim.runners["r05"].info
 	info.Labels = []string{"b"}
 	sim.runners["r05"].info = info
@@ -119,8 +114,7 @@
 // never end, as on a fleet of long-running tasks of which some fail.
 func TestProbedRunnerWithExistingRuns(t *testing.T) {
 	sim := newMixedSimulation(12, 1)
-	sim.queues[2].Advice = nil
-	sim.sched.SetQueues(sim.queues)
+	sim.removeAdvice("fill")
 	sim.runFor = func(job.Step) time.Duration { return time.Hour }
 	sim.submitStep("fill", "f000000000000001", job.Step{Count: 2, Need: model.Resources{CoresMilli: 500}, LongRunning: true})
 	sim.run(200 * time.Millisecond)
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -62,9 +62,7 @@
 	if p90 := waits[len(waits)*9/10]; p90 > 400*time.Millisecond {
 		t.Errorf("urgent jobs wait %s at the 90th percentile, their objective leaves 400ms", p90)
 	}
-	for _, violation := range sim.violations {
-		t.Error(violation)
-	}
+	sim.reportViolations(t)
 }
 
 // TestWideGangUnderNarrowTaskLoad guards against the starvation of a gang that needs most of its eligible runners at
@@ -89,9 +87,7 @@
 	if wait := began - sent; wait > 3400*time.Millisecond {
 		t.Errorf("the gang waits %s, its objective leaves 3.4s", wait)
 	}
-	for _, violation := range sim.violations {
-		t.Error(violation)
-	}
+	sim.reportViolations(t)
 }
 
 // TestNoValueWorkStillRuns guards against the starvation of work in the lowest urgency class.
@@ -181,9 +177,7 @@
 	if served < burst*9/10 {
 		t.Errorf("%d of %d urgent jobs started while they had value", served, burst)
 	}
-	for _, violation := range sim.violations {
-		t.Error(violation)
-	}
+	sim.reportViolations(t)
 }
 
 // TestGangRequestsMoreAdviceWhileIdle guards against a gang that waits although most of the fleet is free: the few
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -129,7 +129,5 @@
 	if _, ok := sim.firstStarts[gang]; !ok {
 		t.Error("the gang has not started within the 3.4s that its objective leaves")
 	}
-	for _, violation := range sim.violations {
-		t.Error(violation)
-	}
+	sim.reportViolations(t)
 }
--- a/internal/scheduler/settle_test.go
+++ b/internal/scheduler/settle_test.go
@@ -12,8 +12,7 @@
 func startOne(t *testing.T) (*simulation, *run) {
 	t.Helper()
 	sim := newMixedSimulation(5, 1)
-	sim.queues[2].Advice = nil
-	sim.sched.SetQueues(sim.queues)
+	sim.removeAdvice("fill")
 	sim.submitStep("fill", "f000000000000001", job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 5000})
 	sim.run(100 * time.Millisecond)
 	for _, x := range sim.sched.runners["r00"].runs {
@@ -74,10 +73,7 @@
 // part, and against tasks that are forgotten while the budget was used up.
 func TestStartBudget(t *testing.T) {
 	sim := newMixedSimulation(6, 8)
-	for i := range sim.queues {
-		sim.queues[i].Advice = nil
-	}
-	sim.sched.SetQueues(sim.queues)
+	sim.removeAdvice("urgent", "gang", "fill")
 	sim.submitStep("fill", "f000000000000001", job.Step{Count: 20, Need: model.Resources{CoresMilli: 100}, Estimate: 60_000})
 	sim.submitStep("gang", "a000000000000001", job.Step{Count: 6, Need: model.Resources{CoresMilli: 100}, Estimate: 60_000, Gang: true})
 	s := sim.sched
--- a/internal/scheduler/shares_test.go
+++ b/internal/scheduler/shares_test.go
@@ -15,10 +15,7 @@
 // newShareSimulation returns a simulation without advice, so that every runner is eligible.
 func newShareSimulation(seed int64, runners int) *simulation {
 	sim := newMixedSimulation(seed, runners)
-	for i := range sim.queues {
-		sim.queues[i].Advice = nil
-	}
-	sim.sched.SetQueues(sim.queues)
+	sim.removeAdvice("urgent", "gang", "fill")
 	return sim
 }
 
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -368,6 +369,23 @@
 	return strings.Contains(line, "StartRun") && strings.Contains(line, "Task:"+task+" ")
 }
 
+// reportViolations reports the violations of invariants.
+func (sim *simulation) reportViolations(t interface{ Error(args ...any) }) {
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+}
+
+// removeAdvice makes all runners eligible for the work of the given queues.
+func (sim *simulation) removeAdvice(queues ...string) {
+	for i := range sim.queues {
+		if slices.Contains(queues, sim.queues[i].Name) {
+			sim.queues[i].Advice = nil
+		}
+	}
+	sim.sched.SetQueues(sim.queues)
+}
+
 // mustFinish runs the simulation for the given time, and checks that all jobs have finished and that no invariant was
 // violated.
 func (sim *simulation) mustFinish(t *testing.T, within time.Duration) {
@@ -376,7 +394,5 @@
 	if left := sim.sched.Stats().ActiveJobs; left > 0 {
 		t.Errorf("%d jobs have not finished", left)
 	}
-	for _, violation := range sim.violations {
-		t.Error(violation)
-	}
+	sim.reportViolations(t)
 }
