--- a/internal/scheduler/charges.go
+++ b/internal/scheduler/charges.go
@@ -16,7 +16,7 @@
 	if t := st.job.tenant; t != nil {
 		t.charged = t.charged.Add(st.step.Need)
 		if st.job.excess {
-			s.shares.excessBudget -= x.reserved.CoresMilli
+			s.shares.excessBudget.add(amountsOf(x.reserved), -1)
 		}
 		t.over = t.over || s.isOver(t)
 	}
@@ -89,9 +89,10 @@
 	if j == nil || j.tenant == nil {
 		return
 	}
+	t := s.tenantOf(j.spec.Tenant) // not that of the finished job, which may have been removed and added again
 	need := j.largestTask()
-	j.tenant.charged = j.tenant.charged.Add(need)
-	r.unknownCharges = append(r.unknownCharges, unknownCharge{j.tenant, need})
+	t.charged = t.charged.Add(need)
+	r.unknownCharges = append(r.unknownCharges, unknownCharge{t, need})
 }
 
 // releaseUnknown releases the charges for a runner's runs that belong to no active job: the runner has listed its runs
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -123,6 +123,7 @@
 	s.removeExpiredJobs()
 	s.promoteExcess()
 	s.endWaits()
+	s.removeUnusedTenants()
 	s.needsPass = true
 }
 
