--- a/internal/entry/acks.go
+++ b/internal/entry/acks.go
@@ -133,7 +133,7 @@
 			a.l.completionsConfirmed(pool, attempts)
 			continue
 		}
-		go a.l.n.sendDelivered(owner, pool, attempts)
+		a.l.n.start("Pool.Delivered", func() { a.l.n.sendDelivered(owner, pool, attempts) })
 	}
 	clear(a.confirmed)
 }
--- a/internal/entry/acquisition.go
+++ b/internal/entry/acquisition.go
@@ -90,9 +90,9 @@
 		}
 		a.inFlight[id] = true
 		if kind == sourceJournal {
-			go a.readJournal(id)
+			a.t.l.n.start("read journal", func() { a.readJournal(id) })
 		} else {
-			go a.claim(id)
+			a.t.l.n.start("Shard.Claim", func() { a.claim(id) })
 		}
 	}
 	a.completeIfDone()
@@ -113,7 +113,10 @@
 	var exports []shardExport
 	if err == nil {
 		n.observe(reply.Header)
-		exports, err = decodeExports(reply.Exports)
+		err = n.protect("decode exports", func() (err error) {
+			exports, err = decodeExports(reply.Exports)
+			return err
+		})
 	}
 	n.post(claimReplied{acquisition: a, from: id, exports: exports, err: err})
 }
--- a/internal/entry/compaction.go
+++ b/internal/entry/compaction.go
@@ -36,12 +36,12 @@
 	c.last = now
 	c.bytes = 0
 	n := l.n
-	go func() {
+	n.start("compaction", func() {
 		ctx, cancel := context.WithTimeout(n.ctx, compactTimeout)
 		defer cancel()
 		err := n.journal.Compact(ctx, func() ([][]byte, error) { return n.collectSnapshot(ctx) })
 		n.post(compacted{err: err})
-	}()
+	})
 }
 
 // collectSnapshot requests the entries that replace the journal from the loop.
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -177,7 +177,7 @@
 func newDemandSender(n *Node, to string) *demandSender {
 	ctx, cancel := context.WithCancel(n.ctx)
 	s := &demandSender{n: n, to: to, pending: make(chan DemandArgs, 1), cancel: cancel}
-	go s.run(ctx)
+	n.start("demand sender", func() { s.run(ctx) })
 	return s
 }
 
--- a/internal/entry/digest.go
+++ b/internal/entry/digest.go
@@ -69,7 +69,7 @@
 	}
 	l.summariesFetchedAt = now
 	n := l.n
-	go func() {
+	n.start("Peer.Summaries", func() {
 		ctx, cancel := context.WithTimeout(n.ctx, gossipTimeout)
 		defer cancel()
 		var reply SummariesReply
@@ -79,7 +79,7 @@
 		}
 		n.observe(reply.Header)
 		n.post(summariesFetched{summaries: reply.Summaries})
-	}()
+	})
 }
 
 // summariesFetched is the result of fetchSummaries.
--- a/internal/entry/dispatch_local.go
+++ b/internal/entry/dispatch_local.go
@@ -36,11 +36,16 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, c := range beginResult.commands {
-		wg.Go(func() {
-			outcome := n.startAttempt(beginResult.pool, c, args)
-			mu.Lock()
-			defer mu.Unlock()
-			reply.add(c.Attempt, outcome)
+		wg.Add(1)
+		n.start("start", func() {
+			defer wg.Done()
+			outcome := startOutcome{kind: pool.StartLost} // also after a panic
+			defer func() {
+				mu.Lock()
+				defer mu.Unlock()
+				reply.add(c.Attempt, outcome)
+			}()
+			outcome = n.startAttempt(beginResult.pool, c, args)
 		})
 	}
 	wg.Wait()
--- a/internal/entry/dispatches.go
+++ b/internal/entry/dispatches.go
@@ -65,7 +65,7 @@
 		Body:        first.Body,
 	}
 	limit := first.RunLimit + dispatchSlack
-	go d.l.n.dispatch(first.Grant, args, connClassFor(t), limit)
+	d.l.n.start("dispatch", func() { d.l.n.dispatch(first.Grant, args, connClassFor(t), limit) })
 }
 
 // orderByGrant returns the attempts in the order of the grant's endpoints.
@@ -121,8 +121,7 @@
 		l.settleOrForward(e.reply.Settled)
 		return
 	}
-	var refused rpc.ServerError
-	if errors.Is(e.err, errNotSent) || errors.As(e.err, &refused) {
+	if nothingStarted(e.err) {
 		l.settleOrForward(notStartedCompletions(e.attempts))
 		return
 	}
@@ -134,6 +133,14 @@
 	}
 }
 
+// nothingStarted reports whether a dispatch that failed is known to have started nothing:
+// it was not sent, or the pool owner has refused it. After a panic in the pool owner's
+// handler the attempts may have started.
+func nothingStarted(err error) bool {
+	var refused rpc.ServerError
+	return errors.Is(err, errNotSent) || errors.As(err, &refused) && refused.Error() != errPanic.Error()
+}
+
 // instanceAt returns the instance of the i-th endpoint of a grant.
 func instanceAt(g model.Grant, i int) string {
 	if i < len(g.Instances) {
@@ -195,10 +202,10 @@
 func (d *dispatches) queryPoolOwner(pool model.PoolID, shards map[model.ShardID]bool) {
 	d.queryInFlight[pool] = true
 	n, view := d.l.n, d.l.view
-	go func() {
+	n.start("Pool.Attempts", func() {
 		reply, err := n.queryAttempts(view, pool, shards)
 		n.post(attemptsResolved{pool: pool, reply: reply, err: err})
-	}()
+	})
 }
 
 // attemptsResolved is the reply of a pool owner about unresolved dispatches.
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -61,7 +61,7 @@
 			l.releaseGrants(refs)
 			continue
 		}
-		go l.n.sendReturns(owner, refs)
+		l.n.start("Pool.Return", func() { l.n.sendReturns(owner, refs) })
 	}
 }
 
@@ -123,7 +123,7 @@
 			l.stopAttempts(id, attempts)
 			continue
 		}
-		go l.n.sendStops(owner, id, attempts)
+		l.n.start("Pool.Stop", func() { l.n.sendStops(owner, id, attempts) })
 	}
 }
 
@@ -140,7 +140,7 @@
 			continue
 		}
 		if client, ok := p.client(command.Endpoint); ok {
-			go l.n.cancelAttempt(p, client, command)
+			l.n.start("cancel", func() { l.n.cancelAttempt(p, client, command) })
 		}
 	}
 }
--- a/internal/entry/gang_placer.go
+++ b/internal/entry/gang_placer.go
@@ -39,7 +39,8 @@
 		return
 	}
 	g.placing[d.Template] = true
-	go g.l.n.reserveParts(g.l.view, d, parts)
+	view := g.l.view
+	g.l.n.start("Pool.Hold", func() { g.l.n.reserveParts(view, d, parts) })
 }
 
 // reserveParts reserves the parts of a gang and posts the grants to the loop. It
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		for _, to := range pickPeers(msg.peers, gossipFanout, rnd) {
-			go n.sendGossip(ctx, to, msg.args)
+			n.start("Peer.Gossip", func() { n.sendGossip(ctx, to, msg.args) })
 		}
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -65,6 +65,8 @@
 	if n == nil {
 		return
 	}
+	var failure error // logged by recoverCall
+	defer n.recoverCall("metrics", &failure)
 	for _, j := range n.journal.Collectors() {
 		j.Collect(ch)
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -78,18 +78,19 @@
 }
 
 // Run runs the incarnation until its context ends or a goroutine fails; Leave does
-// not end it. It returns ErrReplaced if the incarnation was replaced, and nil if its
-// context was cancelled.
+// not end it. It returns ErrReplaced if the incarnation was replaced, errPanic after a
+// panic, and nil if its context was cancelled.
 func (n *Node) Run() error {
 	g, ctx := errgroup.WithContext(n.ctx)
-	g.Go(func() error { return n.loop.run(n.ctx) })
-	g.Go(func() error { return n.journal.Run(ctx) })
-	g.Go(func() error { return n.runMembership(ctx) })
-	g.Go(func() error { return n.watchViews(ctx) })
-	g.Go(func() error { return n.watchConfig(ctx) })
-	g.Go(func() error { return n.pollVMList(ctx) })
-	g.Go(func() error { return n.runGossip(ctx) })
-	g.Go(func() error { return n.runSweep(ctx) })
+	run := func(where string, f func() error) { g.Go(func() error { return n.protect(where, f) }) }
+	run("event loop", func() error { return n.loop.run(n.ctx) })
+	run("journal", func() error { return n.journal.Run(ctx) })
+	run("membership", func() error { return n.runMembership(ctx) })
+	run("views", func() error { return n.watchViews(ctx) })
+	run("configuration", func() error { return n.watchConfig(ctx) })
+	run("VM list", func() error { return n.pollVMList(ctx) })
+	run("gossip", func() error { return n.runGossip(ctx) })
+	run("sweep", func() error { return n.runSweep(ctx) })
 	go func() {
 		// A failure of one goroutine ends the incarnation.
 		<-ctx.Done()
@@ -97,10 +98,15 @@
 	}()
 	err := g.Wait()
 	n.peers.close()
-	if cause := context.Cause(n.ctx); errors.Is(cause, ErrReplaced) {
+	cause := context.Cause(n.ctx)
+	switch {
+	case errors.Is(cause, ErrReplaced), errors.Is(err, journal.ErrSealed):
+		// Every record may have expired before the journal was found sealed, so that no
+		// record reported it.
 		return ErrReplaced
-	}
-	if errors.Is(err, context.Canceled) {
+	case failed(cause):
+		return cause
+	case errors.Is(err, context.Canceled):
 		return nil
 	}
 	return err
--- a/internal/entry/outbox.go
+++ b/internal/entry/outbox.go
@@ -131,11 +131,11 @@
 	}
 	o.inFlight[to] = true
 	if to == o.l.n.self.Incarnation {
-		go o.l.n.deliverLocal(to, batch, settled)
+		o.l.n.start("delivery", func() { o.l.n.deliverLocal(to, batch, settled) })
 		return
 	}
 	n := o.l.n
-	go func() {
+	n.start("Shard.Ended", func() {
 		ctx, cancel := context.WithTimeout(n.ctx, outboxTimeout)
 		defer cancel()
 		var reply EndedReply
@@ -144,7 +144,7 @@
 			n.observe(reply.Header)
 		}
 		n.post(deliveryReturned{to: to, batch: batch, ok: err == nil && reply.Taken})
-	}()
+	})
 }
 
 // releaseAtPool tells the pool that it may discard the completion.
--- a/internal/entry/owned_pool.go
+++ b/internal/entry/owned_pool.go
@@ -35,10 +35,10 @@
 // open starts a session with an endpoint.
 func (p *ownedPool) open(n *Node, id, address string) {
 	ctx, cancel := context.WithCancel(n.ctx)
-	s := newSession(p, id, n.cfg.NewClient(address))
+	s := newSession(p, id, protectedClient{Client: n.cfg.NewClient(address), n: n})
 	s.cancel = cancel
 	p.sessions[id] = s
-	go s.run(ctx, n)
+	n.start("session", func() { s.run(ctx, n) })
 }
 
 // close ends all sessions. Start calls in flight keep their connections.
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -109,7 +109,7 @@
 	}
 	if e.Superseded {
 		l.n.log.WithField("pool", string(p.id)).Warn("entry: pool has a newer owner")
-		go l.n.refetchView()
+		l.n.start("Peer.View", l.n.refetchView)
 	}
 	p.dirty = true
 }
@@ -141,7 +141,7 @@
 		l.bindGrants(local)
 	}
 	for to, grants := range remote {
-		go l.n.sendGrants(to, grants)
+		l.n.start("Shard.Grants", func() { l.n.sendGrants(to, grants) })
 	}
 }
 
@@ -158,10 +158,11 @@
 	}
 	n := l.n
 	if c.Kind == pool.CommandStop {
-		go n.cancelAttempt(p, client, pool.CancelCommand{Endpoint: c.Endpoint, Attempt: c.Attempt, Token: c.Token})
+		command := pool.CancelCommand{Endpoint: c.Endpoint, Attempt: c.Attempt, Token: c.Token}
+		n.start("cancel", func() { n.cancelAttempt(p, client, command) })
 		return
 	}
-	go func() {
+	n.start("command", func() {
 		ctx, cancel := context.WithTimeout(n.ctx, sessionTimeout)
 		defer cancel()
 		switch c.Kind {
@@ -173,5 +174,5 @@
 			_ = client.Checkpoint(ctx, c.Token, c.Attempt)
 		}
 		n.post(commandSent{pool: p, endpoint: c.Endpoint})
-	}()
+	})
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -16,6 +16,14 @@
 // of a process whose incarnations are replaced immediately.
 const restartDelay = 200 * time.Millisecond
 
+// failureDelay is the time until the next incarnation after a panic. The shards are
+// left to other processes meanwhile, in case the state of this one caused it.
+const failureDelay = time.Second
+
+// acceptRetryDelay is the time until connections are accepted again after an error, for
+// example while the process has no free descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // Process runs one incarnation after another and serves the RPC of the current
 // one. A process that was replaced, for example while it was paused, drops its
 // state and rejoins as a new incarnation.
@@ -39,8 +47,8 @@
 	return &Process{cfg: cfg, listener: l, conns: make(map[net.Conn]*Node)}, nil
 }
 
-// Run runs until ctx ends or an incarnation fails; Leave does not end it. An
-// incarnation that was replaced is followed by a new one, unless Leave was called.
+// Run runs until ctx ends; Leave does not end it. An incarnation that was replaced, or
+// that failed with a panic, is followed by a new one, unless Leave was called.
 func (p *Process) Run(ctx context.Context) error {
 	defer p.listener.Close()
 	for ctx.Err() == nil {
@@ -50,13 +58,21 @@
 		n.log.WithField("incarnation", n.self.Incarnation).Info("entry: incarnation started")
 		err := n.Run()
 		p.closeConns(n)
-		if p.leaving.Load() || !errors.Is(err, ErrReplaced) {
+		delay := restartDelay
+		switch {
+		case p.leaving.Load() || err == nil:
+			return err
+		case errors.Is(err, ErrReplaced):
+			n.log.Warn("entry: incarnation was replaced; rejoining as a new incarnation")
+		case failed(err):
+			n.log.Warn("entry: incarnation failed; rejoining as a new incarnation")
+			delay = failureDelay
+		default:
 			return err
 		}
-		n.log.Warn("entry: incarnation was replaced; rejoining as a new incarnation")
 		select {
 		case <-ctx.Done():
-		case <-time.After(restartDelay):
+		case <-time.After(delay):
 		}
 	}
 	return nil
@@ -77,14 +93,20 @@
 	}
 	for {
 		conn, err := p.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if p.node.Load() != n {
 			// The accept loop of the current incarnation serves later connections.
-			_ = conn.Close()
+			if err == nil {
+				_ = conn.Close()
+			}
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		p.track(conn, n)
 		go func() {
 			defer p.untrack(conn)
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -44,7 +44,7 @@
 	}
 	l.n.log.WithField("shards", len(shards)).WithField("view", v.Number).Info("shard: recovery started")
 	for _, id := range l.knownPools() {
-		go l.n.recoverPool(id, shardSet, intended[id])
+		l.n.start("recovery", func() { l.n.recoverPool(id, shardSet, intended[id]) })
 	}
 }
 
--- a/internal/entry/rpc_peer.go
+++ b/internal/entry/rpc_peer.go
@@ -16,7 +16,7 @@
 	defer s.n.recoverCall("Peer.Gossip", &failure)
 	s.n.observe(args.Header)
 	s.n.post(gossipReceived{args: args})
-	go s.n.fetchDocuments(s.n.ctx, args.From, args.Revisions)
+	s.n.start("Peer.Documents", func() { s.n.fetchDocuments(s.n.ctx, args.From, args.Revisions) })
 	reply.Header = s.n.header()
 	return nil
 }
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -103,7 +103,7 @@
 // owner. Otherwise a call to a paused or unreachable process would hang.
 func (n *Node) contextWhileOwner(ctx context.Context, s model.ShardID, owner string) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	go func() {
+	n.start("view", func() {
 		for {
 			changed := n.viewChanged.wait()
 			if n.currentView().ShardOwner(s) != owner {
@@ -116,7 +116,7 @@
 			case <-changed:
 			}
 		}
-	}()
+	})
 	return ctx, cancel
 }
 
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -228,7 +228,7 @@
 			continue
 		}
 		t.removing[p] = true
-		go t.l.n.dropPredecessor(p)
+		t.l.n.start("remove journal", func() { t.l.n.dropPredecessor(p) })
 	}
 }
 
--- a/internal/entry/view_change.go
+++ b/internal/entry/view_change.go
@@ -78,10 +78,10 @@
 	if !n.fetchingView.TryLock() {
 		return
 	}
-	go func() {
+	n.start("Peer.View", func() {
 		defer n.fetchingView.Unlock()
 		n.fetchViewFrom(from)
-	}()
+	})
 }
 
 func (n *Node) fetchViewFrom(from string) {
@@ -104,7 +104,11 @@
 	var fetches sync.WaitGroup
 	for _, m := range n.currentView().Members {
 		if m.Incarnation != n.self.Incarnation {
-			fetches.Go(func() { n.fetchViewFrom(m.Incarnation) })
+			fetches.Add(1)
+			n.start("Peer.View", func() {
+				defer fetches.Done()
+				n.fetchViewFrom(m.Incarnation)
+			})
 		}
 	}
 	fetches.Wait()
--- a/internal/entry/vm_list.go
+++ b/internal/entry/vm_list.go
@@ -21,7 +21,11 @@
 	rnd := rand.New(rand.NewSource(time.Now().UnixNano()))
 	for {
 		call, cancel := context.WithTimeout(ctx, 2*vmListInterval)
-		vms, err := n.cfg.VMs.VMs(call)
+		var vms []platform.VM
+		err := n.protect("VM list", func() (err error) {
+			vms, err = n.cfg.VMs.VMs(call)
+			return err
+		})
 		cancel()
 		if err == nil {
 			n.post(vmListFetched{vms: vms})
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -106,9 +106,9 @@
 // ends, the lease is not revoked and expires.
 func (m *Manager) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return m.runLease(ctx) })
-	g.Go(func() error { return m.runWatch(ctx) })
-	g.Go(func() error { return m.runLoop(ctx, g) })
+	g.Go(protected(func() error { return m.runLease(ctx) }))
+	g.Go(protected(func() error { return m.runWatch(ctx) }))
+	g.Go(protected(func() error { return m.runLoop(ctx, g) }))
 	err := g.Wait()
 	if err == errReleased {
 		return nil
@@ -244,14 +244,14 @@
 	m.writing = true
 	next.Change = uuid.NewString()
 	ifVersion := m.cluster.viewVersion
-	g.Go(func() error {
+	g.Go(protected(func() error {
 		err := m.writeView(ctx, next, ifVersion)
 		select {
 		case m.writeResults <- err:
 		case <-ctx.Done():
 		}
 		return nil
-	})
+	}))
 }
 
 func (m *Manager) writeView(ctx context.Context, v model.View, ifVersion uint64) error {
