--- a/internal/membership/cluster.go
+++ b/internal/membership/cluster.go
@@ -8,6 +8,14 @@
 	"github.com/agateyard/agateyard/internal/platform"
 )
 
+const (
+	// maxViewNumber is the highest number that a view can have; a higher one is malformed.
+	maxViewNumber = 1 << 62
+	// unreadableViewGap is added to the number of the view that replaces one that can't be decoded.
+	// Views that this process has not seen may have been written before that one.
+	unreadableViewGap = 1000
+)
+
 // cluster is the content of the keys with the prefix "cluster/" that the listing and
 // the watch have delivered so far.
 type cluster struct {
@@ -15,6 +23,8 @@
 	members     map[string]memberRecord
 	view        model.View
 	viewVersion uint64 // platform.CreateOnly if the store has no view
+	// viewUnreadable means that the view in the store can't be decoded. The next view replaces it.
+	viewUnreadable bool
 	revision    uint64
 	// consistentFrom is the revision from which members and view are consistent, since
 	// the pages of a listing are read at different revisions.
@@ -76,15 +86,17 @@
 }
 
 func (c *cluster) applyView(e platform.Entry) bool {
+	c.viewUnreadable = false
 	if e.Deleted {
 		c.viewVersion = platform.CreateOnly
 		return true
 	}
 	var v model.View
-	if json.Unmarshal(e.Value, &v) != nil {
-		return false
-	}
 	c.viewVersion = e.Version
+	if json.Unmarshal(e.Value, &v) != nil || v.Number > maxViewNumber {
+		c.viewUnreadable = true
+		return true
+	}
 	if v.Number <= c.view.Number {
 		return false
 	}
@@ -98,5 +110,12 @@
 	if c.revision < c.consistentFrom {
 		return model.View{}, false
 	}
-	return nextView(c.view, c.members)
+	next, differs := nextView(c.view, c.members)
+	if !c.viewUnreadable {
+		return next, differs
+	}
+	// A process that knows no view must not replace it: the numbers of views never decrease,
+	// and the predecessors are not known.
+	next.Number += unreadableViewGap
+	return next, c.view.Number > 0
 }
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -146,7 +146,9 @@
 		}
 	}
 	for i := range snapshot.Live {
-		t.importLive(now, s, &snapshot.Live[i])
+		if snapshot.Live[i].Work.Tasks <= maxTasks {
+			t.importLive(now, s, &snapshot.Live[i])
+		}
 	}
 	for _, o := range snapshot.Orphans {
 		if hash, ok := o.State.Attempt.RequestHash(); ok {
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -58,6 +58,10 @@
 	Settled   model.Settled `json:"settled"`
 }
 
+// maxTasks is the largest number of tasks of a request; templates allow no more. A malformed
+// record or export with more would exhaust the memory of each owner that restores it.
+const maxTasks = 10_000
+
 // Acceptance is the content of a RecordAcceptance.
 type Acceptance struct {
 	Kind        model.Kind      `json:"kind"`
@@ -149,7 +153,7 @@
 func (r Record) complete() bool {
 	switch r.Kind {
 	case RecordAcceptance:
-		return r.Acceptance != nil
+		return r.Acceptance != nil && r.Acceptance.Tasks <= maxTasks
 	case RecordIntent:
 		return r.Attempt() != ""
 	case RecordOutcome:
