--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -13,6 +13,10 @@
 	"time"
 )
 
+// acceptRetryDelay is the time until connections are accepted again after an error, for
+// example while the process has no free descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // Options are the settings of a balancer.
 type Options struct {
 	Backends      []string      // ip:port of entry processes
@@ -155,9 +159,13 @@
 func (b *Balancer) accept() {
 	for {
 		c, err := b.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		b.wg.Add(1)
 		go func() {
 			defer b.wg.Done()
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -140,3 +142,35 @@
 		t.Error("a connection was served without a ready process")
 	}
 }
+
+// failingListener fails the first call of Accept, as without free descriptors.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a balancer that accepts no connections any more after one error.
+func TestAcceptGoesOnAfterError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &Balancer{opts: DefaultOptions(nil), listener: &failingListener{Listener: listener}, conns: map[net.Conn]struct{}{}}
+	ended := make(chan struct{})
+	go func() { defer close(ended); b.accept() }()
+	select {
+	case <-ended:
+		t.Error("the balancer accepts no connections after an error")
+	case <-time.After(100 * time.Millisecond):
+	}
+	_ = listener.Close()
+	<-ended
+}
--- a/internal/entry/recover_test.go
+++ b/internal/entry/recover_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/rpc"
 	"reflect"
+	"syscall"
 	"testing"
 	"time"
 
@@ -106,3 +108,35 @@
 	first.journal.Append([]byte("{}"), time.Time{}, func(error) {}) // as a record that has expired: the node is not told
 	waitFor(t, "next incarnation", func() bool { return len(ended) > 0 || p.Node() != first && member(p) })
 }
+
+// failingListener fails the first call of Accept, as without free descriptors.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that no peer can call any more after one error of its listener.
+func TestAcceptGoesOnAfterError(t *testing.T) {
+	n, _ := testNode(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	p := &Process{listener: &failingListener{Listener: listener}, conns: make(map[net.Conn]*Node)}
+	p.node.Store(n)
+	go p.accept(n)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if err := newPeer(listener.Addr().String()).call(ctx, connControl, "Peer.View", Empty{}, &ViewReply{}); err != nil {
+		t.Errorf("call after an error of the listener: %v", err)
+	}
+}
