--- a/internal/entry/acks.go
+++ b/internal/entry/acks.go
@@ -26,11 +26,12 @@
 	nextFlush  time.Time
 }
 
-// ackBatch is a set of completions that may be confirmed once all entries up to
-// seq are written.
+// ackBatch is a set of completions that may be confirmed, or a function that may be
+// called, once all entries up to seq are written.
 type ackBatch struct {
 	seq      uint64
 	attempts []model.AttemptID
+	done     func() // may be nil
 }
 
 // ackWaiter is a Shard.Ended call or a local delivery whose reply waits for the
@@ -63,11 +64,24 @@
 		a.unwritten = slices.Delete(a.unwritten, i, i+1)
 	}
 	for len(a.batches) > 0 && a.durable(a.batches[0].seq) {
-		for _, attempt := range a.batches[0].attempts {
+		b := a.batches[0]
+		a.batches = a.batches[1:]
+		for _, attempt := range b.attempts {
 			a.confirm(attempt)
 		}
-		a.batches = a.batches[1:]
+		if b.done != nil {
+			b.done()
+		}
+	}
+}
+
+// whenDurable calls f once all entries appended so far are written.
+func (a *acks) whenDurable(f func()) {
+	if len(a.batches) == 0 && a.durable(a.lastSeq) {
+		f()
+		return
 	}
+	a.batches = append(a.batches, ackBatch{seq: a.lastSeq, done: f})
 }
 
 // durable reports whether all entries up to seq are written.
--- a/internal/entry/acquisition.go
+++ b/internal/entry/acquisition.go
@@ -33,6 +33,7 @@
 	retryAt  time.Time
 
 	best    map[model.ShardID]candidateState
+	partial map[model.ShardID]uint64   // epoch of a dead holder that has not recorded all of its state
 	holders map[string][]model.ShardID // shards of live holders, to be released
 }
 
@@ -49,6 +50,8 @@
 	epoch    uint64
 	snapshot *shard.Snapshot // from a live holder
 	records  []shard.Record  // from a journal
+	partial  bool            // not all records were written
+	previous *candidateState // of the same journal, valid if this one is partial
 }
 
 func newAcquisition(t *takeover, v model.View, shards []model.ShardID) *acquisition {
@@ -58,6 +61,7 @@
 		pending:  make(map[string]sourceKind),
 		inFlight: make(map[string]bool),
 		best:     make(map[model.ShardID]candidateState),
+		partial:  make(map[model.ShardID]uint64),
 		holders:  make(map[string][]model.ShardID),
 	}
 	for _, m := range v.Members {
@@ -138,6 +142,9 @@
 			return nil
 		})
 	}
+	if errors.Is(err, journal.ErrRemoved) {
+		err = nil // every member of an earlier view has its state
+	}
 	n.post(journalRead{acquisition: a, from: id, entries: entries, err: err})
 }
 
@@ -202,7 +209,16 @@
 	for _, e := range entries {
 		switch {
 		case e.Own != nil:
-			states[e.Own.Shard] = candidateState{epoch: e.Own.Epoch}
+			s := candidateState{epoch: e.Own.Epoch, partial: e.Own.Loading}
+			if earlier, ok := states[e.Own.Shard]; ok && s.partial {
+				s.previous = &earlier
+			}
+			states[e.Own.Shard] = s
+		case e.Loaded != nil:
+			if s, ok := states[*e.Loaded]; ok {
+				s.partial, s.previous = false, nil
+				states[*e.Loaded] = s
+			}
 		case e.Record == nil:
 		case e.Record.Kind == shard.RecordRelease:
 			delete(states, e.Record.Shard)
@@ -213,6 +229,14 @@
 		}
 	}
 	for id, s := range states {
+		for s.partial && s.previous != nil {
+			a.partial[id] = max(a.partial[id], s.epoch)
+			s = *s.previous
+		}
+		if s.partial {
+			a.partial[id] = max(a.partial[id], s.epoch)
+			continue
+		}
 		if best, ok := a.best[id]; ok && best.epoch >= s.epoch {
 			continue
 		}
@@ -233,7 +257,7 @@
 	a.t.activeAcquisition = nil
 	a.installShards()
 	a.cancel()
-	a.t.markAdopted(a.view)
+	a.t.markAdoptedWhenDurable(a.view)
 }
 
 func (a *acquisition) installShards() {
@@ -242,18 +266,22 @@
 	var recovered []model.ShardID
 	intended := make(intentEndpoints)
 	for _, id := range a.shards {
-		best, found := a.best[id]
+		best, found := a.bestState(now, id)
 		switch {
 		case found && best.snapshot != nil:
-			a.t.takeOwnership(now, id, a.view.Number, func() shard.Effects { return l.table.Import(now, *best.snapshot) })
+			snapshot := *best.snapshot
+			if a.needsRecovery(now, best.epoch, &snapshot) {
+				recovered = append(recovered, id)
+				a.t.recovering[id] = true
+				intended.addAll(snapshot.Records)
+			}
+			a.t.takeOwnership(id, a.view.Number, snapshot.Records, func() shard.Effects { return l.importShard(now, snapshot) })
 		case len(a.view.Predecessors) > 0 || found:
 			recovered = append(recovered, id)
-			for _, r := range best.records {
-				intended.add(r)
-			}
-			a.t.takeOwnership(now, id, a.view.Number, func() shard.Effects { return a.recoverShard(now, id, best.records) })
+			intended.addAll(best.records)
+			a.t.takeOwnership(id, a.view.Number, best.records, func() shard.Effects { return a.recoverShard(now, id, best.records) })
 		default:
-			a.t.takeOwnership(now, id, a.view.Number, func() shard.Effects {
+			a.t.takeOwnership(id, a.view.Number, nil, func() shard.Effects {
 				l.table.Own(now, id, shard.Recovery{})
 				return shard.Effects{}
 			})
@@ -265,6 +293,40 @@
 	}
 }
 
+// bestState returns the state of a shard with the highest epoch, including the frozen one
+// of this process.
+func (a *acquisition) bestState(now time.Time, id model.ShardID) (candidateState, bool) {
+	best, found := a.best[id]
+	if a.t.frozen[id] {
+		if own := a.t.removeFrozen(now, id); !found || own.epoch >= best.epoch {
+			return own, true
+		}
+	}
+	return best, found
+}
+
+// needsRecovery reports whether the pool owners have to be queried about a shard that was
+// exported, and sets the recovery of the snapshot accordingly: its holder has not finished
+// its own recovery, or a dead process has held the shard since.
+func (a *acquisition) needsRecovery(now time.Time, epoch uint64, snapshot *shard.Snapshot) bool {
+	heldSince := a.partial[snapshot.Shard] > epoch
+	if !heldSince && len(snapshot.Recovery.Pools) == 0 {
+		return false
+	}
+	if heldSince {
+		snapshot.Recovery.TakenAt = now
+	}
+	snapshot.Recovery.Pools = a.t.l.knownPools()
+	return true
+}
+
+// importShard restores an exported shard. The records of the export are in the journal.
+func (l *loop) importShard(now time.Time, snapshot shard.Snapshot) shard.Effects {
+	fx := l.table.Import(now, snapshot)
+	fx.Records = fx.Records[min(len(snapshot.Records), len(fx.Records)):]
+	return fx
+}
+
 // recoverShard rebuilds a shard whose last owner is dead, or may be, from its
 // journal records.
 func (a *acquisition) recoverShard(now time.Time, id model.ShardID, records []shard.Record) shard.Effects {
@@ -283,26 +345,23 @@
 	if len(a.holders) == 0 {
 		return
 	}
-	n, holders := a.t.l.n, a.holders
-	go func() {
-		if n.journal.Flush(n.ctx) != nil {
-			return
-		}
+	n, holders, epoch := a.t.l.n, a.holders, a.view.Number
+	a.t.l.acks.whenDurable(func() {
 		for id, shards := range holders {
-			go n.sendReleased(id, shards)
+			n.start("Shard.Released", func() { n.sendReleased(id, shards, epoch) })
 		}
-	}()
+	})
 }
 
-// sendReleased tells a holder to drop shards. It retries until the holder replies
-// or this incarnation ends, with at most 20 tries.
-func (n *Node) sendReleased(to string, shards []model.ShardID) {
-	for range 20 {
+// sendReleased tells a holder to drop shards. It retries until the holder replies or has
+// left the view: a holder that is not told could neither leave nor compact its journal.
+func (n *Node) sendReleased(to string, shards []model.ShardID, epoch uint64) {
+	for n.ctx.Err() == nil && n.currentView().Has(to) {
 		ctx, cancel := context.WithTimeout(n.ctx, claimTimeout)
-		var reply Empty
-		err := n.peers.call(ctx, to, connControl, "Shard.Released", ReleasedArgs{Header: n.header(), Shards: shards}, &reply)
+		args := ReleasedArgs{Header: n.header(), Shards: shards, Epoch: epoch}
+		err := n.peers.call(ctx, to, connControl, "Shard.Released", args, &Empty{})
 		cancel()
-		if err == nil || n.ctx.Err() != nil {
+		if err == nil {
 			return
 		}
 		time.Sleep(claimRetryInterval)
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -108,7 +108,7 @@
 // panic, and then each further one.
 func FuzzTakenOverState(f *testing.F) {
 	for _, seed := range []string{
-		`{"own":{"shard":0,"epoch":1}}`, `{"own":{"shard":60000,"epoch":1}}`,
+		`{"own":{"shard":0,"epoch":1}}`, `{"own":{"shard":60000,"epoch":1,"loading":true}}`, `{"loaded":0}`,
 		`{"record":{"kind":"acceptance","shard":0,"time":"2026-01-01T00:00:00Z","async":true,"acceptance":{"kind":"job","tasks":1000000000000}}}`,
 		`{"record":{"kind":"acceptance","shard":0,"time":"2026-01-01T00:00:00Z","async":true,"acceptance":{"kind":"gang","tasks":-1}}}`,
 		`{"record":{"kind":"intent","shard":0,"intent":{"attempts":[{"attempt":"x","task":-1}]}}}`,
@@ -146,7 +146,7 @@
 // takeOver drops the shard and installs its state from the acquisition.
 func takeOver(l *loop, a *acquisition) {
 	l.takeover.freeze(l.now(), 0)
-	l.takeover.release([]model.ShardID{0})
+	l.takeover.release([]model.ShardID{0}, 0)
 	a.installShards()
 	for _, p := range l.knownPools() {
 		l.table.RecoveryResult(l.now(), shard.RecoveryReport{Shard: 0, Pool: p, Reachable: true})
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand"
 	"time"
@@ -30,6 +31,7 @@
 	Summaries      []model.PoolSummary // only those changed since the last round
 	Digest         uint64              // of all summaries that the sender knows
 	Adopted        []string            // dead predecessors whose journals the sender no longer needs
+	AdoptedView    uint64              // view under which it needs them no longer; 0 from older processes
 }
 
 // DocumentsArgs requests configuration documents.
@@ -113,6 +115,7 @@
 		Self:           l.n.self,
 		StoreReachable: l.storeReachable,
 		Adopted:        l.takeover.adoptedList(),
+		AdoptedView:    l.view.Number,
 		Digest:         l.digest,
 	}}
 	for id := range l.unsentSummaries {
@@ -139,7 +142,10 @@
 	for _, s := range e.args.Summaries {
 		l.mergeSummary(s)
 	}
-	l.takeover.setPeerAdopted(e.args.From, e.args.Adopted)
+	// Under another view the sender may need the journals again.
+	if cmp.Or(e.args.AdoptedView, e.args.View) == l.view.Number {
+		l.takeover.setPeerAdopted(e.args.From, e.args.Adopted)
+	}
 	if e.args.Digest != l.digest {
 		l.fetchSummaries(e.args.From)
 	}
--- a/internal/entry/gossip_filter.go
+++ b/internal/entry/gossip_filter.go
@@ -33,5 +33,6 @@
 		!args.StoreReachable ||
 		!g.lastSent.StoreReachable ||
 		!maps.Equal(args.Revisions, g.lastSent.Revisions) ||
+		args.AdoptedView != g.lastSent.AdoptedView ||
 		!slices.Equal(args.Adopted, g.lastSent.Adopted)
 }
--- a/internal/entry/journal_entry.go
+++ b/internal/entry/journal_entry.go
@@ -9,11 +9,12 @@
 	"github.com/agateyard/agateyard/internal/shard"
 )
 
-// journalEntry is one entry of the journal: either a shard record or the start
-// of the ownership of a shard.
+// journalEntry is one entry of the journal: a shard record, the start of the ownership of a
+// shard, or the end of the records that were taken over with it.
 type journalEntry struct {
-	Own    *ownership    `json:"own,omitempty"`
-	Record *shard.Record `json:"record,omitempty"`
+	Own    *ownership     `json:"own,omitempty"`
+	Record *shard.Record  `json:"record,omitempty"`
+	Loaded *model.ShardID `json:"loaded,omitempty"`
 }
 
 // ownership records that the writer owns a shard from a view on. If several
@@ -21,6 +22,9 @@
 type ownership struct {
 	Shard model.ShardID `json:"shard"`
 	Epoch uint64        `json:"epoch"` // number of the view
+	// Loading means that the records taken over follow, up to an entry with Loaded. Until that
+	// entry is written the state is incomplete, and the one before it is valid.
+	Loading bool `json:"loading,omitempty"`
 }
 
 func (e journalEntry) encode() ([]byte, error) {
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -57,12 +57,37 @@
 	})
 }
 
-// ownershipWritten reports that the write of an ownership entry has finished.
-type ownershipWritten struct {
+// appendState writes an entry of the state that was taken over. It has no deadline: the
+// previous holder of the state drops it once all its entries are written.
+func (l *loop) appendState(e journalEntry) {
+	data, err := e.encode()
+	if err != nil {
+		l.n.log.WithError(err).Error("journal: can't encode an entry")
+		return
+	}
+	seq, n := l.acks.assignSeq(), l.n
+	l.compaction.grow(len(data))
+	n.journal.AppendState(data, func(err error) {
+		if errors.Is(err, journal.ErrSealed) {
+			n.stopReplaced()
+		}
+		n.post(stateWritten{seq: seq, err: err})
+	})
+}
+
+// stateWritten is the result of the write of an entry of appendState. A write fails only
+// if this incarnation ends, or if the entry is too large, as it was for its previous writer.
+type stateWritten struct {
 	seq uint64
+	err error
 }
 
-func (e ownershipWritten) apply(l *loop) { l.acks.markWritten(e.seq) }
+func (e stateWritten) apply(l *loop) {
+	if e.err != nil {
+		l.n.log.WithError(e.err).Error("journal: can't write state that was taken over")
+	}
+	l.acks.markWritten(e.seq)
+}
 
 // recordWritten is the result of the write of a record.
 type recordWritten struct {
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// addAll adds the endpoints of all intents among the records.
+func (e intentEndpoints) addAll(records []shard.Record) {
+	for _, r := range records {
+		e.add(r)
+	}
+}
+
 // startRecovery queries the owners of all known pools for attempts of shards whose
 // last owner is dead, or may be.
 func (l *loop) startRecovery(v model.View, shards []model.ShardID, intended intentEndpoints) {
--- a/internal/entry/rpc_shard.go
+++ b/internal/entry/rpc_shard.go
@@ -136,12 +136,13 @@
 // Released drops shards whose state the sender has recorded in its journal.
 func (s *ShardService) Released(args ReleasedArgs, reply *Empty) (failure error) {
 	defer s.n.recoverCall("Shard.Released", &failure)
-	return s.n.acceptNotification(args.Header, releaseReceived{shards: args.Shards}, reply)
+	return s.n.acceptNotification(args.Header, releaseReceived{shards: args.Shards, epoch: args.Epoch}, reply)
 }
 
 // releaseReceived drops shards that were handed over.
 type releaseReceived struct {
 	shards []model.ShardID
+	epoch  uint64
 }
 
-func (e releaseReceived) apply(l *loop) { l.takeover.release(e.shards) }
+func (e releaseReceived) apply(l *loop) { l.takeover.release(e.shards, e.epoch) }
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -44,32 +44,30 @@
 
 // install applies a new view.
 func (t *takeover) install(v model.View) {
-	for id := range t.adoptedByPeer {
-		if !v.Has(id) {
-			delete(t.adoptedByPeer, id)
-		}
-	}
+	// The members report again which predecessors they have adopted under this view.
+	clear(t.adoptedByPeer)
 	now := t.l.now()
 	var unheld []model.ShardID
 	for s := range model.ShardID(model.ShardCount) {
 		owned := v.ShardOwner(s) == t.l.n.self.Incarnation
 		_, held := t.held[s]
 		switch {
-		case owned && !held:
+		case owned && (!held || t.frozen[s]):
+			// A frozen shard may have been taken over since by a process that could not
+			// tell this one to release it.
 			unheld = append(unheld, s)
-		case owned && t.frozen[s]:
-			t.unfreeze(now, s, v.Number)
 		case !owned && held && !t.frozen[s]:
 			t.freeze(now, s)
 		}
 	}
 	t.abort()
 	if len(unheld) > 0 {
+		clear(t.adopted) // their journals are needed again
 		t.activeAcquisition = newAcquisition(t, v, unheld)
 		t.activeAcquisition.start()
 		return
 	}
-	t.markAdopted(v)
+	t.markAdoptedWhenDurable(v)
 }
 
 // abort stops an acquisition for an older view. The holders keep their state.
@@ -85,23 +83,32 @@
 	t.l.applyShard(t.l.table.Freeze(now, s))
 }
 
-// unfreeze resumes a frozen shard that a later view assigns to this process again
-// before it was released to another process.
-func (t *takeover) unfreeze(now time.Time, s model.ShardID, epoch uint64) {
+// removeFrozen removes and returns the state of a frozen shard that a later view assigns
+// to this process again. The journal keeps it until the next ownership is complete.
+func (t *takeover) removeFrozen(now time.Time, s model.ShardID) candidateState {
 	snapshot := t.l.table.Export(now, s)
-	t.l.table.Drop(now, s)
+	own := candidateState{epoch: t.held[s], snapshot: &snapshot}
+	fx := t.l.table.Drop(now, s)
+	fx.Records = nil // no release: the next ownership replaces the state
+	t.l.applyShard(fx)
 	delete(t.frozen, s)
-	t.takeOwnership(now, s, epoch, func() shard.Effects { return t.l.table.Import(now, snapshot) })
+	delete(t.held, s)
+	delete(t.recovering, s)
+	return own
 }
 
-// takeOwnership starts the ownership of a shard. The ownership entry is appended
-// to the journal before the records that load returns.
-func (t *takeover) takeOwnership(now time.Time, s model.ShardID, epoch uint64, load func() shard.Effects) {
+// takeOwnership starts the ownership of a shard, whose state load restores in the table.
+// It first appends the records of that state to the journal, since their previous writer
+// removes them afterwards.
+func (t *takeover) takeOwnership(s model.ShardID, epoch uint64, records []shard.Record, load func() shard.Effects) {
 	t.held[s] = epoch
-	seq := t.l.acks.assignSeq()
-	t.l.appendEntry(journalEntry{Own: &ownership{Shard: s, Epoch: epoch}}, time.Time{}, func(error) event {
-		return ownershipWritten{seq: seq}
-	})
+	t.l.appendState(journalEntry{Own: &ownership{Shard: s, Epoch: epoch, Loading: len(records) > 0}})
+	for _, r := range records {
+		t.l.appendState(journalEntry{Record: &r})
+	}
+	if len(records) > 0 {
+		t.l.appendState(journalEntry{Loaded: &s})
+	}
 	t.l.applyShard(load())
 }
 
@@ -166,11 +173,12 @@
 	return out
 }
 
-// release drops frozen shards whose state the new owner has recorded.
-func (t *takeover) release(shards []model.ShardID) {
+// release drops frozen shards whose state the new owner has recorded. An epoch that is not
+// higher than the own one is from an earlier takeover; older processes send 0.
+func (t *takeover) release(shards []model.ShardID, epoch uint64) {
 	now := t.l.now()
 	for _, s := range shards {
-		if !t.frozen[s] {
+		if !t.frozen[s] || epoch != 0 && epoch <= t.held[s] {
 			continue
 		}
 		delete(t.frozen, s)
@@ -193,6 +201,16 @@
 	t.removeAdopted()
 }
 
+// markAdoptedWhenDurable calls markAdopted once the state taken over is in the journal of
+// this process: the predecessors' journals are removed after that.
+func (t *takeover) markAdoptedWhenDurable(v model.View) {
+	t.l.acks.whenDurable(func() {
+		if t.l.view.Number == v.Number && t.activeAcquisition == nil {
+			t.markAdopted(v)
+		}
+	})
+}
+
 // markAdopted records that this process no longer needs the journals of the
 // predecessors in the view.
 func (t *takeover) markAdopted(v model.View) {
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -168,6 +168,7 @@
 type ReleasedArgs struct {
 	Header
 	Shards []model.ShardID
+	Epoch  uint64 // of the new ownership
 }
 
 // Empty is the argument or reply of calls without data.
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,6 +76,16 @@
 //
 // A zero deadline means no deadline.
 func (w *Writer) Append(record []byte, deadline time.Time, done func(error)) {
+	w.append(record, deadline, maxQueuedBytes, done)
+}
+
+// AppendState is Append without a deadline and without the limit of the queue, for state that
+// this process takes over from another one and holds in memory in any case.
+func (w *Writer) AppendState(record []byte, done func(error)) {
+	w.append(record, time.Time{}, math.MaxInt, done)
+}
+
+func (w *Writer) append(record []byte, deadline time.Time, maxQueued int, done func(error)) {
 	if len(record) > MaxRecordBytes {
 		w.reject(done, fmt.Errorf("%w: %w", ErrNotWritten, platform.ErrTooLarge))
 		return
@@ -86,7 +97,7 @@
 		w.reject(done, w.closedErr)
 		return
 	}
-	if w.queuedBytes+len(record) > maxQueuedBytes {
+	if w.queuedBytes > maxQueued-len(record) {
 		w.reject(done, fmt.Errorf("%w: queue is full", ErrNotWritten))
 		return
 	}
