--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/agateyard/agateyard/internal/configstore"
 	"github.com/agateyard/agateyard/internal/endpoint"
+	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/platform/standin"
 	"github.com/agateyard/agateyard/internal/settings"
 	"github.com/agateyard/agateyard/internal/timeline"
@@ -46,10 +47,16 @@
 // runProcess starts a process and returns the channel of its end.
 func runProcess(t *testing.T) (*Process, *standin.Server, <-chan error) {
 	cfg, store := testConfig(t)
+	p, ended := startProcess(t, cfg)
+	return p, store, ended
+}
+
+func startProcess(t *testing.T, cfg Config) (*Process, <-chan error) {
 	p, err := NewProcess(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.cfg.Settings.RPCAddress = p.listener.Addr().String()
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- p.Run(ctx) }()
@@ -60,7 +67,16 @@
 			t.Errorf("the process ended: %v", err)
 		}
 	})
-	return p, store, ended
+	return p, ended
+}
+
+// waitForShards waits until the process holds every shard.
+func waitForShards(t *testing.T, p *Process) {
+	t.Helper()
+	waitFor(t, "ownership of all shards", func() bool {
+		status, err := p.Node().status(t.Context())
+		return err == nil && status.Member.Shards == model.ShardCount
+	})
 }
 
 // waitFor fails the test if the condition does not become true within 10 s.
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -64,16 +64,22 @@
 		all[s] = true
 	}
 	return []event{
-		demandReceived{args: demand}, grantsReceived{grants: grants.Grants},
-		completionsReceived{settled: ended.Settled, result: make(chan bool, 1)}, gossipReceived{args: gossip},
+		demandReceived{args: demand},
+		grantsReceived{grants: grants.Grants},
+		completionsReceived{settled: ended.Settled, result: make(chan bool, 1)},
+		gossipReceived{args: gossip},
 		beginDispatch{args: dispatch, result: make(chan beginDispatchResult, 1)},
 		reserveRequest{args: hold, result: make(chan HoldReply, 1)},
 		submitRequest{submission: submit.Submission, waiter: make(chan model.Reply, 1)},
 		cancelRequest{keys: cancel.Keys, result: make(chan []model.CancelResult, 1)},
-		deliveryConfirmed{args: delivered}, stopReceived{args: stop}, returnReceived{grants: returned.Grants},
-		dispatchReturned{reply: started}, poolRecovered{pool: attempts.Pool, shards: all, reply: recovered},
+		deliveryConfirmed{args: delivered},
+		stopReceived{args: stop},
+		returnReceived{grants: returned.Grants},
+		dispatchReturned{reply: started},
+		poolRecovered{pool: attempts.Pool, shards: all, reply: recovered},
 		attemptsRequest{args: attempts, result: make(chan AttemptsReply, 1)},
-		claimReceived{args: claim, result: make(chan claimResult, 1)}, releaseReceived{shards: released.Shards},
+		claimReceived{args: claim, result: make(chan claimResult, 1)},
+		releaseReceived{shards: released.Shards},
 	}
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -210,33 +210,52 @@
 func (e predecessorDropped) apply(l *loop) { delete(l.takeover.removing, e.incarnation) }
 
 // Leave hands over all shards and leaves the view. It returns when no shard state
-// and no work in flight remains, or when ctx ends.
+// and no work in flight remains, or when ctx ends. Without a process to hand over to, the
+// shards stay in the journal: the process remains in the view, and the next process
+// adopts its journal when its lease has expired.
 func (n *Node) Leave(ctx context.Context) error {
 	if err := n.members.Leave(ctx); err != nil {
 		return err
 	}
-	if err := n.waitForHandover(ctx); err != nil {
+	keepsState, err := n.waitForHandover(ctx)
+	if err != nil {
 		return err
 	}
-	if err := journal.Remove(ctx, n.cfg.Store, n.self.Incarnation); err != nil {
+	if keepsState {
+		return n.journal.Flush(ctx)
+	}
+	if err = n.members.Release(ctx); err != nil {
+		return err
+	}
+	if err = n.removeJournal(ctx); err != nil {
 		n.log.WithError(err).Warn("journal: can't remove the journal of this process")
 	}
-	return n.members.Release(ctx)
+	return nil
+}
+
+// removeJournal removes the journal of this process. Only a sealed journal can be removed.
+func (n *Node) removeJournal(ctx context.Context) error {
+	if err := journal.Seal(ctx, n.cfg.Store, n.self.Incarnation, n.self.Incarnation); err != nil {
+		return err
+	}
+	return journal.Remove(ctx, n.cfg.Store, n.self.Incarnation)
 }
 
 // handoverPollInterval is the time between two checks whether the handover is
 // complete.
 const handoverPollInterval = 20 * time.Millisecond
 
-func (n *Node) waitForHandover(ctx context.Context) error {
+// waitForHandover returns when the handover is complete, or when there is no process to
+// hand over to: then keepsState is set.
+func (n *Node) waitForHandover(ctx context.Context) (keepsState bool, err error) {
 	for {
-		done, err := postAndWait(ctx, n, func(r chan<- bool) event { return handoverStatusRequest{result: r} })
-		if err != nil || done {
-			return err
+		s, err := postAndWait(ctx, n, func(r chan<- handoverStatus) event { return handoverStatusRequest{result: r} })
+		if err != nil || s.done {
+			return s.keepsState, err
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return false, ctx.Err()
 		case <-time.After(handoverPollInterval):
 		}
 	}
@@ -245,12 +264,19 @@
 // handoverStatusRequest requests from the loop whether the handover is complete:
 // no shard state and no work in flight remains.
 type handoverStatusRequest struct {
-	result chan<- bool
+	result chan<- handoverStatus
+}
+
+// handoverStatus is the result of handoverStatusRequest.
+type handoverStatus struct {
+	done       bool
+	keepsState bool // no process is there to hand over to
 }
 
 func (e handoverStatusRequest) apply(l *loop) {
 	// Without members in the view there is no process to hand over to.
 	alone := len(l.view.Members) == 0 && l.view.Number > 0
 	unfinished := l.n.inFlight.Load() > 0 || len(l.outbox.queue) > 0
-	e.result <- (l.takeover.empty() || alone) && !unfinished
+	empty := l.takeover.empty()
+	e.result <- handoverStatus{done: (empty || alone) && !unfinished, keepsState: !empty}
 }
--- a/internal/entry/recover_test.go
+++ b/internal/entry/recover_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/agateyard/agateyard/internal/endpoint"
 	"github.com/agateyard/agateyard/internal/journal"
-	"github.com/agateyard/agateyard/internal/model"
 )
 
 // Guards against a call of another process that ends this one because its handler
@@ -94,10 +93,7 @@
 // record had expired, as after a pause.
 func TestSealedJournalReplacesTheIncarnation(t *testing.T) {
 	p, store, ended := runProcess(t)
-	waitFor(t, "ownership", func() bool {
-		status, err := p.Node().status(t.Context())
-		return err == nil && status.Member.Shards == model.ShardCount
-	})
+	waitForShards(t, p)
 	first := p.Node()
 	if err := first.journal.Flush(t.Context()); err != nil {
 		t.Fatal(err)
--- a/internal/journal/fuzz_test.go
+++ b/internal/journal/fuzz_test.go
@@ -17,7 +17,8 @@
 func FuzzValues(f *testing.F) {
 	for _, v := range []value{
 		{kind: kindSegment, number: 1, records: [][]byte{{}, []byte("record")}},
-		{kind: kindSnapshot, number: 1, parts: 1}, {kind: kindSnapshot, part: 1 << 31, parts: 1<<32 - 1},
+		{kind: kindSnapshot, number: 1, parts: 1},
+		{kind: kindSnapshot, part: 1 << 31, parts: 1<<32 - 1},
 		{kind: kindTombstone, number: 2, records: [][]byte{[]byte("by"), []byte("-1")}},
 	} {
 		f.Add(v.encode(), "snapshot/a/1/0000")
--- a/internal/membership/cluster.go
+++ b/internal/membership/cluster.go
@@ -25,7 +25,7 @@
 	viewVersion uint64 // platform.CreateOnly if the store has no view
 	// viewUnreadable means that the view in the store can't be decoded. The next view replaces it.
 	viewUnreadable bool
-	revision    uint64
+	revision       uint64
 	// consistentFrom is the revision from which members and view are consistent, since
 	// the pages of a listing are read at different revisions.
 	consistentFrom uint64
