--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -114,8 +114,12 @@
 	p.dirty = true
 }
 
-// schedulePools issues the grants that are currently possible.
+// schedulePools issues the grants that are currently possible. It issues none before the
+// configuration has been read: the drains are not known until then.
 func (l *loop) schedulePools() {
+	if !l.n.config.Ready() {
+		return
+	}
 	now := l.now()
 	remote := make(map[string][]model.Grant)
 	for range 2 {
--- a/internal/entry/rpc_pool.go
+++ b/internal/entry/rpc_pool.go
@@ -103,7 +103,7 @@
 
 func (e reserveRequest) apply(l *loop) {
 	p, ok := l.pools[e.args.Pool]
-	if !ok {
+	if !ok || !l.n.config.Ready() { // the drains are not known yet
 		e.result <- HoldReply{}
 		return
 	}
