entry, gateway: a missing record is no proof that a request has not run

A process that no longer served the shard, or that had taken it over without records of the work, answered from its table, and a refused resubmission was told not-run. Cancellations are shown once their records are written.

--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -71,7 +71,7 @@
 		beginDispatch{args: dispatch, result: make(chan beginDispatchResult, 1)},
 		reserveRequest{args: hold, result: make(chan HoldReply, 1)},
 		submitRequest{submission: submit.Submission, waiter: make(chan model.Reply, 1)},
-		cancelRequest{keys: cancel.Keys, result: make(chan []model.CancelResult, 1)},
+		cancelRequest{keys: cancel.Keys, result: make(chan cancelResult, 1)},
 		deliveryConfirmed{args: delivered},
 		stopReceived{args: stop},
 		returnReceived{grants: returned.Grants},
--- a/internal/entry/rpc_shard.go
+++ b/internal/entry/rpc_shard.go
@@ -46,7 +46,7 @@
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
-	r, err := postAndWait(ctx, s.n, func(r chan<- StatusReply) event { return statusRequest{key: args.Key, result: r} })
+	r, err := s.n.statusLocal(ctx, args.Key)
 	*reply = r
 	reply.Header = s.n.header()
 	return err
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
 
+	"github.com/agateyard/agateyard/internal/gateway"
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/shard"
 )
@@ -212,7 +214,8 @@
 
 func (n *Node) cancelAt(ctx context.Context, owner string, keys []model.RequestKey) ([]model.CancelResult, error) {
 	if owner == n.self.Incarnation {
-		return postAndWait(ctx, n, func(r chan<- []model.CancelResult) event { return cancelRequest{keys: keys, result: r} })
+		r, err := postAndWait(ctx, n, func(r chan<- cancelResult) event { return cancelRequest{keys: keys, result: r} })
+		return r.results, cmp.Or(err, r.err)
 	}
 	var reply CancelReply
 	err := n.peers.call(ctx, owner, connControl, "Shard.Cancel", CancelArgs{Header: n.header(), Keys: keys}, &reply)
@@ -226,40 +229,94 @@
 // cancelRequest cancels requests in the shard table.
 type cancelRequest struct {
 	keys   []model.RequestKey
-	result chan<- []model.CancelResult
+	result chan<- cancelResult
+}
+
+// cancelResult is the result of cancelRequest. With errNotShardOwner nothing was cancelled.
+type cancelResult struct {
+	results []model.CancelResult
+	err     error
 }
 
 func (e cancelRequest) apply(l *loop) {
+	for _, k := range e.keys {
+		if !l.takeover.serves(k.Shard()) {
+			e.result <- cancelResult{err: errNotShardOwner}
+			return
+		}
+	}
 	results, effects := l.table.Cancel(l.now(), e.keys)
 	l.applyShard(effects)
-	e.result <- results
+	answer := func() { e.result <- cancelResult{results: results} }
+	if len(effects.Records) == 0 {
+		answer()
+		return
+	}
+	// Without the record the next owner of the shard could run what was reported as not run.
+	l.acks.whenDurable(answer)
 }
 
-// Status returns the state of a request at its shard owner.
+// Status returns the state of a request at its shard owner. While the shard moves it asks
+// again until ctx ends.
 func (n *Node) Status(ctx context.Context, key model.RequestKey) (model.JobStatus, bool, error) {
+	for {
+		r, err := n.statusOnce(ctx, key)
+		switch {
+		case err == nil && !r.Found && r.MayHaveRun:
+			return r.Status, false, gateway.ErrMayHaveRun
+		case err == nil || err.Error() != errNotShardOwner.Error(): // an RPC error has only the text
+			return r.Status, r.Found, err
+		}
+		select {
+		case <-ctx.Done():
+			return model.JobStatus{}, false, err
+		case <-n.done:
+			return model.JobStatus{}, false, errStopped
+		case <-time.After(movedRetryInterval):
+		}
+	}
+}
+
+func (n *Node) statusOnce(ctx context.Context, key model.RequestKey) (StatusReply, error) {
 	owner := n.currentView().ShardOwner(key.Shard())
 	if owner == n.self.Incarnation {
-		r, err := postAndWait(ctx, n, func(r chan<- StatusReply) event { return statusRequest{key: key, result: r} })
-		return r.Status, r.Found, err
+		return n.statusLocal(ctx, key)
 	}
 	var reply StatusReply
 	err := n.peers.call(ctx, owner, connControl, "Shard.Status", StatusArgs{Header: n.header(), Key: key}, &reply)
-	if err != nil {
-		return model.JobStatus{}, false, err
+	if err == nil {
+		n.observe(reply.Header)
 	}
-	n.observe(reply.Header)
-	return reply.Status, reply.Found, nil
+	return reply, err
+}
+
+// statusLocal returns the state of a request of a shard that this process serves.
+func (n *Node) statusLocal(ctx context.Context, key model.RequestKey) (StatusReply, error) {
+	r, err := postAndWait(ctx, n, func(r chan<- statusResult) event { return statusRequest{key: key, result: r} })
+	return r.reply, cmp.Or(err, r.err)
 }
 
 // statusRequest requests the state of a request from the shard table.
 type statusRequest struct {
 	key    model.RequestKey
-	result chan<- StatusReply
+	result chan<- statusResult
+}
+
+// statusResult is the result of statusRequest.
+type statusResult struct {
+	reply StatusReply
+	err   error
 }
 
 func (e statusRequest) apply(l *loop) {
-	status, found := l.table.Status(e.key)
-	e.result <- StatusReply{Status: status, Found: found}
+	if !l.takeover.serves(e.key.Shard()) {
+		e.result <- statusResult{err: errNotShardOwner}
+		return
+	}
+	var r StatusReply
+	r.Status, r.Found = l.table.Status(e.key)
+	r.MayHaveRun = !r.Found && l.table.MayHaveRun(l.now(), e.key)
+	e.result <- statusResult{reply: r}
 }
 
 // jobsRequest queries the requests in the shard table.
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -120,8 +120,9 @@
 // StatusReply is the reply to StatusArgs.
 type StatusReply struct {
 	Header
-	Found  bool
-	Status model.JobStatus
+	Found      bool
+	Status     model.JobStatus
+	MayHaveRun bool // not found, but the request may have run
 }
 
 // StopAttemptsArgs requests a pool owner to cancel attempts.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -83,6 +83,8 @@
 			a.scheduler.notReady = errStoreUnavailable
 		case "status-error":
 			a.scheduler.statusErr = errStoreUnavailable
+		case "status-may-have-run":
+			a.scheduler.statusErr = ErrMayHaveRun
 		case "panics":
 			a.scheduler.panics = true
 		case "store-down":
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -62,7 +63,7 @@
 	defer cancel()
 	status, found, err := s.opts.Scheduler.Status(ctx, key)
 	switch {
-	case err != nil:
+	case err != nil && !errors.Is(err, ErrMayHaveRun):
 		writeProblem(w, schedulerProblem(err))
 		return status, false
 	case !found:
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -3,12 +3,17 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/agateyard/agateyard/internal/configstore"
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/timeline"
 )
 
+// ErrMayHaveRun means that there is no record of a request which may have run, for example
+// under a shard owner that died.
+var ErrMayHaveRun = errors.New("no record of this request, which may have run")
+
 // Scheduler is the interface of the entry process to the API. Implementations must be
 // safe for concurrent use.
 type Scheduler interface {
@@ -22,8 +27,9 @@
 	// returns soon after the context ends, with OutcomeUnknown unless it is certain
 	// that the work did not run.
 	Submit(ctx context.Context, s model.Submission) model.Reply
-	// Status returns false for a request without a record at its shard owner, and an
-	// error if the owner can't be reached.
+	// Status returns false for a request without a record at its shard owner, with
+	// ErrMayHaveRun if it may have run all the same, and another error if the owner can't
+	// be reached.
 	Status(ctx context.Context, key model.RequestKey) (model.JobStatus, bool, error)
 	// Cancel cancels the requests and returns one result for each key, in order.
 	Cancel(ctx context.Context, keys []model.RequestKey) ([]model.CancelResult, error)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -160,6 +160,9 @@
 	if headerBytes(r) > s.opts.Limits.MaxHeaderBytes {
 		p := newProblem(http.StatusRequestHeaderFieldsTooLarge, codeHeaders, "the headers exceed the limit of this system")
 		p.Outcome = model.OutcomeNotRun
+		if r.Header.Get(HeaderIdempotencyKey) != "" {
+			p.Outcome = model.OutcomeUnknown // an earlier submission with the identifier may have run
+		}
 		writeProblem(w, p)
 		return
 	}
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -168,6 +168,24 @@
 	return j.status(), true
 }
 
+// MayHaveRun reports whether a request without a record may have run all the same: while the
+// records or the reports of a takeover are missing, while an attempt of it is reported, and if
+// it may predate the takeover and its template leaves no records of synchronous requests.
+func (t *Table) MayHaveRun(now time.Time, key model.RequestKey) bool {
+	s := t.shard(key.Shard())
+	switch {
+	case s == nil || s.frozen || len(s.unmatched[key.Hash()]) > 0:
+		return true
+	case s.takeoverTime.IsZero() || !s.mayPredateTakeover(key.ID, t.cfg.ClockSkew):
+		return false
+	case s.recovering:
+		return true
+	}
+	template := t.templates[key.Template]
+	unrecorded := template == nil || template.removed || template.Idempotent
+	return unrecorded && now.Sub(s.takeoverTime) <= t.cfg.Retention
+}
+
 // Jobs returns the earliest requests that match the filter, ordered by submission.
 func (t *Table) Jobs(f Filter) []model.JobStatus {
 	first := earliestJobs{limit: f.limit()}
