--- a/internal/entry/record_rewrite_test.go
+++ b/internal/entry/record_rewrite_test.go
@@ -33,3 +33,30 @@
 		t.Error("not confirmed although the record is written")
 	}
 }
+
+// Guards against a job that is answered not-run although its acceptance may be in the
+// journal: the first write was uncertain, and the repeated one was not sent. The next owner
+// of the shard would run the job.
+func TestUncertainAcceptanceIsNotWithdrawn(t *testing.T) {
+	l, key := ownerNode(t).loop, jobKey(1)
+	record := accepted(key)
+	if (recordWritten{record: record, err: journal.ErrNotWritten}).mustRewrite() {
+		t.Error("a first write that was not sent is repeated")
+	}
+	recordWritten{record: record, err: journal.ErrUncertain}.apply(l)
+	for deadline := time.After(2 * time.Second); ; {
+		select {
+		case e := <-l.events:
+			if rewrite, ok := e.(recordRewrite); ok {
+				w := recordWritten(rewrite)
+				w.err = journal.ErrNotWritten
+				if !w.mustRewrite() {
+					t.Error("withdrawn although the first write may be in the journal")
+				}
+				return
+			}
+		case <-deadline:
+			t.Fatal("not written again")
+		}
+	}
+}
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -27,16 +27,19 @@
 
 // appendRecord writes one record. Intents and acceptances fail if the write does
 // not succeed within recordWriteTimeout; other records wait for the store.
-func (l *loop) appendRecord(r shard.Record) { l.appendRecordAs(r, l.acks.assignSeq()) }
+func (l *loop) appendRecord(r shard.Record) { l.writeRecord(recordWritten{record: r, seq: l.acks.assignSeq()}) }
 
-// appendRecordAs writes a record under a sequence number that has been assigned.
-func (l *loop) appendRecordAs(r shard.Record, seq uint64) {
+// writeRecord writes a record under a sequence number that has been assigned, and posts w
+// with the result.
+func (l *loop) writeRecord(w recordWritten) {
+	r := w.record
 	var deadline time.Time
 	if c := r.Callback(); c == shard.CallbackIntent || c == shard.CallbackAcceptance {
 		deadline = l.now().Add(recordWriteTimeout)
 	}
 	l.appendEntry(journalEntry{Record: &r}, deadline, func(err error) event {
-		return recordWritten{record: r, seq: seq, err: err}
+		w.err = err
+		return w
 	})
 }
 
@@ -91,15 +94,17 @@
 
 // recordWritten is the result of the write of a record.
 type recordWritten struct {
-	record shard.Record
-	seq    uint64
-	err    error
+	record    shard.Record
+	seq       uint64
+	uncertain bool // an earlier write of the record may be in the journal
+	err       error
 }
 
 func (e recordWritten) apply(l *loop) {
 	if e.err != nil && e.mustRewrite() {
 		n := l.n
-		time.AfterFunc(rewriteDelay, func() { n.post(recordRewrite{record: e.record, seq: e.seq}) })
+		e.uncertain = e.uncertain || !errors.Is(e.err, journal.ErrNotWritten)
+		time.AfterFunc(rewriteDelay, func() { n.post(recordRewrite(e)) })
 		return
 	}
 	l.acks.markWritten(e.seq)
@@ -123,7 +128,7 @@
 	case shard.CallbackIntent:
 		return false
 	case shard.CallbackAcceptance:
-		return !errors.Is(e.err, journal.ErrNotWritten)
+		return e.uncertain || !errors.Is(e.err, journal.ErrNotWritten)
 	default:
 		return true
 	}
@@ -131,12 +136,9 @@
 
 // recordRewrite writes a record again. The record keeps its sequence number, so that
 // completions that wait for it are confirmed only once it is written.
-type recordRewrite struct {
-	record shard.Record
-	seq    uint64
-}
+type recordRewrite recordWritten
 
-func (e recordRewrite) apply(l *loop) { l.appendRecordAs(e.record, e.seq) }
+func (e recordRewrite) apply(l *loop) { l.writeRecord(recordWritten(e)) }
 
 // intentWritten starts the attempts of a recorded intent, or withdraws the intent
 // if the write failed. The failed write may still reach the journal. That is
