--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -65,6 +65,7 @@
 	summariesFetchedAt time.Time // last fetch of all summaries from a peer
 	poolsTickedAt      time.Time // last tick that included pools without demand
 	lastPeerMessage    time.Time // last gossip message from a peer
+	lastActive         time.Time // wall clock when the last event or tick began
 }
 
 func newLoop(n *Node) *loop {
@@ -109,9 +110,15 @@
 		case <-ctx.Done():
 			return nil
 		case e := <-l.events:
+			if !l.confirmAfterPause() {
+				return ErrReplaced
+			}
 			e.apply(l)
 			l.drain()
 		case <-ticker.C:
+			if !l.confirmAfterPause() {
+				return ErrReplaced
+			}
 			l.tick()
 		case <-demandTimer.C:
 		}
@@ -157,6 +164,9 @@
 	for range eventBatchSize {
 		select {
 		case e := <-l.events:
+			if !l.confirmAfterPause() {
+				return
+			}
 			e.apply(l)
 		default:
 			return
--- a/internal/entry/view_change.go
+++ b/internal/entry/view_change.go
@@ -85,31 +85,51 @@
 }
 
 func (n *Node) fetchViewFrom(from string) {
+	if v, err := n.viewOf(from); err == nil {
+		n.post(peerViewReceived{view: v})
+	}
+}
+
+// viewOf returns the newest view that a process knows.
+func (n *Node) viewOf(from string) (model.View, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, gossipTimeout)
 	defer cancel()
 	var reply ViewReply
-	if err := n.peers.call(ctx, from, connControl, "Peer.View", Empty{}, &reply); err != nil {
-		return // another process may answer
+	err := n.peers.call(ctx, from, connControl, "Peer.View", Empty{}, &reply)
+	return reply.View, err
+}
+
+// peerViews returns the newest views of all peers that can be reached: one peer alone may
+// be unreachable, or not know the newer view either.
+func (n *Node) peerViews() []model.View {
+	var mu sync.Mutex
+	var views []model.View
+	var fetches sync.WaitGroup
+	for _, m := range n.currentView().Members {
+		if m.Incarnation == n.self.Incarnation {
+			continue
+		}
+		fetches.Add(1)
+		n.start("Peer.View", func() {
+			defer fetches.Done()
+			if v, err := n.viewOf(m.Incarnation); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				views = append(views, v)
+			}
+		})
 	}
-	n.post(peerViewReceived{view: reply.View})
+	fetches.Wait()
+	return views
 }
 
-// refetchView fetches the views of all peers, unless another fetch is in flight: one
-// peer alone may be unreachable, or not know the newer view either.
+// refetchView fetches the views of all peers, unless another fetch is in flight.
 func (n *Node) refetchView() {
 	if !n.fetchingView.TryLock() {
 		return
 	}
 	defer n.fetchingView.Unlock()
-	var fetches sync.WaitGroup
-	for _, m := range n.currentView().Members {
-		if m.Incarnation != n.self.Incarnation {
-			fetches.Add(1)
-			n.start("Peer.View", func() {
-				defer fetches.Done()
-				n.fetchViewFrom(m.Incarnation)
-			})
-		}
+	for _, v := range n.peerViews() {
+		n.post(peerViewReceived{view: v})
 	}
-	fetches.Wait()
 }
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -54,6 +54,22 @@
 	return m.cfg.Store.KeepAlive(callCtx, lease)
 }
 
+// Confirm renews the lease at once. It returns ErrReplaced if the lease has expired, and
+// another error if that is not known.
+func (m *Manager) Confirm(ctx context.Context) error {
+	m.mu.Lock()
+	lease, releasing := m.lease, m.releasing
+	m.mu.Unlock()
+	if lease == "" {
+		return ErrNotJoined
+	}
+	err := m.cfg.Store.KeepAlive(ctx, lease)
+	if errors.Is(err, platform.ErrLeaseGone) && !releasing {
+		return ErrReplaced
+	}
+	return err
+}
+
 // onLeaseGone returns ErrReplaced if the lease has expired. If it was revoked by
 // Release, it waits until Run ends.
 func (m *Manager) onLeaseGone(ctx context.Context) error {
