--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -26,7 +26,7 @@
 	logger.SetOutput(io.Discard)
 	log := logrus.NewEntry(logger)
 	return Config{
-		Settings:  settings.Entry{Name: "test", RPCListenAddress: "127.0.0.1:0", Retention: settings.Retention{Record: 15 * time.Minute}},
+		Settings:  settings.Entry{Name: "test", Zone: "z", RPCListenAddress: "127.0.0.1:0", Retention: settings.Retention{Record: 15 * time.Minute}},
 		Store:     store,
 		VMs:       store,
 		Cache:     configstore.NewCache(configstore.Options{Store: store, Log: log}),
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -15,6 +15,12 @@
 // ownerNode returns a node that owns every shard and the pools of one worker and one runner.
 func ownerNode(t testing.TB) *Node {
 	n, _ := testNode(t)
+	ownAll(n)
+	return n
+}
+
+// ownAll makes the node own every shard and the pools of one worker and one runner.
+func ownAll(n *Node) {
 	l := n.loop
 	id := model.TemplateID{Workspace: "w", Name: "job"}
 	l.templates[id] = model.Template{ID: id, Kind: model.KindJob, Resources: model.Resources{CoresMilli: 1}, Tasks: 1, FloodShare: 1, Weight: 1}
@@ -29,7 +35,6 @@
 			l.table.Own(l.now(), s, shard.Recovery{})
 		}
 	}
-	return n
 }
 
 // peerMessages returns the events of the messages that a peer may send, with the given JSON
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -27,7 +27,9 @@
 
 // appendRecord writes one record. Intents and acceptances fail if the write does
 // not succeed within recordWriteTimeout; other records wait for the store.
-func (l *loop) appendRecord(r shard.Record) { l.writeRecord(recordWritten{record: r, seq: l.acks.assignSeq()}) }
+func (l *loop) appendRecord(r shard.Record) {
+	l.writeRecord(recordWritten{record: r, seq: l.acks.assignSeq()})
+}
 
 // writeRecord writes a record under a sequence number that has been assigned, and posts w
 // with the result.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -13,6 +13,10 @@
 	// command. Two timeouts and an interval are well below endpoint.LeaseTTL, so that
 	// one lost session call never expires a lease.
 	sessionTimeout = 2 * time.Second
+	// slowSessionTimeout limits the session calls of an endpoint whose answers are slow.
+	// An endpoint whose replies are all lost is left until its lease expires, and its work
+	// is given up. The sum with the call that timed out before is below endpoint.LeaseTTL.
+	slowSessionTimeout = 4 * time.Second
 	// sessionMinInterval and sessionAgeDivisor set the interval of a worker that
 	// runs tasks: a quarter of the age of its youngest task. The end of a task is
 	// known only from the next report. It is therefore detected late by at most
@@ -36,10 +40,11 @@
 	client   endpoint.Client
 	cancel   context.CancelFunc
 	wake     chan struct{}
+	timeout  time.Duration // of the next call
 }
 
 func newSession(p *ownedPool, id string, client endpoint.Client) *session {
-	return &session{pool: p, endpoint: id, client: client, wake: make(chan struct{}, 1)}
+	return &session{pool: p, endpoint: id, client: client, wake: make(chan struct{}, 1), timeout: sessionTimeout}
 }
 
 // run calls the endpoint until ctx ends and posts each result to the loop.
@@ -69,10 +74,11 @@
 	if err != nil || !next.send {
 		return sessionRetryInterval
 	}
-	call, cancel := context.WithTimeout(ctx, sessionTimeout)
+	call, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	sent := time.Now()
 	reply, err := s.client.Session(call, next.request)
+	s.timeout = nextSessionTimeout(s.timeout, time.Since(sent), call.Err() != nil)
 	n.post(sessionReturned{session: s, sent: sent, reply: reply, err: err})
 	if err != nil {
 		return sessionRetryInterval
@@ -80,6 +86,19 @@
 	return sessionInterval(reply, next.busy)
 }
 
+// nextSessionTimeout returns the timeout of the call after one that took the given time. It
+// stays long while answers take more than half of the usual timeout.
+func nextSessionTimeout(last, took time.Duration, timedOut bool) time.Duration {
+	switch {
+	case timedOut:
+		return slowSessionTimeout
+	case took < sessionTimeout/2:
+		return sessionTimeout
+	default:
+		return last
+	}
+}
+
 // sessionInterval returns the time until the next call after a report.
 func sessionInterval(r endpoint.SessionReply, busy bool) time.Duration {
 	if r.Kind != "worker" || len(r.Running) == 0 {
