--- a/internal/entry/outbox.go
+++ b/internal/entry/outbox.go
@@ -15,9 +15,10 @@
 	// confirmTimeout is the time to wait for the confirmation of a completion
 	// before it is delivered again.
 	confirmTimeout = 5 * time.Second
-	// outboxMaxAge is the time after which delivery to an unreachable shard owner
-	// is abandoned. A later owner queries Pool.Attempts instead.
-	outboxMaxAge = 60 * time.Second
+	// outboxMinAge is the shortest time after which delivery to an unreachable shard owner
+	// is abandoned, if the retention of the at-most-once record is shorter. Until then a
+	// later owner of the shard may query Pool.Attempts for the completion.
+	outboxMinAge = 60 * time.Second
 )
 
 // outboxEntry is an attempt completion to be delivered to a shard owner.
@@ -98,7 +99,7 @@
 	var keep []*outboxEntry
 	for _, s := range o.queue {
 		to := o.receiver(s)
-		if now.Sub(s.queuedAt) > outboxMaxAge {
+		if now.Sub(s.queuedAt) > max(outboxMinAge, o.l.n.cfg.Settings.Retention.Record) {
 			o.releaseAtPool(s)
 			continue
 		}
--- a/internal/entry/record_rewrite_test.go
+++ b/internal/entry/record_rewrite_test.go
@@ -60,3 +60,20 @@
 		}
 	}
 }
+
+// Guards against an end that the pool owner gives up to deliver, so that the endpoint and the
+// pool forget it, while no process can take over the shards of a dead owner.
+func TestUndeliveredEndIsKept(t *testing.T) {
+	l := ownerNode(t).loop
+	l.view.Members = nil // no owner
+	l.outbox.enqueue(l.pools["worker/z/r"], "", model.Settled{Attempt: model.NewAttemptID(jobKey(1), 0, 1), End: model.AttemptEnded})
+	for after, want := range map[time.Duration]int{2 * time.Minute: 1, 14 * time.Minute: 1, 16 * time.Minute: 0} {
+		queued := l.outbox.queue
+		l.outbox.retryAt = time.Time{}
+		l.outbox.retry(l.now().Add(after))
+		if len(l.outbox.queue) != want {
+			t.Errorf("after %s: %d completions, want %d", after, len(l.outbox.queue), want)
+		}
+		l.outbox.queue = queued
+	}
+}
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -15,7 +15,7 @@
 	LeaseTTL             time.Duration // lease of an endpoint
 	LeaseMargin          time.Duration // waited after LeaseTTL before work is considered stopped
 	SettledTTL           time.Duration // minimum retention of settled attempts
-	RecordRetention      time.Duration // retention of the at-most-once record: how long an undelivered end is not acknowledged, and an attempt that may be listed again is kept
+	RecordRetention      time.Duration // retention of the at-most-once record: how long an undelivered end is kept and not acknowledged, and an attempt that may be listed again is kept
 	SuspectAfter         int           // consecutive failed session calls after which an endpoint gets no grants
 	MaxLostReplies       int           // consecutive lost replies after which no session calls are sent to an endpoint with attempts until its lease has expired
 	ShortRun             time.Duration // longest run time, at highQuantile, with which work that is not idempotent or runs in a runner pool may borrow beyond its flood share
--- a/internal/pool/settle.go
+++ b/internal/pool/settle.go
@@ -51,9 +51,10 @@
 	}
 }
 
-// discardSettled deletes records after their retention. A record whose endpoint has
-// not reported since is kept for up to RecordRetention, because the endpoint may
-// list the attempt again.
+// discardSettled deletes records after their retention. An end that was not delivered is
+// kept for up to RecordRetention, for the next shard owner: from a missing record it would
+// conclude that the attempt never started. So is a record whose endpoint has not reported
+// since, because the endpoint may list the attempt again.
 func (p *Pool) discardSettled(now time.Time) {
 	kept := p.settledByTime[:0]
 	for i, rec := range p.settledByTime {
@@ -61,7 +62,7 @@
 			kept = append(kept, p.settledByTime[i:]...)
 			break
 		}
-		if p.mayBeListedAgain(now, rec) {
+		if p.undelivered(now, rec) || p.mayBeListedAgain(now, rec) {
 			kept = append(kept, rec)
 			continue
 		}
@@ -71,6 +72,11 @@
 	p.settledByTime = kept
 }
 
+// undelivered reports whether a shard owner may still need the record.
+func (p *Pool) undelivered(now time.Time, rec *settledRecord) bool {
+	return !rec.delivered && rec.settled.End != model.AttemptNotStarted && now.Sub(rec.at) <= p.cfg.RecordRetention
+}
+
 // mayBeListedAgain reports whether the endpoint may still list the attempt of the
 // record, because it has not reported since. The endpoint may have left the VM list.
 func (p *Pool) mayBeListedAgain(now time.Time, rec *settledRecord) bool {
--- a/internal/pool/settle_test.go
+++ b/internal/pool/settle_test.go
@@ -267,7 +267,8 @@
 }
 
 // TestUndeliveredEndIsNotAcknowledged guards against an endpoint that discards an end which no shard owner has received,
-// while the record of the request is still kept: a resubmission would find neither.
+// while the record of the request is still kept: a resubmission would find neither. The pool owner must know the end for
+// as long, or the next shard owner takes the attempt for one that never started.
 func TestUndeliveredEndIsNotAcknowledged(t *testing.T) {
 	p, a := startOne(t)
 	p.HandleStartResult(at(10*time.Millisecond), a, StartResult{Kind: StartAccepted})
@@ -284,5 +285,10 @@
 			t.Errorf("after %s: acknowledged up to %d (session %v), want %d", c.after, request.Ack, ok, c.ack)
 		}
 		p.HandleSessionReply(at(c.after), "e0000", at(c.after), r)
+		p.Tick(at(c.after))
+		shard, _ := a.Shard()
+		if states, _ := p.Attempts(map[model.ShardID]bool{shard: true}); (len(states) == 1) != (c.ack == 0) {
+			t.Errorf("after %s: the next shard owner gets %+v", c.after, states)
+		}
 	}
 }
