--- a/internal/entry/dispatches.go
+++ b/internal/entry/dispatches.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/agateyard/agateyard/internal/endpoint"
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/shard"
 )
@@ -21,6 +22,9 @@
 	// ownerGrace is the time allowed for replies in flight from the previous
 	// owner of a pool.
 	ownerGrace = 2 * time.Second
+	// leaseMargin is waited after the lease of a silent endpoint, as by its pool owner,
+	// before the attempts there count as over.
+	leaseMargin = 2 * time.Second
 	// dispatchSlack is added to the run limit to get the timeout of a dispatch.
 	dispatchSlack = 5 * time.Second
 )
@@ -237,6 +241,8 @@
 		case listed:
 			// Still running; the completion follows in Shard.Ended.
 			delete(d.unresolved, a)
+		case e.reply.Complete && unresolved.mayBeRunning(l.now(), e.reply):
+			// Asked again: the endpoint may report.
 		case e.reply.Complete:
 			delete(d.unresolved, a)
 			l.settleOrForward([]model.Settled{unresolved.unlistedCompletion(a, e.reply)})
@@ -244,6 +250,13 @@
 	}
 }
 
+// mayBeRunning reports whether the attempt may be running on an endpoint that has not
+// reported to the pool owner: the endpoint may hold a lease of the previous owner.
+func (d unresolvedDispatch) mayBeRunning(now time.Time, reply AttemptsReply) bool {
+	_, reported := reply.Reported[d.endpoint]
+	return !reported && now.Before(d.resolveAfter.Add(endpoint.LeaseTTL+leaseMargin))
+}
+
 // unlistedCompletion returns the completion of an attempt that a complete reply
 // does not list. An endpoint that has reported under the owner's token refuses
 // starts with older tokens, so the attempt has not started there. This holds only
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -58,3 +58,29 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against work that is started again elsewhere after its pool got another owner, while
+// it runs on an endpoint that is only silent and still holds the lease of the earlier owner.
+func TestWorkOfSilentEndpointWaitsForItsLease(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply AttemptsReply
+		after time.Duration // since the owner changed
+		over  bool
+	}{
+		"silent, lease may last":  {AttemptsReply{Complete: true, Unreachable: []string{"a"}}, 5 * time.Second, false},
+		"silent, lease has ended": {AttemptsReply{Complete: true, Unreachable: []string{"a"}}, 15 * time.Second, true},
+		"not listed any more":     {AttemptsReply{Complete: true}, 5 * time.Second, false},
+		"reported without it":     {AttemptsReply{Complete: true, Reported: map[string]string{"a": "i"}}, 5 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, attempt := ownerNode(t).loop, model.NewAttemptID(jobKey(1), 0, 1)
+			l.dispatches.unresolved[attempt] = unresolvedDispatch{
+				pool: "worker/z/r", endpoint: "a", instance: "i", started: true, resolveAfter: l.now().Add(ownerGrace - c.after),
+			}
+			attemptsResolved{pool: "worker/z/r", reply: c.reply}.apply(l)
+			if over := len(l.dispatches.unresolved) == 0; over != c.over {
+				t.Errorf("counts as over: %v, want %v", over, c.over)
+			}
+		})
+	}
+}
