--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -68,8 +69,14 @@
 }
 
 // Guards against the loss of accepted jobs, queued or running, when the entry
-// process that accepted some of them is killed.
+// process that accepted some of them is killed, and then the one that has taken them over.
 func TestAcceptedJobsSurviveKilledProcess(t *testing.T) {
+	for _, kills := range []int{1, 2} {
+		t.Run(fmt.Sprint(kills), func(t *testing.T) { checkJobsSurvive(t, kills) })
+	}
+}
+
+func checkJobsSurvive(t *testing.T, kills int) {
 	c := newCell(t, cellOptions{entries: 3, zones: 3, workers: 3})
 	var ids []string
 	for i := range 150 {
@@ -83,10 +90,15 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	c.entries[0].kill()
-	c.waitDone(c.entries[1], "nesting", ids, 60*time.Second)
+	if kills == 2 {
+		time.Sleep(8 * time.Second) // the journal of the first is adopted and removed
+		c.entries[1].kill()
+	}
+	left := c.entries[2]
+	c.waitDone(left, "nesting", ids, 60*time.Second)
 	runs := groupEffects(c.effects())
 	for _, id := range ids {
-		s := c.jobStatus(c.entries[1], "nesting", id)
+		s := c.jobStatus(left, "nesting", id)
 		if s.Outcome != model.OutcomeRan {
 			t.Errorf("%s: %q %q after %d attempts", id, s.Outcome, s.Reason, s.Attempts)
 		}
