--- a/internal/entry/acquisition.go
+++ b/internal/entry/acquisition.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/gob"
 	"errors"
@@ -17,6 +18,9 @@
 	// journalTimeout limits the time to seal and read, or to remove, the journal
 	// of one dead process.
 	journalTimeout = 5 * time.Second
+	// maxJournalReads is how often a damaged journal is read before what can be read counts.
+	// The damage may be that of one reply of the store.
+	maxJournalReads = 10
 )
 
 // acquisition collects the state of shards that a view assigns to this process.
@@ -34,6 +38,8 @@
 
 	best    map[model.ShardID]candidateState
 	partial map[model.ShardID]uint64   // epoch of a dead holder that has not recorded all of its state
+	reads   map[string]int             // of the journal of each dead process
+	damaged bool                       // records of a dead process could not be read
 	holders map[string][]model.ShardID // shards of live holders, to be released
 }
 
@@ -51,6 +57,7 @@
 	snapshot *shard.Snapshot // from a live holder
 	records  []shard.Record  // from a journal
 	partial  bool            // not all records were written
+	damaged  bool            // records of an earlier owner are missing
 	previous *candidateState // of the same journal, valid if this one is partial
 }
 
@@ -62,6 +69,7 @@
 		inFlight: make(map[string]bool),
 		best:     make(map[model.ShardID]candidateState),
 		partial:  make(map[model.ShardID]uint64),
+		reads:    make(map[string]int),
 		holders:  make(map[string][]model.ShardID),
 	}
 	for _, m := range v.Members {
@@ -94,7 +102,9 @@
 		}
 		a.inFlight[id] = true
 		if kind == sourceJournal {
-			a.t.l.n.start("read journal", func() { a.readJournal(id) })
+			a.reads[id]++
+			acceptDamage := a.reads[id] > maxJournalReads
+			a.t.l.n.start("read journal", func() { a.readJournal(id, acceptDamage) })
 		} else {
 			a.t.l.n.start("Shard.Claim", func() { a.claim(id) })
 		}
@@ -125,27 +135,34 @@
 	n.post(claimReplied{acquisition: a, from: id, exports: exports, err: err})
 }
 
-// readJournal seals and reads the journal of a dead process.
-func (a *acquisition) readJournal(id string) {
+// readJournal seals and reads the journal of a dead process. With acceptDamage it reads what
+// can be read: the shards would have no owner until an operator had repaired the journal.
+func (a *acquisition) readJournal(id string, acceptDamage bool) {
 	n := a.t.l.n
 	ctx, cancel := context.WithTimeout(a.ctx, journalTimeout)
 	defer cancel()
 	err := journal.Seal(ctx, n.cfg.Store, id, n.self.Incarnation)
 	var entries []journalEntry
+	var damage error
 	if err == nil {
-		err = journal.Replay(ctx, n.cfg.Store, id, func(data []byte) error {
+		var undecodable error
+		damage, err = journal.ReplayReadable(ctx, n.cfg.Store, id, func(data []byte) {
 			e, err := decodeJournalEntry(data)
 			if err != nil {
-				return err
+				undecodable = err
+				return
 			}
 			entries = append(entries, e)
-			return nil
 		})
+		damage = cmp.Or(damage, undecodable)
+	}
+	if err == nil && !acceptDamage {
+		err = damage
 	}
 	if errors.Is(err, journal.ErrRemoved) {
 		err = nil // every member of an earlier view has its state
 	}
-	n.post(journalRead{acquisition: a, from: id, entries: entries, err: err})
+	n.post(journalRead{acquisition: a, from: id, entries: entries, damage: damage, err: err})
 }
 
 // claimReplied is the reply of a process to a claim.
@@ -182,6 +199,7 @@
 	acquisition *acquisition
 	from        string
 	entries     []journalEntry
+	damage      error // what could not be read
 	err         error
 }
 
@@ -198,6 +216,10 @@
 		return
 	}
 	delete(a.pending, e.from)
+	if e.damage != nil {
+		a.damaged = true
+		l.n.log.WithError(e.damage).WithField("incarnation", e.from).Error("journal: records of a dead process are lost; older requests without a record get no certain outcome")
+	}
 	a.addJournalEntries(e.entries)
 	a.completeIfDone()
 }
@@ -209,7 +231,7 @@
 	for _, e := range entries {
 		switch {
 		case e.Own != nil:
-			s := candidateState{epoch: e.Own.Epoch, partial: e.Own.Loading}
+			s := candidateState{epoch: e.Own.Epoch, partial: e.Own.Loading, damaged: e.Own.Incomplete}
 			if earlier, ok := states[e.Own.Shard]; ok && s.partial {
 				s.previous = &earlier
 			}
@@ -267,6 +289,8 @@
 	intended := make(intentEndpoints)
 	for _, id := range a.shards {
 		best, found := a.bestState(now, id)
+		best.damaged = best.damaged || a.damaged
+		own := ownership{Shard: id, Epoch: a.view.Number, Incomplete: best.damaged}
 		switch {
 		case found && best.snapshot != nil:
 			snapshot := *best.snapshot
@@ -275,13 +299,14 @@
 				a.t.recovering[id] = true
 				intended.addAll(snapshot.Records)
 			}
-			a.t.takeOwnership(id, a.view.Number, snapshot.Records, func() shard.Effects { return l.importShard(now, snapshot) })
+			own.Incomplete = snapshot.Recovery.Incomplete
+			a.t.takeOwnership(own, snapshot.Records, func() shard.Effects { return l.importShard(now, snapshot) })
 		case len(a.view.Predecessors) > 0 || found:
 			recovered = append(recovered, id)
 			intended.addAll(best.records)
-			a.t.takeOwnership(id, a.view.Number, best.records, func() shard.Effects { return a.recoverShard(now, id, best.records) })
+			a.t.takeOwnership(own, best.records, func() shard.Effects { return a.recoverShard(now, id, best) })
 		default:
-			a.t.takeOwnership(id, a.view.Number, nil, func() shard.Effects {
+			a.t.takeOwnership(own, nil, func() shard.Effects {
 				l.table.Own(now, id, shard.Recovery{})
 				return shard.Effects{}
 			})
@@ -309,7 +334,8 @@
 // exported, and sets the recovery of the snapshot accordingly: its holder has not finished
 // its own recovery, or a dead process has held the shard since.
 func (a *acquisition) needsRecovery(now time.Time, epoch uint64, snapshot *shard.Snapshot) bool {
-	heldSince := a.partial[snapshot.Shard] > epoch
+	heldSince := a.partial[snapshot.Shard] > epoch || a.damaged
+	snapshot.Recovery.Incomplete = snapshot.Recovery.Incomplete || a.damaged
 	if !heldSince && len(snapshot.Recovery.Pools) == 0 {
 		return false
 	}
@@ -329,11 +355,11 @@
 
 // recoverShard rebuilds a shard whose last owner is dead, or may be, from its
 // journal records.
-func (a *acquisition) recoverShard(now time.Time, id model.ShardID, records []shard.Record) shard.Effects {
+func (a *acquisition) recoverShard(now time.Time, id model.ShardID, state candidateState) shard.Effects {
 	l := a.t.l
-	l.table.Own(now, id, shard.Recovery{TakenAt: now, Pools: l.knownPools()})
+	l.table.Own(now, id, shard.Recovery{TakenAt: now, Pools: l.knownPools(), Incomplete: state.damaged})
 	a.t.recovering[id] = true
-	for _, r := range records {
+	for _, r := range state.records {
 		l.table.Replay(now, r)
 	}
 	return l.table.Replayed(now, id)
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -23,7 +23,7 @@
 func ownAll(n *Node) {
 	l := n.loop
 	id := model.TemplateID{Workspace: "w", Name: "job"}
-	l.templates[id] = model.Template{ID: id, Kind: model.KindJob, Resources: model.Resources{CoresMilli: 1}, Tasks: 1, FloodShare: 1, Weight: 1}
+	l.templates[id] = model.Template{ID: id, Kind: model.KindJob, Idempotent: true, Resources: model.Resources{CoresMilli: 1}, Tasks: 1, FloodShare: 1, Weight: 1}
 	l.table.SetTemplates(l.now(), l.templates)
 	vmListFetched{vms: []platform.VM{
 		{ID: "a", Kind: platform.VMWorker, Zone: "z", Rack: "r"}, {ID: "b", Kind: platform.VMRunner, Zone: "z", Service: "s"},
--- a/internal/entry/journal_entry.go
+++ b/internal/entry/journal_entry.go
@@ -25,6 +25,8 @@
 	// Loading means that the records taken over follow, up to an entry with Loaded. Until that
 	// entry is written the state is incomplete, and the one before it is valid.
 	Loading bool `json:"loading,omitempty"`
+	// Incomplete means that records of an earlier owner could not be read.
+	Incomplete bool `json:"incomplete,omitempty"`
 }
 
 func (e journalEntry) encode() ([]byte, error) {
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -100,9 +100,11 @@
 // takeOwnership starts the ownership of a shard, whose state load restores in the table.
 // It first appends the records of that state to the journal, since their previous writer
 // removes them afterwards.
-func (t *takeover) takeOwnership(s model.ShardID, epoch uint64, records []shard.Record, load func() shard.Effects) {
-	t.held[s] = epoch
-	t.l.appendState(journalEntry{Own: &ownership{Shard: s, Epoch: epoch, Loading: len(records) > 0}})
+func (t *takeover) takeOwnership(own ownership, records []shard.Record, load func() shard.Effects) {
+	s := own.Shard
+	t.held[s] = own.Epoch
+	own.Loading = len(records) > 0
+	t.l.appendState(journalEntry{Own: &own})
 	for _, r := range records {
 		t.l.appendState(journalEntry{Record: &r})
 	}
@@ -150,7 +152,7 @@
 func (t *takeover) ownerships() []ownership {
 	out := make([]ownership, 0, len(t.held))
 	for s, epoch := range t.held {
-		out = append(out, ownership{Shard: s, Epoch: epoch})
+		out = append(out, ownership{Shard: s, Epoch: epoch, Incomplete: t.l.table.Incomplete(t.l.now(), s)})
 	}
 	slices.SortFunc(out, func(a, b ownership) int { return int(a.Shard) - int(b.Shard) })
 	return out
--- a/internal/entry/takeover_test.go
+++ b/internal/entry/takeover_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -8,6 +10,7 @@
 
 	"github.com/agateyard/agateyard/internal/journal"
 	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/platform"
 	"github.com/agateyard/agateyard/internal/shard"
 )
 
@@ -191,20 +194,65 @@
 	}
 }
 
-// Guards against a takeover that never completes because the journal of a dead process was
-// removed, after its adoption, before the process was removed from the view.
-func TestRemovedJournalCompletesTakeover(t *testing.T) {
-	n, store := testNode(t)
-	if err := journal.Seal(t.Context(), store, "dead", "other"); err != nil {
-		t.Fatal(err)
-	}
-	if err := journal.Remove(t.Context(), store, "dead"); err != nil {
-		t.Fatal(err)
-	}
-	a := newAcquisition(n.loop.takeover, model.View{Number: 1, Predecessors: []string{"dead"}}, nil)
-	a.readJournal("dead")
-	if e := (<-n.loop.events).(journalRead); e.err != nil {
-		t.Error(e.err)
+// Guards against a takeover that never completes because of the journal of a dead process: it
+// was removed, after its adoption, before the process was removed from the view, or it is
+// damaged. Work whose record may be lost must not run a second time.
+func TestUnreadableJournalCompletesTakeover(t *testing.T) {
+	key := jobKey(1)
+	for name, c := range map[string]struct {
+		damage    func(ctx context.Context, store platform.Store) error
+		undecoded string // a record that is no entry
+		damaged   bool
+	}{
+		"intact":          {},
+		"removed":         {damage: func(ctx context.Context, store platform.Store) error { return journal.Remove(ctx, store, "dead") }},
+		"undecoded entry": {undecoded: "{", damaged: true},
+		"corrupt segment": {damaged: true, damage: func(ctx context.Context, store platform.Store) error {
+			e, err := store.Get(ctx, "journal/dead/00000000000000000001")
+			if err == nil {
+				_, err = store.Put(ctx, e.Key, []byte("damaged"), platform.PutOptions{IfVersion: e.Version})
+			}
+			return err
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := ownerNode(t)
+			l, store, ctx := n.loop, n.cfg.Store, t.Context()
+			w := journal.NewWriter(journal.Config{Store: store, Incarnation: "dead"})
+			go func() { _ = w.Run(ctx) }()
+			w.Append([]byte(cmp.Or(c.undecoded, `{"own":{"shard":0,"epoch":1}}`)), time.Time{}, func(error) {})
+			if err := w.Flush(ctx); err != nil {
+				t.Fatal(err)
+			}
+			if err := journal.Seal(ctx, store, "dead", "other"); err != nil {
+				t.Fatal(err)
+			}
+			if c.damage != nil {
+				if err := c.damage(ctx, store); err != nil {
+					t.Fatal(err)
+				}
+			}
+			l.takeover.freeze(l.now(), 0)
+			l.takeover.release([]model.ShardID{0}, 0)
+			a := newAcquisition(l.takeover, model.View{Number: 9, Predecessors: []string{"dead"}}, []model.ShardID{0})
+			l.takeover.activeAcquisition = a
+			for try := 0; l.takeover.activeAcquisition != nil; try++ {
+				if try > 12 {
+					t.Fatal("the takeover does not complete")
+				}
+				a.retryAt = time.Time{}
+				a.tick(l.now())
+				applyEvents(l, func() bool { return len(a.inFlight) == 0 })
+			}
+			if l.table.Incomplete(l.now(), 0) != c.damaged {
+				t.Errorf("incomplete: %v, want %v", !c.damaged, c.damaged)
+			}
+			reply := make(chan model.Reply, 1)
+			submitRequest{submission: model.Submission{Key: key, Async: true}, waiter: reply}.apply(l)
+			if unknown := len(reply) > 0 && (<-reply).Outcome == model.OutcomeUnknown; unknown != c.damaged {
+				t.Errorf("an older request: unknown %v, want %v", unknown, c.damaged)
+			}
+		})
 	}
 }
 
--- a/internal/journal/encoding.go
+++ b/internal/journal/encoding.go
@@ -13,6 +13,7 @@
 type kind byte
 
 const (
+	kindCorrupt   kind = 0 // can't be decoded; never written
 	kindSegment   kind = 1
 	kindSnapshot  kind = 2 // a part of a snapshot
 	kindSeal      kind = 3
--- a/internal/journal/fuzz_test.go
+++ b/internal/journal/fuzz_test.go
@@ -43,7 +43,7 @@
 		_ = snapshots.add(e)
 		_ = snapshots.add(e)
 		j.covered, j.snapshot = snapshots.covered, snapshots.records
-		_, _ = j.records()
+		_, _, _ = j.records()
 		expiredTombstone(data, time.Now())
 		incarnationOf(e.Key)
 	})
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 
@@ -17,6 +18,7 @@
 	lastNumber uint64            // highest number of a segment or seal; 0 if there is none
 	covered    uint64            // last segment covered by the snapshot; 0 without a snapshot
 	snapshot   [][]byte
+	damage     error // ErrCorrupt if a value can't be decoded, else nil
 }
 
 // read lists the segments first and the snapshots after them. An owner deletes
@@ -32,18 +34,23 @@
 	if err = list(ctx, s, snapshotsPrefix(incarnation), snapshots.add); err != nil {
 		return j, err
 	}
+	j.damage = cmp.Or(j.damage, snapshots.damage)
 	j.covered, j.snapshot = snapshots.covered, snapshots.records
 	return j, nil
 }
 
+// addSegment adds a value of a listing. One that can't be decoded keeps its number, so that
+// the journal can still be sealed.
 func (j *contents) addSegment(e platform.Entry) error {
 	number, ok := segmentNumber(e.Key)
 	if !ok {
-		return fmt.Errorf("%s: %w", e.Key, ErrCorrupt)
+		j.damage = fmt.Errorf("%s: %w", e.Key, ErrCorrupt)
+		return nil
 	}
 	v, err := decode(e.Value)
 	if err != nil {
-		return fmt.Errorf("%s: %w", e.Key, err)
+		j.damage = fmt.Errorf("%s: %w", e.Key, err)
+		v = value{kind: kindCorrupt, number: number}
 	}
 	j.segments[number], j.versions[number] = v, e.Version
 	j.lastNumber = max(j.lastNumber, number)
@@ -69,12 +76,14 @@
 	prefix      string // key prefix of the snapshot being read
 	partRecords [][]byte
 	nextPart    uint32
+	damage      error // ErrCorrupt if a part can't be decoded, else nil
 }
 
 func (r *snapshotReader) add(e platform.Entry) error {
 	v, err := decode(e.Value)
 	if err != nil {
-		return fmt.Errorf("%s: %w", e.Key, err)
+		r.damage = fmt.Errorf("%s: %w", e.Key, err)
+		return nil
 	}
 	prefix := e.Key[:len(e.Key)-len("/0000")]
 	if prefix != r.prefix {
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -77,7 +77,7 @@
 // remainingRecovery returns the recovery that the next owner has to finish. The takeover time
 // is kept, because the outcome of requests with older identifiers stays uncertain.
 func (s *shardState) remainingRecovery() Recovery {
-	r := Recovery{TakenAt: s.takeoverTime}
+	r := Recovery{TakenAt: s.takeoverTime, Incomplete: s.incomplete}
 	for pool, report := range s.reports {
 		// An unfinished recovery needs every report, because intents are resolved from the reports.
 		if s.recovering || !report.complete() {
--- a/internal/shard/recover.go
+++ b/internal/shard/recover.go
@@ -19,7 +19,7 @@
 		return
 	}
 	state := newShardState(s)
-	state.takeoverTime = r.TakenAt
+	state.takeoverTime, state.incomplete = r.TakenAt, r.Incomplete
 	state.recovering = !r.TakenAt.IsZero()
 	state.replayed = !state.recovering
 	for _, pool := range r.Pools {
--- a/internal/shard/recovery.go
+++ b/internal/shard/recovery.go
@@ -13,6 +13,9 @@
 	// identifiers may have been generated before it, and requests with an ordering key, wait
 	// until the recovery has ended.
 	TakenAt time.Time
+	// Incomplete means that records of the earlier owner are missing: a request with an older
+	// identifier may have run although there is no record of it.
+	Incomplete bool
 	// Pools are the pools for which a RecoveryReport must be received.
 	Pools []model.PoolID
 }
--- a/internal/shard/shard_state.go
+++ b/internal/shard/shard_state.go
@@ -17,6 +17,7 @@
 
 	recovering       bool // not all records and pool reports have been received
 	takeoverTime     time.Time
+	incomplete       bool // records of the earlier owner are missing
 	replayed         bool
 	reports          map[model.PoolID]*poolReport
 	unmatched        map[uint64][]unmatchedAttempt // attempts not matched with a request yet, by hash of the request key
--- a/internal/shard/submit.go
+++ b/internal/shard/submit.go
@@ -97,6 +97,13 @@
 		fx.answer(w.id, t.downgradeUncertainNotRun(now, j, refused.reply()))
 		return
 	}
+	if !unmatched && t.recordMayBeLost(now, j) {
+		fx.event("record-lost", j.key, "", "")
+		fx.answer(w.id, model.Reply{
+			Outcome: model.OutcomeUnknown, Reason: model.ReasonRecovering, Detail: "records of an earlier owner are damaged",
+		})
+		return
+	}
 	if hold && t.queueFull(j) {
 		fx.answer(w.id, model.Reply{
 			Outcome: model.OutcomeUnknown, Reason: model.ReasonRecovering,
@@ -125,6 +132,13 @@
 	}
 }
 
+// recordMayBeLost reports whether the request may have run under an earlier owner whose record
+// of it is missing. It must not run a second time.
+func (t *Table) recordMayBeLost(now time.Time, j *job) bool {
+	s := j.shard
+	return s.incomplete && j.journaled() && now.Sub(s.takeoverTime) <= t.cfg.Retention && s.mayPredateTakeover(j.key.ID, t.cfg.ClockSkew)
+}
+
 // register adds the request to its shard.
 func (t *Table) register(j *job) { j.shard.jobs[j.hash] = j }
 
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -182,10 +182,17 @@
 		return true
 	}
 	template := t.templates[key.Template]
-	unrecorded := template == nil || template.removed || template.Idempotent
+	unrecorded := template == nil || template.removed || template.Idempotent || s.incomplete
 	return unrecorded && now.Sub(s.takeoverTime) <= t.cfg.Retention
 }
 
+// Incomplete reports whether records of an earlier owner of the shard are missing that would
+// still be kept.
+func (t *Table) Incomplete(now time.Time, id model.ShardID) bool {
+	s := t.shard(id)
+	return s != nil && s.incomplete && now.Sub(s.takeoverTime) <= t.cfg.Retention
+}
+
 // Jobs returns the earliest requests that match the filter, ordered by submission.
 func (t *Table) Jobs(f Filter) []model.JobStatus {
 	first := earliestJobs{limit: f.limit()}
