--- a/internal/entry/compaction.go
+++ b/internal/entry/compaction.go
@@ -29,7 +29,7 @@
 	if c.running || c.bytes < compactMinBytes || now.Sub(c.last) < compactInterval {
 		return
 	}
-	if l.takeover.inProgress() {
+	if l.takeover.inProgress() || l.takeover.unwritten > 0 {
 		return
 	}
 	c.running = true
@@ -62,10 +62,11 @@
 func (e snapshotRequest) apply(l *loop) { e.result <- l.snapshotEntries(l.now()) }
 
 // snapshotEntries returns the entries that replace the journal. It returns nil if an
-// entry can't be encoded, and while shards are being moved or recovered, since the
-// snapshot would lack their state.
+// entry can't be encoded, while shards are being moved or recovered, since the snapshot
+// would lack their state, and while state taken over is being written: its entries would
+// follow the snapshot, and an acceptance after the outcome in it starts the job again.
 func (l *loop) snapshotEntries(now time.Time) [][]byte {
-	if l.takeover.inProgress() {
+	if l.takeover.inProgress() || l.takeover.unwritten > 0 {
 		return nil
 	}
 	out := [][]byte{} // not nil: a process without shards has nothing to keep
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -72,6 +72,7 @@
 	}
 	seq, n := l.acks.assignSeq(), l.n
 	l.compaction.grow(len(data))
+	l.takeover.unwritten++
 	n.journal.AppendState(data, func(err error) {
 		if errors.Is(err, journal.ErrSealed) {
 			n.stopReplaced()
@@ -88,6 +89,7 @@
 }
 
 func (e stateWritten) apply(l *loop) {
+	l.takeover.unwritten--
 	if e.err != nil {
 		l.n.log.WithError(e.err).Error("journal: can't write state that was taken over")
 	}
--- a/internal/entry/takeover.go
+++ b/internal/entry/takeover.go
@@ -28,6 +28,7 @@
 	adoptedByPeer     map[string][]string      // adopted predecessors reported by each member
 	removing          map[string]bool          // dead predecessors whose removal is in flight
 	recovering        map[model.ShardID]bool   // held, but reports of pool owners are missing
+	unwritten         int                      // entries of state taken over that are not written yet
 }
 
 func newTakeover(l *loop) *takeover {
