--- a/internal/entry/acquisition.go
+++ b/internal/entry/acquisition.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/gob"
 	"errors"
@@ -17,6 +18,9 @@
 	// journalTimeout limits the time to seal and read, or to remove, the journal
 	// of one dead process.
 	journalTimeout = 5 * time.Second
+	// maxJournalReads is how often a damaged journal is read before what can be read counts.
+	// The damage may be that of one reply of the store.
+	maxJournalReads = 10
 )
 
 // acquisition collects the state of shards that a view assigns to this process.
@@ -33,6 +37,9 @@
 	retryAt  time.Time
 
 	best    map[model.ShardID]candidateState
+	partial map[model.ShardID]uint64   // epoch of a dead holder that has not recorded all of its state
+	reads   map[string]int             // of the journal of each dead process
+	damaged bool                       // records of a dead process could not be read
 	holders map[string][]model.ShardID // shards of live holders, to be released
 }
 
@@ -49,6 +56,9 @@
 	epoch    uint64
 	snapshot *shard.Snapshot // from a live holder
 	records  []shard.Record  // from a journal
+	partial  bool            // not all records were written
+	damaged  bool            // records of an earlier owner are missing
+	previous *candidateState // of the same journal, valid if this one is partial
 }
 
 func newAcquisition(t *takeover, v model.View, shards []model.ShardID) *acquisition {
@@ -58,6 +68,8 @@
 		pending:  make(map[string]sourceKind),
 		inFlight: make(map[string]bool),
 		best:     make(map[model.ShardID]candidateState),
+		partial:  make(map[model.ShardID]uint64),
+		reads:    make(map[string]int),
 		holders:  make(map[string][]model.ShardID),
 	}
 	for _, m := range v.Members {
@@ -90,9 +102,11 @@
 		}
 		a.inFlight[id] = true
 		if kind == sourceJournal {
-			go a.readJournal(id)
+			a.reads[id]++
+			acceptDamage := a.reads[id] > maxJournalReads
+			a.t.l.n.start("read journal", func() { a.readJournal(id, acceptDamage) })
 		} else {
-			go a.claim(id)
+			a.t.l.n.start("Shard.Claim", func() { a.claim(id) })
 		}
 	}
 	a.completeIfDone()
@@ -113,29 +127,42 @@
 	var exports []shardExport
 	if err == nil {
 		n.observe(reply.Header)
-		exports, err = decodeExports(reply.Exports)
+		err = n.protect("decode exports", func() (err error) {
+			exports, err = decodeExports(reply.Exports)
+			return err
+		})
 	}
 	n.post(claimReplied{acquisition: a, from: id, exports: exports, err: err})
 }
 
-// readJournal seals and reads the journal of a dead process.
-func (a *acquisition) readJournal(id string) {
+// readJournal seals and reads the journal of a dead process. With acceptDamage it reads what
+// can be read: the shards would have no owner until an operator had repaired the journal.
+func (a *acquisition) readJournal(id string, acceptDamage bool) {
 	n := a.t.l.n
 	ctx, cancel := context.WithTimeout(a.ctx, journalTimeout)
 	defer cancel()
 	err := journal.Seal(ctx, n.cfg.Store, id, n.self.Incarnation)
 	var entries []journalEntry
+	var damage error
 	if err == nil {
-		err = journal.Replay(ctx, n.cfg.Store, id, func(data []byte) error {
+		var undecodable error
+		damage, err = journal.ReplayReadable(ctx, n.cfg.Store, id, func(data []byte) {
 			e, err := decodeJournalEntry(data)
 			if err != nil {
-				return err
+				undecodable = err
+				return
 			}
 			entries = append(entries, e)
-			return nil
 		})
+		damage = cmp.Or(damage, undecodable)
+	}
+	if err == nil && !acceptDamage {
+		err = damage
+	}
+	if errors.Is(err, journal.ErrRemoved) {
+		err = nil // every member of an earlier view has its state
 	}
-	n.post(journalRead{acquisition: a, from: id, entries: entries, err: err})
+	n.post(journalRead{acquisition: a, from: id, entries: entries, damage: damage, err: err})
 }
 
 // claimReplied is the reply of a process to a claim.
@@ -172,6 +199,7 @@
 	acquisition *acquisition
 	from        string
 	entries     []journalEntry
+	damage      error // what could not be read
 	err         error
 }
 
@@ -188,6 +216,10 @@
 		return
 	}
 	delete(a.pending, e.from)
+	if e.damage != nil {
+		a.damaged = true
+		l.n.log.WithError(e.damage).WithField("incarnation", e.from).Error("journal: records of a dead process are lost; older requests without a record get no certain outcome")
+	}
 	a.addJournalEntries(e.entries)
 	a.completeIfDone()
 }
@@ -199,7 +231,16 @@
 	for _, e := range entries {
 		switch {
 		case e.Own != nil:
-			states[e.Own.Shard] = candidateState{epoch: e.Own.Epoch}
+			s := candidateState{epoch: e.Own.Epoch, partial: e.Own.Loading, damaged: e.Own.Incomplete}
+			if earlier, ok := states[e.Own.Shard]; ok && s.partial {
+				s.previous = &earlier
+			}
+			states[e.Own.Shard] = s
+		case e.Loaded != nil:
+			if s, ok := states[*e.Loaded]; ok {
+				s.partial, s.previous = false, nil
+				states[*e.Loaded] = s
+			}
 		case e.Record == nil:
 		case e.Record.Kind == shard.RecordRelease:
 			delete(states, e.Record.Shard)
@@ -210,6 +251,14 @@
 		}
 	}
 	for id, s := range states {
+		for s.partial && s.previous != nil {
+			a.partial[id] = max(a.partial[id], s.epoch)
+			s = *s.previous
+		}
+		if s.partial {
+			a.partial[id] = max(a.partial[id], s.epoch)
+			continue
+		}
 		if best, ok := a.best[id]; ok && best.epoch >= s.epoch {
 			continue
 		}
@@ -230,7 +279,7 @@
 	a.t.activeAcquisition = nil
 	a.installShards()
 	a.cancel()
-	a.t.markAdopted(a.view)
+	a.t.markAdoptedWhenDurable(a.view)
 }
 
 func (a *acquisition) installShards() {
@@ -239,18 +288,25 @@
 	var recovered []model.ShardID
 	intended := make(intentEndpoints)
 	for _, id := range a.shards {
-		best, found := a.best[id]
+		best, found := a.bestState(now, id)
+		best.damaged = best.damaged || a.damaged
+		own := ownership{Shard: id, Epoch: a.view.Number, Incomplete: best.damaged}
 		switch {
 		case found && best.snapshot != nil:
-			a.t.takeOwnership(now, id, a.view.Number, func() shard.Effects { return l.table.Import(now, *best.snapshot) })
+			snapshot := *best.snapshot
+			if a.needsRecovery(now, best.epoch, &snapshot) {
+				recovered = append(recovered, id)
+				a.t.recovering[id] = true
+				intended.addAll(snapshot.Records)
+			}
+			own.Incomplete = snapshot.Recovery.Incomplete
+			a.t.takeOwnership(own, snapshot.Records, func() shard.Effects { return l.importShard(now, snapshot) })
 		case len(a.view.Predecessors) > 0 || found:
 			recovered = append(recovered, id)
-			for _, r := range best.records {
-				intended.add(r)
-			}
-			a.t.takeOwnership(now, id, a.view.Number, func() shard.Effects { return a.recoverShard(now, id, best.records) })
+			intended.addAll(best.records)
+			a.t.takeOwnership(own, best.records, func() shard.Effects { return a.recoverShard(now, id, best) })
 		default:
-			a.t.takeOwnership(now, id, a.view.Number, func() shard.Effects {
+			a.t.takeOwnership(own, nil, func() shard.Effects {
 				l.table.Own(now, id, shard.Recovery{})
 				return shard.Effects{}
 			})
@@ -262,13 +318,48 @@
 	}
 }
 
+// bestState returns the state of a shard with the highest epoch, including the frozen one
+// of this process.
+func (a *acquisition) bestState(now time.Time, id model.ShardID) (candidateState, bool) {
+	best, found := a.best[id]
+	if a.t.frozen[id] {
+		if own := a.t.removeFrozen(now, id); !found || own.epoch >= best.epoch {
+			return own, true
+		}
+	}
+	return best, found
+}
+
+// needsRecovery reports whether the pool owners have to be queried about a shard that was
+// exported, and sets the recovery of the snapshot accordingly: its holder has not finished
+// its own recovery, or a dead process has held the shard since.
+func (a *acquisition) needsRecovery(now time.Time, epoch uint64, snapshot *shard.Snapshot) bool {
+	heldSince := a.partial[snapshot.Shard] > epoch || a.damaged
+	snapshot.Recovery.Incomplete = snapshot.Recovery.Incomplete || a.damaged
+	if !heldSince && len(snapshot.Recovery.Pools) == 0 {
+		return false
+	}
+	if heldSince {
+		snapshot.Recovery.TakenAt = now
+	}
+	snapshot.Recovery.Pools = a.t.l.knownPools()
+	return true
+}
+
+// importShard restores an exported shard. The records of the export are in the journal.
+func (l *loop) importShard(now time.Time, snapshot shard.Snapshot) shard.Effects {
+	fx := l.table.Import(now, snapshot)
+	fx.Records = fx.Records[min(len(snapshot.Records), len(fx.Records)):]
+	return fx
+}
+
 // recoverShard rebuilds a shard whose last owner is dead, or may be, from its
 // journal records.
-func (a *acquisition) recoverShard(now time.Time, id model.ShardID, records []shard.Record) shard.Effects {
+func (a *acquisition) recoverShard(now time.Time, id model.ShardID, state candidateState) shard.Effects {
 	l := a.t.l
-	l.table.Own(now, id, shard.Recovery{TakenAt: now, Pools: l.knownPools()})
+	l.table.Own(now, id, shard.Recovery{TakenAt: now, Pools: l.knownPools(), Incomplete: state.damaged})
 	a.t.recovering[id] = true
-	for _, r := range records {
+	for _, r := range state.records {
 		l.table.Replay(now, r)
 	}
 	return l.table.Replayed(now, id)
@@ -280,26 +371,23 @@
 	if len(a.holders) == 0 {
 		return
 	}
-	n, holders := a.t.l.n, a.holders
-	go func() {
-		if n.journal.Flush(n.ctx) != nil {
-			return
-		}
+	n, holders, epoch := a.t.l.n, a.holders, a.view.Number
+	a.t.l.acks.whenDurable(func() {
 		for id, shards := range holders {
-			go n.sendReleased(id, shards)
+			n.start("Shard.Released", func() { n.sendReleased(id, shards, epoch) })
 		}
-	}()
+	})
 }
 
-// sendReleased tells a holder to drop shards. It retries until the holder replies
-// or this incarnation ends, with at most 20 tries.
-func (n *Node) sendReleased(to string, shards []model.ShardID) {
-	for range 20 {
+// sendReleased tells a holder to drop shards. It retries until the holder replies or has
+// left the view: a holder that is not told could neither leave nor compact its journal.
+func (n *Node) sendReleased(to string, shards []model.ShardID, epoch uint64) {
+	for n.ctx.Err() == nil && n.currentView().Has(to) {
 		ctx, cancel := context.WithTimeout(n.ctx, claimTimeout)
-		var reply Empty
-		err := n.peers.call(ctx, to, connControl, "Shard.Released", ReleasedArgs{Header: n.header(), Shards: shards}, &reply)
+		args := ReleasedArgs{Header: n.header(), Shards: shards, Epoch: epoch}
+		err := n.peers.call(ctx, to, connControl, "Shard.Released", args, &Empty{})
 		cancel()
-		if err == nil || n.ctx.Err() != nil {
+		if err == nil {
 			return
 		}
 		time.Sleep(claimRetryInterval)
--- a/internal/entry/dispatches.go
+++ b/internal/entry/dispatches.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/agateyard/agateyard/internal/endpoint"
 	"github.com/agateyard/agateyard/internal/model"
 	"github.com/agateyard/agateyard/internal/shard"
 )
@@ -21,6 +22,9 @@
 	// ownerGrace is the time allowed for replies in flight from the previous
 	// owner of a pool.
 	ownerGrace = 2 * time.Second
+	// leaseMargin is waited after the lease of a silent endpoint, as by its pool owner,
+	// before the attempts there count as over.
+	leaseMargin = 2 * time.Second
 	// dispatchSlack is added to the run limit to get the timeout of a dispatch.
 	dispatchSlack = 5 * time.Second
 )
@@ -65,7 +69,7 @@
 		Body:        first.Body,
 	}
 	limit := first.RunLimit + dispatchSlack
-	go d.l.n.dispatch(first.Grant, args, connClassFor(t), limit)
+	d.l.n.start("dispatch", func() { d.l.n.dispatch(first.Grant, args, connClassFor(t), limit) })
 }
 
 // orderByGrant returns the attempts in the order of the grant's endpoints.
@@ -121,8 +125,7 @@
 		l.settleOrForward(e.reply.Settled)
 		return
 	}
-	var refused rpc.ServerError
-	if errors.Is(e.err, errNotSent) || errors.As(e.err, &refused) {
+	if nothingStarted(e.err) {
 		l.settleOrForward(notStartedCompletions(e.attempts))
 		return
 	}
@@ -134,6 +137,14 @@
 	}
 }
 
+// nothingStarted reports whether a dispatch that failed is known to have started nothing:
+// it was not sent, or the pool owner has refused it. After a panic in the pool owner's
+// handler the attempts may have started.
+func nothingStarted(err error) bool {
+	var refused rpc.ServerError
+	return errors.Is(err, errNotSent) || errors.As(err, &refused) && refused.Error() != errPanic.Error()
+}
+
 // instanceAt returns the instance of the i-th endpoint of a grant.
 func instanceAt(g model.Grant, i int) string {
 	if i < len(g.Instances) {
@@ -195,10 +206,10 @@
 func (d *dispatches) queryPoolOwner(pool model.PoolID, shards map[model.ShardID]bool) {
 	d.queryInFlight[pool] = true
 	n, view := d.l.n, d.l.view
-	go func() {
+	n.start("Pool.Attempts", func() {
 		reply, err := n.queryAttempts(view, pool, shards)
 		n.post(attemptsResolved{pool: pool, reply: reply, err: err})
-	}()
+	})
 }
 
 // attemptsResolved is the reply of a pool owner about unresolved dispatches.
@@ -230,6 +241,8 @@
 		case listed:
 			// Still running; the completion follows in Shard.Ended.
 			delete(d.unresolved, a)
+		case e.reply.Complete && unresolved.mayBeRunning(l.now(), e.reply):
+			// Asked again: the endpoint may report.
 		case e.reply.Complete:
 			delete(d.unresolved, a)
 			l.settleOrForward([]model.Settled{unresolved.unlistedCompletion(a, e.reply)})
@@ -237,6 +250,13 @@
 	}
 }
 
+// mayBeRunning reports whether the attempt may be running on an endpoint that has not
+// reported to the pool owner: the endpoint may hold a lease of the previous owner.
+func (d unresolvedDispatch) mayBeRunning(now time.Time, reply AttemptsReply) bool {
+	_, reported := reply.Reported[d.endpoint]
+	return !reported && now.Before(d.resolveAfter.Add(endpoint.LeaseTTL+leaseMargin))
+}
+
 // unlistedCompletion returns the completion of an attempt that a complete reply
 // does not list. An endpoint that has reported under the owner's token refuses
 // starts with older tokens, so the attempt has not started there. This holds only
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -43,6 +43,7 @@
 	ready        atomic.Pointer[readiness]
 	fetchingView sync.Mutex
 	inFlight     atomic.Int64 // dispatches and start calls in flight
+	left         atomic.Bool  // Leave has released the membership
 
 	ctx    context.Context // ends with the incarnation
 	cancel context.CancelCauseFunc
@@ -78,18 +79,19 @@
 }
 
 // Run runs the incarnation until its context ends or a goroutine fails; Leave does
-// not end it. It returns ErrReplaced if the incarnation was replaced, and nil if its
-// context was cancelled.
+// not end it. It returns ErrReplaced if the incarnation was replaced, errPanic after a
+// panic, and nil if its context was cancelled.
 func (n *Node) Run() error {
 	g, ctx := errgroup.WithContext(n.ctx)
-	g.Go(func() error { return n.loop.run(n.ctx) })
-	g.Go(func() error { return n.journal.Run(ctx) })
-	g.Go(func() error { return n.runMembership(ctx) })
-	g.Go(func() error { return n.watchViews(ctx) })
-	g.Go(func() error { return n.watchConfig(ctx) })
-	g.Go(func() error { return n.pollVMList(ctx) })
-	g.Go(func() error { return n.runGossip(ctx) })
-	g.Go(func() error { return n.runSweep(ctx) })
+	run := func(where string, f func() error) { g.Go(func() error { return n.protect(where, f) }) }
+	run("event loop", func() error { return n.loop.run(n.ctx) })
+	run("journal", func() error { return n.runJournal(ctx) })
+	run("membership", func() error { return n.runMembership(ctx) })
+	run("views", func() error { return n.watchViews(ctx) })
+	run("configuration", func() error { return n.watchConfig(ctx) })
+	run("VM list", func() error { return n.pollVMList(ctx) })
+	run("gossip", func() error { return n.runGossip(ctx) })
+	run("sweep", func() error { return n.runSweep(ctx) })
 	go func() {
 		// A failure of one goroutine ends the incarnation.
 		<-ctx.Done()
@@ -97,10 +99,15 @@
 	}()
 	err := g.Wait()
 	n.peers.close()
-	if cause := context.Cause(n.ctx); errors.Is(cause, ErrReplaced) {
+	cause := context.Cause(n.ctx)
+	switch {
+	case errors.Is(cause, ErrReplaced), errors.Is(err, journal.ErrSealed):
+		// Every record may have expired before the journal was found sealed, so that no
+		// record reported it.
 		return ErrReplaced
-	}
-	if errors.Is(err, context.Canceled) {
+	case failed(cause):
+		return cause
+	case errors.Is(err, context.Canceled):
 		return nil
 	}
 	return err
@@ -108,7 +115,18 @@
 
 // stopReplaced ends the incarnation with ErrReplaced.
 func (n *Node) stopReplaced() {
-	n.cancel(ErrReplaced)
+	if !n.left.Load() {
+		n.cancel(ErrReplaced)
+	}
+}
+
+// runJournal runs the writer of the journal. After Leave the journal is sealed.
+func (n *Node) runJournal(ctx context.Context) error {
+	err := n.journal.Run(ctx)
+	if n.left.Load() && errors.Is(err, journal.ErrSealed) {
+		return nil
+	}
+	return err
 }
 
 func (n *Node) runMembership(ctx context.Context) error {
@@ -204,33 +222,55 @@
 func (e predecessorDropped) apply(l *loop) { delete(l.takeover.removing, e.incarnation) }
 
 // Leave hands over all shards and leaves the view. It returns when no shard state
-// and no work in flight remains, or when ctx ends.
+// and no work in flight remains, or when ctx ends. Without a process to hand over to, the
+// shards stay in the journal: the process remains in the view, and the next process
+// adopts its journal when its lease has expired.
 func (n *Node) Leave(ctx context.Context) error {
 	if err := n.members.Leave(ctx); err != nil {
 		return err
 	}
-	if err := n.waitForHandover(ctx); err != nil {
+	keepsState, err := n.waitForHandover(ctx)
+	if err != nil {
 		return err
 	}
-	if err := journal.Remove(ctx, n.cfg.Store, n.self.Incarnation); err != nil {
+	if keepsState {
+		return n.journal.Flush(ctx)
+	}
+	if err = n.members.Release(ctx); err != nil {
+		return err
+	}
+	// The process goes on to forward the requests in flight, but its journal is not needed
+	// any more.
+	n.left.Store(true)
+	if err = n.removeJournal(ctx); err != nil {
 		n.log.WithError(err).Warn("journal: can't remove the journal of this process")
 	}
-	return n.members.Release(ctx)
+	return nil
+}
+
+// removeJournal removes the journal of this process. Only a sealed journal can be removed.
+func (n *Node) removeJournal(ctx context.Context) error {
+	if err := journal.Seal(ctx, n.cfg.Store, n.self.Incarnation, n.self.Incarnation); err != nil {
+		return err
+	}
+	return journal.Remove(ctx, n.cfg.Store, n.self.Incarnation)
 }
 
 // handoverPollInterval is the time between two checks whether the handover is
 // complete.
 const handoverPollInterval = 20 * time.Millisecond
 
-func (n *Node) waitForHandover(ctx context.Context) error {
+// waitForHandover returns when the handover is complete, or when there is no process to
+// hand over to: then keepsState is set.
+func (n *Node) waitForHandover(ctx context.Context) (keepsState bool, err error) {
 	for {
-		done, err := postAndWait(ctx, n, func(r chan<- bool) event { return handoverStatusRequest{result: r} })
-		if err != nil || done {
-			return err
+		s, err := postAndWait(ctx, n, func(r chan<- handoverStatus) event { return handoverStatusRequest{result: r} })
+		if err != nil || s.done {
+			return s.keepsState, err
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return false, ctx.Err()
 		case <-time.After(handoverPollInterval):
 		}
 	}
@@ -239,12 +279,19 @@
 // handoverStatusRequest requests from the loop whether the handover is complete:
 // no shard state and no work in flight remains.
 type handoverStatusRequest struct {
-	result chan<- bool
+	result chan<- handoverStatus
+}
+
+// handoverStatus is the result of handoverStatusRequest.
+type handoverStatus struct {
+	done       bool
+	keepsState bool // no process is there to hand over to
 }
 
 func (e handoverStatusRequest) apply(l *loop) {
 	// Without members in the view there is no process to hand over to.
 	alone := len(l.view.Members) == 0 && l.view.Number > 0
 	unfinished := l.n.inFlight.Load() > 0 || len(l.outbox.queue) > 0
-	e.result <- (l.takeover.empty() || alone) && !unfinished
+	empty := l.takeover.empty()
+	e.result <- handoverStatus{done: (empty || alone) && !unfinished, keepsState: !empty}
 }
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -27,16 +27,21 @@
 
 // appendRecord writes one record. Intents and acceptances fail if the write does
 // not succeed within recordWriteTimeout; other records wait for the store.
-func (l *loop) appendRecord(r shard.Record) { l.appendRecordAs(r, l.acks.assignSeq()) }
+func (l *loop) appendRecord(r shard.Record) {
+	l.writeRecord(recordWritten{record: r, seq: l.acks.assignSeq()})
+}
 
-// appendRecordAs writes a record under a sequence number that has been assigned.
-func (l *loop) appendRecordAs(r shard.Record, seq uint64) {
+// writeRecord writes a record under a sequence number that has been assigned, and posts w
+// with the result.
+func (l *loop) writeRecord(w recordWritten) {
+	r := w.record
 	var deadline time.Time
 	if c := r.Callback(); c == shard.CallbackIntent || c == shard.CallbackAcceptance {
 		deadline = l.now().Add(recordWriteTimeout)
 	}
 	l.appendEntry(journalEntry{Record: &r}, deadline, func(err error) event {
-		return recordWritten{record: r, seq: seq, err: err}
+		w.err = err
+		return w
 	})
 }
 
@@ -57,24 +62,53 @@
 	})
 }
 
-// ownershipWritten reports that the write of an ownership entry has finished.
-type ownershipWritten struct {
+// appendState writes an entry of the state that was taken over. It has no deadline: the
+// previous holder of the state drops it once all its entries are written.
+func (l *loop) appendState(e journalEntry) {
+	data, err := e.encode()
+	if err != nil {
+		l.n.log.WithError(err).Error("journal: can't encode an entry")
+		return
+	}
+	seq, n := l.acks.assignSeq(), l.n
+	l.compaction.grow(len(data))
+	l.takeover.unwritten++
+	n.journal.AppendState(data, func(err error) {
+		if errors.Is(err, journal.ErrSealed) {
+			n.stopReplaced()
+		}
+		n.post(stateWritten{seq: seq, err: err})
+	})
+}
+
+// stateWritten is the result of the write of an entry of appendState. A write fails only
+// if this incarnation ends, or if the entry is too large, as it was for its previous writer.
+type stateWritten struct {
 	seq uint64
+	err error
 }
 
-func (e ownershipWritten) apply(l *loop) { l.acks.markWritten(e.seq) }
+func (e stateWritten) apply(l *loop) {
+	l.takeover.unwritten--
+	if e.err != nil {
+		l.n.log.WithError(e.err).Error("journal: can't write state that was taken over")
+	}
+	l.acks.markWritten(e.seq)
+}
 
 // recordWritten is the result of the write of a record.
 type recordWritten struct {
-	record shard.Record
-	seq    uint64
-	err    error
+	record    shard.Record
+	seq       uint64
+	uncertain bool // an earlier write of the record may be in the journal
+	err       error
 }
 
 func (e recordWritten) apply(l *loop) {
 	if e.err != nil && e.mustRewrite() {
 		n := l.n
-		time.AfterFunc(rewriteDelay, func() { n.post(recordRewrite{record: e.record, seq: e.seq}) })
+		e.uncertain = e.uncertain || !errors.Is(e.err, journal.ErrNotWritten)
+		time.AfterFunc(rewriteDelay, func() { n.post(recordRewrite(e)) })
 		return
 	}
 	l.acks.markWritten(e.seq)
@@ -98,7 +132,7 @@
 	case shard.CallbackIntent:
 		return false
 	case shard.CallbackAcceptance:
-		return !errors.Is(e.err, journal.ErrNotWritten)
+		return e.uncertain || !errors.Is(e.err, journal.ErrNotWritten)
 	default:
 		return true
 	}
@@ -106,12 +140,9 @@
 
 // recordRewrite writes a record again. The record keeps its sequence number, so that
 // completions that wait for it are confirmed only once it is written.
-type recordRewrite struct {
-	record shard.Record
-	seq    uint64
-}
+type recordRewrite recordWritten
 
-func (e recordRewrite) apply(l *loop) { l.appendRecordAs(e.record, e.seq) }
+func (e recordRewrite) apply(l *loop) { l.writeRecord(recordWritten(e)) }
 
 // intentWritten starts the attempts of a recorded intent, or withdraws the intent
 // if the write failed. The failed write may still reach the journal. That is
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// addAll adds the endpoints of all intents among the records.
+func (e intentEndpoints) addAll(records []shard.Record) {
+	for _, r := range records {
+		e.add(r)
+	}
+}
+
 // startRecovery queries the owners of all known pools for attempts of shards whose
 // last owner is dead, or may be.
 func (l *loop) startRecovery(v model.View, shards []model.ShardID, intended intentEndpoints) {
@@ -44,7 +51,7 @@
 	}
 	l.n.log.WithField("shards", len(shards)).WithField("view", v.Number).Info("shard: recovery started")
 	for _, id := range l.knownPools() {
-		go l.n.recoverPool(id, shardSet, intended[id])
+		l.n.start("recovery", func() { l.n.recoverPool(id, shardSet, intended[id]) })
 	}
 }
 
--- a/internal/entry/rpc_shard.go
+++ b/internal/entry/rpc_shard.go
@@ -46,7 +46,7 @@
 	s.n.observe(args.Header)
 	ctx, cancel := context.WithTimeout(s.n.ctx, rpcTimeout)
 	defer cancel()
-	r, err := postAndWait(ctx, s.n, func(r chan<- StatusReply) event { return statusRequest{key: args.Key, result: r} })
+	r, err := s.n.statusLocal(ctx, args.Key)
 	*reply = r
 	reply.Header = s.n.header()
 	return err
@@ -136,12 +136,13 @@
 // Released drops shards whose state the sender has recorded in its journal.
 func (s *ShardService) Released(args ReleasedArgs, reply *Empty) (failure error) {
 	defer s.n.recoverCall("Shard.Released", &failure)
-	return s.n.acceptNotification(args.Header, releaseReceived{shards: args.Shards}, reply)
+	return s.n.acceptNotification(args.Header, releaseReceived{shards: args.Shards, epoch: args.Epoch}, reply)
 }
 
 // releaseReceived drops shards that were handed over.
 type releaseReceived struct {
 	shards []model.ShardID
+	epoch  uint64
 }
 
-func (e releaseReceived) apply(l *loop) { l.takeover.release(e.shards) }
+func (e releaseReceived) apply(l *loop) { l.takeover.release(e.shards, e.epoch) }
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -120,8 +120,9 @@
 // StatusReply is the reply to StatusArgs.
 type StatusReply struct {
 	Header
-	Found  bool
-	Status model.JobStatus
+	Found      bool
+	Status     model.JobStatus
+	MayHaveRun bool // not found, but the request may have run
 }
 
 // StopAttemptsArgs requests a pool owner to cancel attempts.
@@ -168,6 +169,7 @@
 type ReleasedArgs struct {
 	Header
 	Shards []model.ShardID
+	Epoch  uint64 // of the new ownership
 }
 
 // Empty is the argument or reply of calls without data.
