pacing: an owner whose process was late starts at its usual rate again soon

Traces of the starts, passes and the limit under load and with a process that is stopped for 150 ms in every 450 ms show two causes:

- A placement pass during which the process got no processor for 170 ms counted as a long one, and the next pass was four times that away: 700 ms without a start.
The duration of a pass is now compared with those of the passes before it.
- Each late answer within a pause lowered the limit again, by 0.7 every 100 ms down to 4 starts in flight, and it rose by one per 100 ms: 2 s at 70 to 130 starts a second.
The limit now doubles up to a target that such a series of falls lowers only once.

--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -20,11 +20,6 @@
 	tickInterval = 50 * time.Millisecond
 	// statsInterval is how often the load is logged and its metrics are updated.
 	statsInterval = time.Second
-	// minPassInterval is the minimum time between the starts of two placement passes.
-	minPassInterval = 3 * time.Millisecond
-	// passIntervalFactor is the minimum ratio of the interval between placement passes to the duration of a pass, so that
-	// passes take at most a quarter of the event loop's time.
-	passIntervalFactor = 4
 	// maxLoopPause is the longest pause of the event loop that is tolerated. After a longer one the claim is read again
 	// before any run is started or stopped, because the machine may have been suspended while another process took over.
 	maxLoopPause = 700 * time.Millisecond
@@ -59,7 +54,7 @@
 	startRate      candidacy.StartRate
 	loopTime       time.Duration // when the event loop last ran
 	lastPass       time.Duration // start of the last placement pass
-	passInterval   time.Duration
+	passInterval   pacing.PassInterval
 	unreadable     map[string]bool          // jobs whose records can't be decoded; they are left as they are
 	paused         bool                     // the claim is being read again
 	checkingClaim  bool                     // a regular read of the claim is in flight
@@ -106,7 +101,6 @@
 	o.writer = newRecordWriter(o)
 	o.poller = newRunnerPoller(o)
 	o.calls = newRunnerCalls(o)
-	o.passInterval = minPassInterval
 	o.usedRunners = newUsedRunners(o)
 	return o
 }
@@ -165,7 +159,7 @@
 			o.processEvents(func() {})
 		}
 		if o.sched.NeedsPass() && !o.paused {
-			passTimer.Reset(o.passInterval)
+			passTimer.Reset(o.passInterval.Interval())
 		}
 	}
 }
@@ -198,12 +192,13 @@
 		return
 	}
 	o.sched.SetStartBudget(o.startLimit.Budget())
-	if o.sched.NeedsPass() && now-o.lastPass >= o.passInterval {
+	if o.sched.NeedsPass() && now-o.lastPass >= o.passInterval.Interval() {
 		o.lastPass = now
 		o.sched.Pass()
-		o.passInterval = max(minPassInterval, passIntervalFactor*(o.n.clock.Now()-now))
-		if late := o.n.clock.Now() - now; late > maxLoopPause {
-			o.recheckClaim(late)
+		took := o.n.clock.Now() - now
+		o.passInterval.Passed(took)
+		if took > maxLoopPause {
+			o.recheckClaim(took)
 			return
 		}
 	}
--- a/internal/pacing/calls.go
+++ b/internal/pacing/calls.go
@@ -1,6 +1,6 @@
 // Package pacing decides how much an owner may ask of its own processor and link: how many starts may be in flight, how
-// long polls wait for more urgent calls, and whether a late answer says anything about the runner that was called. The
-// package performs no I/O; time is passed in. Its types are used by one goroutine.
+// long polls wait for more urgent calls, how often placement passes run, and whether a late answer says anything about the
+// runner that was called. The package performs no I/O; time is passed in. Its types are used by one goroutine.
 package pacing
 
 import (
--- a/internal/pacing/start_limit.go
+++ b/internal/pacing/start_limit.go
@@ -22,17 +22,21 @@
 	lowDelay = 50 * time.Millisecond
 	// decrease is the factor by which the limit falls.
 	decrease = 0.7
-	// increaseShare: after it has fallen once, the limit rises by 1/increaseShare of its value at a time.
+	// increaseShare: once the limit has fallen and is back at its target, it rises by 1/increaseShare of its value at a time.
 	increaseShare = 8
 )
 
 // StartLimit limits the starts in flight. The limit follows the delay of the answers, so that an owner starts no more than
 // it can deliver.
+//
+// A process that gets no processor for a while answers late at any limit, and the limit falls several times in a row. These
+// falls lower the target, up to which the limit doubles once the answers are fast again, only once.
 type StartLimit struct {
 	limit    int
 	inFlight int
 	peak     int  // highest number in flight since the last adjustment
-	fallen   bool // the limit has fallen, and no longer doubles
+	target   int  // the limit doubles up to this value; 0: without end, as it has not fallen yet
+	falling  bool // the last change was a fall
 	delays   []time.Duration
 	adjusted time.Duration
 }
@@ -66,12 +70,27 @@
 	median := l.delays[len(l.delays)/2]
 	switch {
 	case median > highDelay && 2*l.peak >= l.limit: // otherwise something else is slow
+		if !l.falling {
+			l.target = max(int(float64(max(l.limit, l.target))*decrease), minStarts)
+		}
 		l.limit = max(int(float64(l.limit)*decrease), minStarts)
-		l.fallen = true
-	case median < lowDelay && l.peak >= l.limit && !l.fallen:
-		l.limit = min(2*l.limit, maxStarts)
+		l.falling = true
 	case median < lowDelay && l.peak >= l.limit:
-		l.limit = min(l.limit+max(l.limit/increaseShare, 1), maxStarts)
+		l.raise()
+		l.falling = false
 	}
 	l.delays, l.adjusted, l.peak = l.delays[:0], now, l.inFlight
 }
+
+func (l *StartLimit) raise() {
+	switch {
+	case l.target == 0:
+		l.limit *= 2
+	case l.limit < l.target:
+		l.limit = min(2*l.limit, l.target)
+	default:
+		l.target = min(l.limit+max(l.limit/increaseShare, 1), maxStarts)
+		l.limit = l.target
+	}
+	l.limit = min(l.limit, maxStarts)
+}
--- a/internal/pacing/start_limit_test.go
+++ b/internal/pacing/start_limit_test.go
@@ -59,6 +59,68 @@
 	}
 }
 
+// lateOwner simulates an owner whose process gets only a part of its processor share at the end of each period, so that
+// answers are late and placement passes, in which starts are sent, are rare. It returns how many starts were answered.
+func lateOwner(l *StartLimit, perStart, pass, period, late time.Duration, slowdown int, lasting time.Duration) (answered int) {
+	var queue []time.Duration // times at which the starts in flight were sent
+	free := time.Duration(0)  // when the first of them is answered
+	nextPass := time.Duration(0)
+	for now := time.Duration(0); now < lasting; now += ms {
+		if now%period >= period-late && int(now/ms)%slowdown > 0 {
+			free += ms
+			nextPass += ms
+			continue
+		}
+		for len(queue) > 0 && free <= now {
+			l.Answered(now-queue[0], now)
+			queue = queue[1:]
+			answered++
+			free += perStart
+		}
+		if now < nextPass {
+			continue
+		}
+		nextPass = now + pass
+		for range l.Budget() {
+			if len(queue) == 0 {
+				free = max(free, now) + perStart
+			}
+			queue = append(queue, now)
+			l.Sent()
+		}
+	}
+	return answered
+}
+
+// TestLateProcessLowersLimitBriefly guards against a limit that stays near its minimum after the process was late: with
+// passes 35 ms apart and 4 to 7 starts in flight an owner started 70 to 130 tasks a second, of 500 that it could.
+func TestLateProcessLowersLimitBriefly(t *testing.T) {
+	const (
+		perStart = 2 * ms
+		pass     = 35 * ms
+		lasting  = 30 * time.Second
+	)
+	for _, c := range []struct {
+		period, late time.Duration
+		slowdown     int
+		least        float64 // starts a second while the process runs
+	}{
+		{time.Hour, 0, 1, 400},
+		{time.Second, 300 * ms, 1000, 400},
+		{2 * time.Second, 600 * ms, 20, 400},
+		{2 * time.Second, 800 * ms, 10, 400},
+		{3 * time.Second, time.Second, 20, 400},
+		{1500 * ms, 600 * ms, 20, 400},
+	} {
+		running := lasting.Seconds() * (1 - float64(c.late)/float64(c.period)*(1-1/float64(c.slowdown)))
+		rate := float64(lateOwner(NewStartLimit(178), perStart, pass, c.period, c.late, c.slowdown, lasting)) / running
+		t.Logf("%d times slower for %s of %s: %.0f starts a second while it runs", c.slowdown, c.late, c.period, rate)
+		if rate < c.least {
+			t.Errorf("%d times slower for %s of %s: %.0f starts a second while it runs", c.slowdown, c.late, c.period, rate)
+		}
+	}
+}
+
 // TestStartLimitIgnoresOneRunner guards against an owner that slows down because some runners don't answer.
 func TestStartLimitIgnoresOneRunner(t *testing.T) {
 	l := NewStartLimit(500)
