control: tests of cells with time limits run in bubbles

TestStoreOutage failed once of six runs beside 25 to 35 busy processes with -race: "job submitted during the store outage: unknown", "refused after 3.000610629s". Its limits are on wall time, in which the test process waits for a processor. An owner that got none for 700 ms must read its claim again before it refuses anything, which it can't while the store is away, so the answer was right and the test measured its machine. Other tests of cells have limits of the same kind (for example 60 ms before a caller's deadline, 500 ms for a handover), or give an event a fixed time to happen.

26 such tests now have the clock of a bubble and a network in memory, with the same conditions and limits. Time advances only while everything waits, so the limits hold for the product's own pauses, time-outs and round trips. Tests of sockets, malformed messages and pauses of the machine keep their sockets.

--- a/internal/control/bubble_test.go
+++ b/internal/control/bubble_test.go
@@ -15,6 +15,7 @@
 type memoryNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
+	nodes     []*testNode
 }
 
 func newMemoryNetwork() *memoryNetwork {
@@ -86,10 +87,11 @@
 func inBubble(t *testing.T, test func(t *testing.T)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		networks.Store(t, newMemoryNetwork())
+		network := newMemoryNetwork()
+		networks.Store(t, network)
 		t.Cleanup(func() { // after the processes have been killed
 			networks.Delete(t)
-			time.Sleep(10 * time.Second) // calls that were abandoned end
+			network.end()
 		})
 		test(t)
 	})
@@ -110,4 +112,21 @@
 	tn.clock = Clock{now: func() time.Duration { return base + time.Since(began) }}
 	tn.createdAt = tn.clock.Now()
 	tn.peers.dial = m.dial
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes = append(m.nodes, tn)
+}
+
+// end waits until the calls that killed nodes have abandoned have ended, and ends the ownerships that began while the nodes
+// were killed.
+func (m *memoryNetwork) end() {
+	const longestCall = 10 * time.Second
+	time.Sleep(longestCall)
+	for _, n := range m.nodes {
+		if o := n.ownership.Load(); o != nil {
+			o.stepDown("killed")
+			<-o.ended
+		}
+	}
+	time.Sleep(longestCall)
 }
--- a/internal/control/cell_test.go
+++ b/internal/control/cell_test.go
@@ -85,7 +85,9 @@
 }
 
 // TestAcceptedJobsSurviveTheirOwner guards against accepted jobs that are unknown to the next owner.
-func TestAcceptedJobsSurviveTheirOwner(t *testing.T) {
+func TestAcceptedJobsSurviveTheirOwner(t *testing.T) { inBubble(t, testAcceptedJobsSurviveTheirOwner) }
+
+func testAcceptedJobsSurviveTheirOwner(t *testing.T) {
 	_, nodes := startCell(t, 3)
 	owner := ownersOf(nodes)[0]
 	rest := others(nodes, owner)
@@ -111,6 +113,10 @@
 // TestOwnerWithoutTheStoreIsReplaced guards against a cell that accepts no jobs because its owner has lost the store while
 // the other processes still reach it.
 func TestOwnerWithoutTheStoreIsReplaced(t *testing.T) {
+	inBubble(t, testOwnerWithoutTheStoreIsReplaced)
+}
+
+func testOwnerWithoutTheStoreIsReplaced(t *testing.T) {
 	_, nodes := startCell(t, 3)
 	old := ownersOf(nodes)[0]
 	old.store.setPartitioned(true)
@@ -136,7 +142,9 @@
 
 // TestStoreOutage guards against a takeover during a store outage, a submission that is refused only after a wait, and
 // submissions that still fail after the outage.
-func TestStoreOutage(t *testing.T) {
+func TestStoreOutage(t *testing.T) { inBubble(t, testStoreOutage) }
+
+func testStoreOutage(t *testing.T) {
 	store, nodes := startCell(t, 3)
 	owner := ownersOf(nodes)[0]
 	store.setRefuse(true)
@@ -157,7 +165,9 @@
 
 // TestLostStoreResponses guards against a job that is stored twice, refused although stored, or overwritten by an older
 // write, when the store applies a commit but its response is lost.
-func TestLostStoreResponses(t *testing.T) {
+func TestLostStoreResponses(t *testing.T) { inBubble(t, testLostStoreResponses) }
+
+func testLostStoreResponses(t *testing.T) {
 	store, nodes := startCell(t, 2)
 	store.loseNextResponses(1)
 	if got := submit(nodes[0], testSpec(1)); got != OutcomeStored {
@@ -181,7 +191,9 @@
 }
 
 // TestOrderlyHandover guards against a gap in ownership when the owner's process shuts down gracefully.
-func TestOrderlyHandover(t *testing.T) {
+func TestOrderlyHandover(t *testing.T) { inBubble(t, testOrderlyHandover) }
+
+func testOrderlyHandover(t *testing.T) {
 	_, nodes := startCell(t, 3)
 	owner := ownersOf(nodes)[0]
 	rest := others(nodes, owner)
@@ -233,7 +245,9 @@
 // TestConfigWatchAfterLostHistory guards against a watch that starts at the revision of the last change of the
 // configuration: once the store has compacted that history, the watch fails at once each time it is restarted. Found in
 // an incident of the deployment Kalnins.
-func TestConfigWatchAfterLostHistory(t *testing.T) {
+func TestConfigWatchAfterLostHistory(t *testing.T) { inBubble(t, testConfigWatchAfterLostHistory) }
+
+func testConfigWatchAfterLostHistory(t *testing.T) {
 	store, nodes := startCell(t, 1)
 	for i := range 5 {
 		if got := submit(nodes[0], testSpec(i)); got != OutcomeStored {
@@ -250,7 +264,9 @@
 
 // TestOwnerKeptAfterStoreOutage guards against a takeover at the end of a store outage by a process that regains the store
 // shortly before the owner does.
-func TestOwnerKeptAfterStoreOutage(t *testing.T) {
+func TestOwnerKeptAfterStoreOutage(t *testing.T) { inBubble(t, testOwnerKeptAfterStoreOutage) }
+
+func testOwnerKeptAfterStoreOutage(t *testing.T) {
 	_, nodes := startCell(t, 3)
 	owner := ownersOf(nodes)[0]
 	for _, n := range nodes {
@@ -317,7 +333,9 @@
 
 // TestOnlyTheOwnerRefuses guards against a refusal by a process that has not asked the owner. It cannot know what became
 // of an earlier submission of the same job through another process, which may have been stored and have run.
-func TestOnlyTheOwnerRefuses(t *testing.T) {
+func TestOnlyTheOwnerRefuses(t *testing.T) { inBubble(t, testOnlyTheOwnerRefuses) }
+
+func testOnlyTheOwnerRefuses(t *testing.T) {
 	store, nodes := startCell(t, 3)
 	owner := ownersOf(nodes)[0]
 	rest := others(nodes, owner)
@@ -365,7 +383,9 @@
 // TestLastRetryIsStored guards against a submission that arrives shortly before its caller's deadline and is given up
 // although storing it takes a fraction of that time (pattern: callers whose retries were refused while the store was
 // away come back for the last time when it has returned).
-func TestLastRetryIsStored(t *testing.T) {
+func TestLastRetryIsStored(t *testing.T) { inBubble(t, testLastRetryIsStored) }
+
+func testLastRetryIsStored(t *testing.T) {
 	_, nodes := startCell(t, 3)
 	rest := others(nodes, ownersOf(nodes)[0])
 	for i, left := range []time.Duration{60 * time.Millisecond, 90 * time.Millisecond, 140 * time.Millisecond} {
--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -48,7 +48,9 @@
 
 // TestHandoverStartsNothingTwice guards against tasks that both the old and the new owner start around a hand-over, and
 // against callers that are told otherwise.
-func TestHandoverStartsNothingTwice(t *testing.T) {
+func TestHandoverStartsNothingTwice(t *testing.T) { inBubble(t, testHandoverStartsNothingTwice) }
+
+func testHandoverStartsNothingTwice(t *testing.T) {
 	runners := &fencingRunners{fakeRunners: newFakeRunners(), fences: map[string]int64{}, starts: map[job.TaskID]int{}}
 	deps := testDeps()
 	deps.Runners, deps.Advisor, deps.Directory = runners, allEligibleAdvisor{}, fakeDirectory{}
--- a/internal/control/keys_test.go
+++ b/internal/control/keys_test.go
@@ -223,7 +223,9 @@
 
 // TestNewKeyWithOneRead guards against a key that is refused because it is newer than the configuration in force, and
 // against a read of the store for each request with an unknown key.
-func TestNewKeyWithOneRead(t *testing.T) {
+func TestNewKeyWithOneRead(t *testing.T) { inBubble(t, testNewKeyWithOneRead) }
+
+func testNewKeyWithOneRead(t *testing.T) {
 	c := newKeyStore(t)
 	n := c.idleNode(Options{}, 0)
 	c.configure(keyConfig{Version: 2, Tenants: map[string][]string{"ant": {"ant-1", "ant-2"}}})
@@ -270,7 +272,9 @@
 
 // TestIsolatedProcess guards against a process without the store and peers that turns callers with known keys away
 // although the settings don't ask for it, that serves them although they do, or that refuses unknown keys for certain.
-func TestIsolatedProcess(t *testing.T) {
+func TestIsolatedProcess(t *testing.T) { inBubble(t, testIsolatedProcess) }
+
+func testIsolatedProcess(t *testing.T) {
 	c := newKeyStore(t)
 	for name, tc := range map[string]struct {
 		opt            Options
@@ -298,7 +302,9 @@
 
 // TestWithdrawnKeyWithoutStore guards against a withdrawn key that is still served, and a new one that isn't, by a process
 // that the store doesn't answer but peers reach, whether or not the owner is one of them.
-func TestWithdrawnKeyWithoutStore(t *testing.T) {
+func TestWithdrawnKeyWithoutStore(t *testing.T) { inBubble(t, testWithdrawnKeyWithoutStore) }
+
+func testWithdrawnKeyWithoutStore(t *testing.T) {
 	c := startKeyCell(t, 4, Options{})
 	n := c.notOwner()
 	n.store.setPartitioned(true)
@@ -360,6 +366,10 @@
 // TestCallersDoNotWaitForSilentStore guards against callers with known keys who wait for a store that answers nothing, while
 // the process has no peers to ask.
 func TestCallersDoNotWaitForSilentStore(t *testing.T) {
+	inBubble(t, testCallersDoNotWaitForSilentStore)
+}
+
+func testCallersDoNotWaitForSilentStore(t *testing.T) {
 	c := newKeyStore(t)
 	n := c.idleNode(Options{}, 0)
 	n.dep.Store = silentStore{n.dep.Store}
--- a/internal/control/ownership_test.go
+++ b/internal/control/ownership_test.go
@@ -71,7 +71,9 @@
 
 // TestOwnerLoadsAfterStoreOutage guards against an owner that steps down because the store becomes unreachable while it
 // loads the durable state: no other process could load it either, and each further claim costs another load.
-func TestOwnerLoadsAfterStoreOutage(t *testing.T) {
+func TestOwnerLoadsAfterStoreOutage(t *testing.T) { inBubble(t, testOwnerLoadsAfterStoreOutage) }
+
+func testOwnerLoadsAfterStoreOutage(t *testing.T) {
 	_, nodes := startCell(t, 3)
 	owner := ownersOf(nodes)[0]
 	successor := others(nodes, owner)[0]
@@ -134,7 +136,9 @@
 
 // TestLargerMachineTakesOver guards against a takeover by a machine that is too small for the load although a larger one is
 // available: the first process to notice the loss won, and the small machine stopped answering under the load.
-func TestLargerMachineTakesOver(t *testing.T) {
+func TestLargerMachineTakesOver(t *testing.T) { inBubble(t, testLargerMachineTakesOver) }
+
+func testLargerMachineTakesOver(t *testing.T) {
 	for range 3 {
 		_, nodes := startWeightedCell(t, 800, 800, 192, 192, 192, 192, 192, 192)
 		eventually(t, 5*time.Second, "an owner on a large machine", func() bool {
@@ -158,7 +162,9 @@
 }
 
 // TestSmallMachineTakesOverAlone guards against a cell without an owner when all larger machines have failed.
-func TestSmallMachineTakesOverAlone(t *testing.T) {
+func TestSmallMachineTakesOverAlone(t *testing.T) { inBubble(t, testSmallMachineTakesOverAlone) }
+
+func testSmallMachineTakesOverAlone(t *testing.T) {
 	_, nodes := startWeightedCell(t, 800, 192, 192)
 	eventually(t, 5*time.Second, "an owner on the large machine", func() bool { return nodes[0].ownership.Load() != nil })
 	nodes[0].kill()
@@ -167,7 +173,9 @@
 
 // TestSmallMachineYieldsToLarger guards against ownership that stays on a small machine, which was the first to start,
 // after larger ones have joined.
-func TestSmallMachineYieldsToLarger(t *testing.T) {
+func TestSmallMachineYieldsToLarger(t *testing.T) { inBubble(t, testSmallMachineYieldsToLarger) }
+
+func testSmallMachineYieldsToLarger(t *testing.T) {
 	store, nodes := startWeightedCell(t, 192)
 	eventually(t, 2*time.Second, "an owner", func() bool { return nodes[0].ownership.Load() != nil })
 	larger := startNode(t, store, 800)
@@ -303,7 +311,9 @@
 
 // TestSuccessorKnowsFinishedJobs guards against final states that are lost at a change of owner, of jobs that are read in
 // parallel from a slow store.
-func TestSuccessorKnowsFinishedJobs(t *testing.T) {
+func TestSuccessorKnowsFinishedJobs(t *testing.T) { inBubble(t, testSuccessorKnowsFinishedJobs) }
+
+func testSuccessorKnowsFinishedJobs(t *testing.T) {
 	store, nodes := startCell(t, 2)
 	owner := ownersOf(nodes)[0]
 	const jobs = 2000
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -39,6 +39,10 @@
 // TestNoLeaseIsRenewedWhileTheClaimIsUnconfirmed guards against an owner that was paused, and replaced meanwhile, and
 // renews the leases of runs on runners that its successor can't reach: the successor counts on their expiry.
 func TestNoLeaseIsRenewedWhileTheClaimIsUnconfirmed(t *testing.T) {
+	inBubble(t, testNoLeaseIsRenewedWhileTheClaimIsUnconfirmed)
+}
+
+func testNoLeaseIsRenewedWhileTheClaimIsUnconfirmed(t *testing.T) {
 	runners := &pollCounter{fakeRunners: newFakeRunners()}
 	deps := testDeps()
 	deps.Runners, deps.Advisor, deps.Directory = runners, allEligibleAdvisor{}, fakeDirectory{}
@@ -80,6 +84,10 @@
 // TestOwnerWithStalledWatchNoticesItsSuccessor guards against an owner that goes on renewing leases, without limit, because
 // neither the watch of the claim nor the announcement of its successor reaches it while its other store calls succeed.
 func TestOwnerWithStalledWatchNoticesItsSuccessor(t *testing.T) {
+	inBubble(t, testOwnerWithStalledWatchNoticesItsSuccessor)
+}
+
+func testOwnerWithStalledWatchNoticesItsSuccessor(t *testing.T) {
 	_, nodes := startCell(t, 1)
 	old := nodes[0].ownership.Load()
 	nodes[0].store.stallWatches()
--- a/internal/control/ping_interval_test.go
+++ b/internal/control/ping_interval_test.go
@@ -31,7 +31,9 @@
 
 // TestRarePingersVoteFresh guards against a vote on the age of a rare ping: a living owner would be replaced, or a dead one
 // kept until most processes have pinged it again.
-func TestRarePingersVoteFresh(t *testing.T) {
+func TestRarePingersVoteFresh(t *testing.T) { inBubble(t, testRarePingersVoteFresh) }
+
+func testRarePingersVoteFresh(t *testing.T) {
 	_, nodes := startCell(t, 2)
 	owner := ownersOf(nodes)[0]
 	voter := others(nodes, owner)[0]
--- a/internal/control/slow_runner_test.go
+++ b/internal/control/slow_runner_test.go
@@ -50,6 +50,10 @@
 // TestWorkOfSlowlyReportingRunnerGoesOn guards against runs that are given up, and started elsewhere, because their runner
 // answers polls later than the usual time limit: it would never again get a renewal of its leases.
 func TestWorkOfSlowlyReportingRunnerGoesOn(t *testing.T) {
+	inBubble(t, testWorkOfSlowlyReportingRunnerGoesOn)
+}
+
+func testWorkOfSlowlyReportingRunnerGoesOn(t *testing.T) {
 	runners := &slowRunners{fakeRunners: newFakeRunners()}
 	runners.set(false, true)
 	deps := testDeps()
--- a/internal/control/used_runners_test.go
+++ b/internal/control/used_runners_test.go
@@ -13,6 +13,10 @@
 // of the deployment Kalnins grown (rule LOST, benchmark seed 559595792794): 21 runners were lost 18 s before the
 // takeover, and 2,110 tasks waited for 8 s.
 func TestSuccessorDoesNotWaitForRemovedRunners(t *testing.T) {
+	inBubble(t, testSuccessorDoesNotWaitForRemovedRunners)
+}
+
+func testSuccessorDoesNotWaitForRemovedRunners(t *testing.T) {
 	runners := newFakeRunners()
 	deps := testDeps()
 	deps.Runners, deps.Advisor, deps.Directory = runners, allEligibleAdvisor{}, fakeDirectory{}
--- a/internal/control/watch_runners_test.go
+++ b/internal/control/watch_runners_test.go
@@ -12,7 +12,9 @@
 // TestDrainIsSeenAmongHeartbeats guards against a runner that gets work seconds after it has said that it drains (rule
 // DRAIN on a cell of 3,000 runners): the heartbeats of the others changed more entries than the watch read, so it fell
 // behind (pattern: hundreds of VMs).
-func TestDrainIsSeenAmongHeartbeats(t *testing.T) {
+func TestDrainIsSeenAmongHeartbeats(t *testing.T) { inBubble(t, testDrainIsSeenAmongHeartbeats) }
+
+func testDrainIsSeenAmongHeartbeats(t *testing.T) {
 	const heartbeats, pageSize = 2000, 300 // a second; changes in an answer of the store
 	c := newRelayCell(t, 1, 0)
 	c.store.mu.Lock()
@@ -58,7 +60,9 @@
 
 // TestOlderEntriesAreNotReplayed guards against a drained runner that gets work again because a watch delivers changes from
 // before the read of its entry (a read of several pages is watched from the revision of its first page).
-func TestOlderEntriesAreNotReplayed(t *testing.T) {
+func TestOlderEntriesAreNotReplayed(t *testing.T) { inBubble(t, testOlderEntriesAreNotReplayed) }
+
+func testOlderEntriesAreNotReplayed(t *testing.T) {
 	n := newTestNode(newMemoryStore(), "127.0.0.1:1", testWeight)
 	n.dep.Directory = fakeDirectory{}
 	o := newTestOwnership(n.Node)
