control: polls without acknowledgement don't wait; a time-out after overload blames no runner

An answer that is stale when the owner processes it is requested again by a poll that doesn't wait. A time-out now blames no runner if this process was overloaded at any time since the poll was sent; the next poll doesn't wait, so that a dead runner is still noticed soon.

--- a/internal/control/acknowledge_test.go
+++ b/internal/control/acknowledge_test.go
@@ -207,3 +207,126 @@
 		})
 	}
 }
+
+// acknowledgementRecorder records the acknowledgements that are sent to runners.
+type acknowledgementRecorder struct {
+	*fakeRunners
+	sent []int64
+}
+
+func (r *acknowledgementRecorder) Poll(ctx context.Context, ref scheduler.RunnerRef, req PollRequest) (scheduler.Report, error) {
+	r.sent = append(r.sent, req.Acknowledged)
+	return r.fakeRunners.Poll(ctx, ref, req)
+}
+
+// TestRelayDropsStaleAcknowledgements guards against an acknowledgement that waited in the connection of a paused relay, or
+// whose limit is on the clock of another process. The poll itself is made, so that nothing waits for a repetition.
+func TestRelayDropsStaleAcknowledgements(t *testing.T) {
+	runners := &acknowledgementRecorder{fakeRunners: newFakeRunners()}
+	deps := testDeps()
+	deps.Runners = runners
+	n := newTestNodeWith(deps, newMemoryStore(), "127.0.0.1:1", testWeight)
+	relay := func(limit AcknowledgeLimit) RelayReply {
+		args := RelayArgs{
+			Runner: scheduler.RunnerRef{ID: "r", Addr: "r:1"}, Within: time.Second, Poll: &PollRequest{Acknowledged: 7}, Limit: limit,
+		}
+		var reply RelayReply
+		if err := (&Peer{n.Node}).Relay(args, &reply); err != nil || reply.Error != "" {
+			t.Fatalf("limit %+v: %+v, %v", limit, reply, err)
+		}
+		return reply
+	}
+	fresh := relay(AcknowledgeLimit{}).Limit // of an owner of an earlier build, which sends no limit
+	if left := fresh.By - n.clock.Now(); fresh.Process != n.incarnation || left > acknowledgeWindow || left < acknowledgeWindow/2 {
+		t.Errorf("limit %+v, %s left", fresh, left)
+	}
+	for _, test := range []struct {
+		limit AcknowledgeLimit
+		want  int64
+	}{
+		{fresh, 7},
+		{AcknowledgeLimit{Process: n.incarnation, By: n.clock.Now() - 300*time.Millisecond}, 0}, // paused for half a second
+		{AcknowledgeLimit{Process: "another", By: fresh.By + time.Hour}, 0},
+	} {
+		runners.sent = nil
+		relay(test.limit)
+		if len(runners.sent) != 1 || runners.sent[0] != test.want {
+			t.Errorf("limit %+v: acknowledged %d, want %d", test.limit, runners.sent, test.want)
+		}
+	}
+}
+
+// TestUnacknowledgedEndsArePolledSlowly guards against a runner that is polled without a pause because its ends can't be
+// acknowledged: it answers at once for as long as it lists ends. It guards as well against a pause after each answer, which
+// would make every acknowledgement stale.
+func TestUnacknowledgedEndsArePolledSlowly(t *testing.T) {
+	n := newTestNode(newMemoryStore(), "127.0.0.1:1", testWeight)
+	o := newTestOwnership(n.Node)
+	defer o.cancel()
+	o.sched.RunnerListed(scheduler.RunnerInfo{ID: "r", Addr: "r:1", Service: "s"})
+	task := job.TaskID{StepID: job.StepID{Job: spreadID(1)}}
+	reply := RelayReply{Report: scheduler.Report{
+		Runner: "r", Addr: "r:1", Incarnation: 1, Clock: 1, Ended: []scheduler.EndedRun{{Seq: 1, Task: task, Run: 1, Outcome: scheduler.EndDone}},
+	}}
+	o.sched.Report(reply.Report)
+	st := &pollState{ref: scheduler.RunnerRef{ID: "r", Addr: "r:1"}, answered: true}
+	st.record(&reply)
+	if got := o.poller.acknowledgeable(st); got != 0 {
+		t.Errorf("acknowledged %d through a process that observes no limits", got)
+	}
+	if got := o.poller.pause(st, 0, false); got != unacknowledgedPollPause {
+		t.Errorf("ends that can't be acknowledged: pause %s", got)
+	}
+	reply.Limit = AcknowledgeLimit{Process: n.incarnation, By: o.loopTime - time.Millisecond}
+	st.record(&reply)
+	if !o.poller.stale(st) {
+		t.Error("an answer whose limit has passed is not stale")
+	}
+	reply.Limit.By = o.loopTime + time.Millisecond
+	st.record(&reply)
+	if o.poller.stale(st) {
+		t.Error("an answer whose limit has not passed is stale")
+	}
+	for i, step := range []struct {
+		sent int64 // acknowledged by the poll
+		want time.Duration
+	}{
+		{0, 0}, // the first answer is acknowledged at once
+		{1, 0}, // dropped on the way, sent again at once
+		{1, unacknowledgedPollPause},
+		{1, 0},
+		{1, unacknowledgedPollPause},
+		{0, 0},
+	} {
+		if got := o.poller.pause(st, step.sent, false); got != step.want {
+			t.Errorf("poll %d: pause %s, want %s", i, got, step.want)
+		}
+	}
+	reply.Report.Incarnation = 2 // the scheduler hasn't seen this incarnation
+	st.record(&reply)
+	if got := o.poller.acknowledgeable(st); got != 0 {
+		t.Errorf("acknowledged %d of another incarnation", got)
+	}
+}
+
+// TestTimeoutAfterOverloadBlamesNobody guards against a runner that is blamed for a poll that reached it late, while this
+// process was overloaded, so that the runner's wait outlasted the time-out. A long silence counts in any case.
+func TestTimeoutAfterOverloadBlamesNobody(t *testing.T) {
+	n := newTestNode(newMemoryStore(), "127.0.0.1:1", testWeight)
+	o := newTestOwnership(n.Node)
+	defer o.cancel()
+	o.overloadedAt = o.loopTime - time.Second
+	for _, test := range []struct {
+		sent, answered time.Duration // before now
+		want           bool
+	}{
+		{2 * time.Second, 3 * time.Second, true},
+		{500 * time.Millisecond, 3 * time.Second, false},
+		{2 * time.Second, 5 * time.Second, false},
+	} {
+		st := &pollState{answeredAt: o.loopTime - test.answered}
+		if got := o.poller.maySucceed(st, o.loopTime-test.sent); got != test.want {
+			t.Errorf("%+v: %v", test, got)
+		}
+	}
+}
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -37,6 +37,7 @@
 	nextAt       time.Duration
 	last         pollAnswer
 	acknowledged int64 // highest number that a poll was to acknowledge
+	unsure       bool  // the last poll timed out without blame
 	dropped      int   // consecutive polls whose acknowledgement was dropped on the way
 	answered     bool  // the last poll was answered
 	answeredAt   time.Duration
@@ -72,9 +73,9 @@
 
 // adjustMargin widens the margin after a poll that has timed out, and narrows it after one that was answered well within
 // the usual margin.
-func (st *pollState) adjustMargin(req PollRequest, took time.Duration, err error) {
+func (st *pollState) adjustMargin(req PollRequest, within, took time.Duration, err error) {
 	switch {
-	case err != nil && took >= req.Wait+st.margin: // timed out, also at a relay
+	case err != nil && took >= within: // timed out, also at a relay
 		st.margin = maxPollTimeoutMargin
 	case err == nil && took < req.Wait+pollTimeoutMargin/2:
 		st.margin = pollTimeoutMargin
@@ -126,11 +127,18 @@
 		return 0
 	}
 	if st.last.limit.Process == "" {
-		return 0 // answered through a process of an earlier build, which doesn't observe limits
+		return 0 // answered through a process of an earlier build, which observes no limits
 	}
 	return min(durable, st.last.highest)
 }
 
+// stale reports whether the ends in a runner's last answer can't be acknowledged any more. Whether an answer to another
+// process is stale is not known here; that process drops the acknowledgement.
+func (p *runnerPoller) stale(st *pollState) bool {
+	limit := st.last.limit
+	return limit.Process == p.o.n.incarnation && limit.By < p.o.loopTime
+}
+
 func (p *runnerPoller) poll(st *pollState) {
 	o := p.o
 	if o.paused { // a replaced owner must renew no lease, as its successor counts on their expiry
@@ -138,27 +146,39 @@
 		return
 	}
 	req := PollRequest{Fence: o.info.Rev, Wait: pollWait}
+	wanted := int64(0)
 	if st.answered {
-		req.Acknowledged = p.acknowledgeable(st)
-		st.acknowledged = max(st.acknowledged, req.Acknowledged)
+		wanted = p.acknowledgeable(st)
+		st.acknowledged = max(st.acknowledged, wanted)
+		if !p.stale(st) {
+			req.Acknowledged = wanted
+		}
 		req.LeaseEnd = o.n.dep.Runners.LeaseEnd(st.ref, o.n.opt.Scheduler.RunLease)
 		o.sched.LeaseSent(st.ref.ID)
 	} else {
 		req.Wait = 0 // get the state first; no lease is renewed for a runner that may be unreachable
 	}
+	within := req.Wait + st.margin
+	switch {
+	case st.unsure:
+		within, req.Wait = st.margin, 0 // tell soon whether the runner answers
+	case st.answered && st.last.highest > 0 && req.Acknowledged == 0:
+		req.Wait = 0 // the runner lists the ends again, unless it has restarted
+	}
 	st.inFlight = true
 	ref := st.ref
 	sent := o.loopTime
-	p.send(st, req, func(reply RelayReply, err error) {
-		st.adjustMargin(req, o.loopTime-sent, err)
-		p.pollFinished(st, ref, req.Acknowledged, reply, err)
+	p.send(st, req, within, func(reply RelayReply, err error) {
+		st.adjustMargin(req, within, o.loopTime-sent, err)
+		st.unsure = timedOut(err) && p.maySucceed(st, sent)
+		p.pollFinished(st, ref, wanted, reply, err)
 	})
 }
 
 // pollNow sends an additional poll that doesn't wait for a run to end, if the runner answered its last regular poll.
 func (p *runnerPoller) pollNow(ref scheduler.RunnerRef) {
 	if st := p.states[ref.ID]; st != nil && st.answered {
-		p.send(st, PollRequest{Fence: p.o.info.Rev}, func(reply RelayReply, err error) {
+		p.send(st, PollRequest{Fence: p.o.info.Rev}, st.margin, func(reply RelayReply, err error) {
 			if err == nil { // an unreachable runner is reported by its regular polls
 				p.o.sched.Report(reply.Report)
 				st.record(&reply)
@@ -168,9 +188,9 @@
 }
 
 // send polls a runner in the background and passes the reply to the event loop.
-func (p *runnerPoller) send(st *pollState, req PollRequest, done func(RelayReply, error)) {
+func (p *runnerPoller) send(st *pollState, req PollRequest, within time.Duration, done func(RelayReply, error)) {
 	sent := p.o.loopTime
-	args := RelayArgs{Runner: st.ref, Fence: req.Fence, Within: req.Wait + st.margin, Poll: &req}
+	args := RelayArgs{Runner: st.ref, Fence: req.Fence, Within: within, Poll: &req}
 	if req.Acknowledged > 0 {
 		args.Limit = st.last.limit
 	}
@@ -180,7 +200,7 @@
 	})
 }
 
-func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, acknowledged int64, reply RelayReply, err error) {
+func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, wanted int64, reply RelayReply, err error) {
 	st.inFlight = false
 	if errors.Is(err, ErrFenced) {
 		p.o.handleFenced("look")
@@ -191,7 +211,7 @@
 		p.poll(st) // by another route
 		return
 	}
-	if LocalFailure(err) || timedOut(err) && p.maySucceed(st) {
+	if LocalFailure(err) || st.unsure {
 		st.nextAt = p.o.loopTime + failedPollRetry
 		return
 	}
@@ -205,25 +225,25 @@
 	st.answeredAt = p.o.loopTime
 	p.o.sched.Report(reply.Report)
 	st.record(&reply)
-	st.nextAt = p.o.loopTime + p.pause(st, acknowledged, len(reply.Report.Running) > 0)
+	st.nextAt = p.o.loopTime + p.pause(st, wanted, len(reply.Report.Running) > 0)
 	if p.states[ref.ID] == st && st.nextAt <= p.o.loopTime {
 		p.poll(st)
 	}
 }
 
-// pause returns the pause after an answered poll, which acknowledged ends up to the given number.
-func (p *runnerPoller) pause(st *pollState, acknowledged int64, hasRuns bool) time.Duration {
-	if st.last.highest > 0 && st.last.lowest <= acknowledged {
+// pause returns the pause after an answered poll that was to acknowledge ends up to the number wanted.
+func (p *runnerPoller) pause(st *pollState, wanted int64, hasRuns bool) time.Duration {
+	if st.last.highest > 0 && st.last.lowest <= wanted {
 		st.dropped++
 	} else {
 		st.dropped = 0
 	}
 	pause := pacing.PollPause(p.o.pace.Delay(p.o.loopTime), hasRuns)
-	// After a pause an acknowledgement would be stale. One that was dropped is sent again at once, since the answer is new; if
-	// it is dropped again, a pause follows, and another answer that can be acknowledged at once.
-	again := st.dropped%2 == 0 && st.dropped > 0
+	// An acknowledgement that was dropped is sent again at once, since the answer is new. If it is dropped again, a pause
+	// follows, so that the runner isn't polled in a tight loop, and then another poll whose answer is acknowledged at once.
+	retried := st.dropped > 0 && st.dropped%2 == 0
 	switch {
-	case p.acknowledgeable(st) > 0 && !again:
+	case p.acknowledgeable(st) > 0 && !retried:
 		return 0
 	case st.last.highest > 0:
 		return max(pause, unacknowledgedPollPause)
@@ -231,8 +251,10 @@
 	return pause
 }
 
-// maySucceed reports whether a poll that timed out says nothing about the runner, because this process or its link is
-// overloaded. A runner that has been silent for longer than a lease has ended its runs, whatever the reason.
-func (p *runnerPoller) maySucceed(st *pollState) bool {
-	return p.o.pace.Overloaded(p.o.loopTime) && p.o.loopTime-max(st.answeredAt, st.firstAt) < p.o.n.opt.Scheduler.RunLease
+// maySucceed reports whether a poll that timed out says nothing about the runner, because this process or its link was
+// overloaded since the poll was sent: it may have reached the runner so late that the runner's wait outlasted the time-out.
+// A runner that has been silent for longer than a lease has ended its runs, whatever the reason.
+func (p *runnerPoller) maySucceed(st *pollState, sent time.Duration) bool {
+	overloaded := p.o.overloadedAt >= sent || p.o.pace.Overloaded(p.o.loopTime)
+	return overloaded && p.o.loopTime-max(st.answeredAt, st.firstAt) < p.o.n.opt.Scheduler.RunLease
 }
