--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -159,11 +159,8 @@
 		req.Wait = 0 // get the state first; no lease is renewed for a runner that may be unreachable
 	}
 	within := req.Wait + st.margin
-	switch {
-	case st.unsure:
+	if st.unsure {
 		within, req.Wait = st.margin, 0 // tell soon whether the runner answers
-	case st.answered && st.last.highest > 0 && req.Acknowledged == 0:
-		req.Wait = 0 // the runner lists the ends again, unless it has restarted
 	}
 	st.inFlight = true
 	ref := st.ref
