scheduler: gangs are placed on runners of like speed

While runners differ in speed, a gang takes the free runners whose slowest one is as fast as possible, and prefers those of about that speed, as it ends with its slowest member. Preemption for a gang chooses runners likewise. A gang fits exactly if it did before, so none starts later.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -73,9 +73,9 @@
 	return s.packGang(st, candidates, ignoreUsage) // across several racks, which is slower
 }
 
-// packGang fills the runners with capacity for the most tasks first, so that a gang uses few runners. Runners on which runs
-// fail often come last, as one member that fails breaks the whole gang. With ignoreUsage, the runners that are expected to be
-// idle soonest come first.
+// packGang fills the runners with capacity for the most tasks first, so that a gang uses few runners; while runners differ
+// in speed, the fastest ones. Runners on which runs fail often come last, as one member that fails breaks the whole gang.
+// With ignoreUsage, the runners that are expected to be idle soonest come first.
 func (s *Scheduler) packGang(st *stage, candidates []*runner, ignoreUsage bool) []gangPlacement {
 	need := st.step.Reserved()
 	var placements []gangPlacement
@@ -96,6 +96,12 @@
 			placements = append(placements, gangPlacement{runner: r, count: n, suspect: s.isSuspect(r)})
 		}
 	}
+	if s.fleetSpeed.unequal && !ignoreUsage {
+		if sound := packBySpeed(soundPlacements(placements), len(st.tasks)); sound != nil {
+			return sound
+		}
+		return packBySpeed(placements, len(st.tasks))
+	}
 	sort.SliceStable(placements, func(i, k int) bool {
 		a, b := placements[i], placements[k]
 		if ignoreUsage && a.runner.idleAt != b.runner.idleAt {
@@ -106,15 +112,7 @@
 		}
 		return a.count > b.count
 	})
-	left := len(st.tasks)
-	for i := range placements {
-		placements[i].count = min(placements[i].count, left)
-		left -= placements[i].count
-		if left == 0 {
-			return placements[:i+1]
-		}
-	}
-	return nil
+	return takeMembers(placements, len(st.tasks))
 }
 
 // claimRunners claims runners for a gang until their capacity is free. Less urgent stages may only backfill claimed
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -92,9 +92,12 @@
 	return options
 }
 
-// planPreemption returns the first options that together provide capacity for all tasks of a gang; nil if they don't
-// suffice.
+// planPreemption returns the first options that together provide capacity for all tasks of a gang, while runners differ in
+// speed those on the fastest ones; nil if they don't suffice.
 func (s *Scheduler) planPreemption(st *stage, rank rankedStage, options []preemption) []preemption {
+	if s.fleetSpeed.unequal {
+		options = fastestOptions(options, len(st.tasks))
+	}
 	left := len(st.tasks)
 	for i, p := range options {
 		if p.placement.count > left {
