--- a/internal/control/acknowledge.go
+++ b/internal/control/acknowledge.go
@@ -16,8 +16,6 @@
 	acknowledgeWindow = 200 * time.Millisecond
 	// clockTolerance is by how much faster than this process's clock a runner's clock may run.
 	clockTolerance = 0.02
-	// maxClockSamples bounds the samples of runners that may have left. Without a sample the time of the request counts.
-	maxClockSamples = 16_384
 )
 
 // AcknowledgeLimit is until when the run ends in a runner's answer may be acknowledged. Only the process that received the
@@ -53,7 +51,7 @@
 			return made // the earlier sample bounds the time better than the request
 		}
 	}
-	if a.samples == nil || len(a.samples) >= maxClockSamples {
+	if a.samples == nil {
 		a.samples = map[string]clockSample{}
 	}
 	a.samples[rep.Runner] = clockSample{incarnation: rep.Incarnation, reading: rep.Clock, notBefore: requested}
