--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -41,7 +41,6 @@
 	view           *view
 	health         storeHealth
 	pauses         pauseDetector
-	answers        answerTimes
 	peers          peerClients
 	ownership      atomic.Pointer[ownership]
 	leaving        atomic.Bool
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -50,8 +50,7 @@
 	handover       *candidacy.Handover
 	pace           *pacing.Calls
 	startLimit     *pacing.StartLimit
-	overloaded     bool          // as last logged
-	overloadedAt   time.Duration // when this process was last found to be overloaded
+	overloaded     bool // as last logged
 	startRate      candidacy.StartRate
 	loopTime       time.Duration // when the event loop last ran
 	lastPass       time.Duration // start of the last placement pass
@@ -247,9 +246,6 @@
 // logOverload logs when this owner reaches its limit and when it is below it again.
 func (o *ownership) logOverload() {
 	overloaded := o.pace.Overloaded(o.loopTime)
-	if overloaded {
-		o.overloadedAt = o.loopTime
-	}
 	if overloaded == o.overloaded {
 		return
 	}
--- a/internal/control/pause_detector.go
+++ b/internal/control/pause_detector.go
@@ -9,7 +9,8 @@
 const (
 	// pauseCheckInterval is how often a process checks that it runs.
 	pauseCheckInterval = 250 * time.Millisecond
-	// minPause is the shortest gap between two checks that counts as a pause, well above the delays of a busy machine.
+	// minPause is the shortest gap between two checks that counts as a pause. It is shorter than acknowledgeWindow, as a
+	// relayed poll must not acknowledge ends much later than the owner sent it.
 	minPause = 700 * time.Millisecond
 	// staleAfterPause is how long after a pause relayed calls are refused: they may have waited in the connection.
 	staleAfterPause = time.Second
--- a/internal/control/relay_messages.go
+++ b/internal/control/relay_messages.go
@@ -22,7 +22,6 @@
 	Start  *StartRequest
 	Stop   *StopRequest
 	Poll   *PollRequest
-	Limit  AcknowledgeLimit // of the acknowledgement in Poll
 
 	preparedAt time.Duration // on the clock of this process; not sent
 }
@@ -43,7 +42,6 @@
 	TimedOut bool                   // the runner didn't answer in time; false from processes of earlier builds
 	Outcome  scheduler.StartOutcome // of Start
 	Report   scheduler.Report       // of Poll
-	Limit    AcknowledgeLimit       // of acknowledgements of the ends in Report
 }
 
 // stale reports whether a poll acknowledges run ends and was prepared so long ago, before a pause of this process, that the
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -162,7 +162,7 @@
 func (o *ownership) callDirectly(args RelayArgs) (RelayReply, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, args.Within)
 	defer cancel()
-	return o.n.sendToRunner(ctx, args)
+	return sendToRunner(ctx, o.n.dep.Runners, args)
 }
 
 func (o *ownership) callRelay(rt route, args RelayArgs) (RelayReply, error) {
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -19,8 +19,12 @@
 	maxPollTimeoutMargin = 1500 * time.Millisecond
 	// failedPollRetry is the pause before a poll is repeated that has failed.
 	failedPollRetry = 200 * time.Millisecond
-	// unacknowledgedPollPause is the pause between polls while reported run ends can't be acknowledged, since they are not
-	// yet durable or the acknowledgements become stale on the way: the runner reports them again and answers without waiting.
+	// acknowledgeWindow is how long after an answered poll the ends of runs may be acknowledged. Their numbers restart with
+	// each incarnation of a runner; a new incarnation under the same identifier starts later than that, so a number can't
+	// acknowledge an end of the wrong incarnation.
+	acknowledgeWindow = time.Second
+	// unacknowledgedPollPause is the pause between polls while reported run ends are not yet durable and so can't be
+	// acknowledged: the runner reports them again and answers without waiting.
 	unacknowledgedPollPause = 150 * time.Millisecond
 )
 
@@ -35,47 +39,19 @@
 	ref          scheduler.RunnerRef
 	inFlight     bool
 	nextAt       time.Duration
-	last         pollAnswer
-	acknowledged int64 // highest number that a poll was to acknowledge
-	unsure       bool  // the last poll timed out without blame
-	dropped      int   // consecutive polls whose acknowledgement was dropped on the way
+	lastReported int64 // highest number of a run end that the runner has reported
+	acknowledged int64 // highest number that the last poll has acknowledged
 	answered     bool  // the last poll was answered
 	answeredAt   time.Duration
 	firstAt      time.Duration // first poll
 	margin       time.Duration // how much longer than its wait the next poll may take
 }
 
-// pollAnswer is what a runner's last answer says about its run ends.
-type pollAnswer struct {
-	incarnation int64
-	lowest      int64 // lowest and highest number of a listed end; 0 if none is listed
-	highest     int64
-	limit       AcknowledgeLimit
-}
-
-// record records an answer, unless it is from an earlier incarnation than another.
-func (st *pollState) record(reply *RelayReply) {
-	rep := &reply.Report
-	if rep.Incarnation < st.last.incarnation {
-		return
-	}
-	if rep.Incarnation > st.last.incarnation {
-		st.acknowledged, st.dropped = 0, 0
-	}
-	st.last = pollAnswer{incarnation: rep.Incarnation, limit: reply.Limit}
-	for i, end := range rep.Ended {
-		st.last.highest = max(st.last.highest, end.Seq)
-		if i == 0 || end.Seq < st.last.lowest {
-			st.last.lowest = end.Seq
-		}
-	}
-}
-
 // adjustMargin widens the margin after a poll that has timed out, and narrows it after one that was answered well within
 // the usual margin.
-func (st *pollState) adjustMargin(req PollRequest, within, took time.Duration, err error) {
+func (st *pollState) adjustMargin(req PollRequest, took time.Duration, err error) {
 	switch {
-	case err != nil && took >= within: // timed out, also at a relay
+	case err != nil && took >= req.Wait+st.margin: // timed out, also at a relay
 		st.margin = maxPollTimeoutMargin
 	case err == nil && took < req.Wait+pollTimeoutMargin/2:
 		st.margin = pollTimeoutMargin
@@ -97,6 +73,9 @@
 			st = &pollState{firstAt: p.o.loopTime, margin: pollTimeoutMargin}
 			p.states[ref.ID] = st
 		}
+		if st.ref.Incarnation != ref.Incarnation {
+			st.lastReported, st.acknowledged = 0, 0
+		}
 		st.ref = ref
 		if !st.inFlight && p.o.loopTime >= st.nextAt {
 			p.poll(st)
@@ -113,32 +92,12 @@
 // sendAcknowledgements polls at once the runners with reported run ends that have become durable.
 func (p *runnerPoller) sendAcknowledgements() {
 	for _, st := range p.states {
-		if !st.inFlight && st.answered && p.acknowledgeable(st) > st.acknowledged {
+		if !st.inFlight && st.answered && p.o.sched.Acknowledged(st.ref.ID) > st.acknowledged {
 			p.poll(st)
 		}
 	}
 }
 
-// acknowledgeable returns up to which number the ends in a runner's last answer may be acknowledged; 0 if none may. An
-// acknowledgement follows an answer that lists the end, since only such an answer shows that the incarnation still exists.
-func (p *runnerPoller) acknowledgeable(st *pollState) int64 {
-	durable := p.o.sched.Acknowledged(st.ref.ID)
-	if p.o.sched.Incarnation(st.ref.ID) != st.last.incarnation || durable < st.last.lowest {
-		return 0
-	}
-	if st.last.limit.Process == "" {
-		return 0 // answered through a process of an earlier build, which observes no limits
-	}
-	return min(durable, st.last.highest)
-}
-
-// stale reports whether the ends in a runner's last answer can't be acknowledged any more. Whether an answer to another
-// process is stale is not known here; that process drops the acknowledgement.
-func (p *runnerPoller) stale(st *pollState) bool {
-	limit := st.last.limit
-	return limit.Process == p.o.n.incarnation && limit.By < p.o.loopTime
-}
-
 func (p *runnerPoller) poll(st *pollState) {
 	o := p.o
 	if o.paused { // a replaced owner must renew no lease, as its successor counts on their expiry
@@ -146,58 +105,47 @@
 		return
 	}
 	req := PollRequest{Fence: o.info.Rev, Wait: pollWait}
-	wanted := int64(0)
+	if st.answered && o.loopTime-st.answeredAt < acknowledgeWindow && !o.n.pauses.check(o.n.clock.Now()) {
+		req.Acknowledged = o.sched.Acknowledged(st.ref.ID)
+	}
 	if st.answered {
-		wanted = p.acknowledgeable(st)
-		st.acknowledged = max(st.acknowledged, wanted)
-		if !p.stale(st) {
-			req.Acknowledged = wanted
-		}
 		req.LeaseEnd = o.n.dep.Runners.LeaseEnd(st.ref, o.n.opt.Scheduler.RunLease)
 		o.sched.LeaseSent(st.ref.ID)
 	} else {
 		req.Wait = 0 // get the state first; no lease is renewed for a runner that may be unreachable
 	}
-	within := req.Wait + st.margin
-	if st.unsure {
-		within, req.Wait = st.margin, 0 // tell soon whether the runner answers
-	}
 	st.inFlight = true
+	st.acknowledged = req.Acknowledged
 	ref := st.ref
 	sent := o.loopTime
-	p.send(st, req, within, func(reply RelayReply, err error) {
-		st.adjustMargin(req, within, o.loopTime-sent, err)
-		st.unsure = timedOut(err) && p.maySucceed(st, sent)
-		p.pollFinished(st, ref, wanted, reply, err)
+	p.send(ref, req, st.margin, func(report scheduler.Report, err error) {
+		st.adjustMargin(req, o.loopTime-sent, err)
+		p.pollFinished(st, ref, report, err)
 	})
 }
 
 // pollNow sends an additional poll that doesn't wait for a run to end, if the runner answered its last regular poll.
 func (p *runnerPoller) pollNow(ref scheduler.RunnerRef) {
 	if st := p.states[ref.ID]; st != nil && st.answered {
-		p.send(st, PollRequest{Fence: p.o.info.Rev}, st.margin, func(reply RelayReply, err error) {
+		p.send(st.ref, PollRequest{Fence: p.o.info.Rev}, st.margin, func(report scheduler.Report, err error) {
 			if err == nil { // an unreachable runner is reported by its regular polls
-				p.o.sched.Report(reply.Report)
-				st.record(&reply)
+				p.o.sched.Report(report)
 			}
 		})
 	}
 }
 
-// send polls a runner in the background and passes the reply to the event loop.
-func (p *runnerPoller) send(st *pollState, req PollRequest, within time.Duration, done func(RelayReply, error)) {
+// send polls a runner in the background and passes the report to the event loop.
+func (p *runnerPoller) send(ref scheduler.RunnerRef, req PollRequest, margin time.Duration, done func(scheduler.Report, error)) {
 	sent := p.o.loopTime
-	args := RelayArgs{Runner: st.ref, Fence: req.Fence, Within: within, Poll: &req}
-	if req.Acknowledged > 0 {
-		args.Limit = st.last.limit
-	}
+	args := RelayArgs{Runner: ref, Fence: req.Fence, Within: req.Wait + margin, Poll: &req}
 	p.o.calls.send(args, func(reply RelayReply, err error) {
 		reply.Report.RequestedAt = sent
-		done(reply, err)
+		done(reply.Report, err)
 	})
 }
 
-func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, wanted int64, reply RelayReply, err error) {
+func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, report scheduler.Report, err error) {
 	st.inFlight = false
 	if errors.Is(err, ErrFenced) {
 		p.o.handleFenced("look")
@@ -208,7 +156,7 @@
 		p.poll(st) // by another route
 		return
 	}
-	if LocalFailure(err) || st.unsure {
+	if LocalFailure(err) || timedOut(err) && p.maySucceed(st) {
 		st.nextAt = p.o.loopTime + failedPollRetry
 		return
 	}
@@ -220,38 +168,22 @@
 	}
 	st.answered = true
 	st.answeredAt = p.o.loopTime
-	p.o.sched.Report(reply.Report)
-	st.record(&reply)
-	st.nextAt = p.o.loopTime + p.pause(st, wanted, len(reply.Report.Running) > 0)
-	if p.states[ref.ID] == st && st.nextAt <= p.o.loopTime {
-		p.poll(st)
+	p.o.sched.Report(report)
+	for _, end := range report.Ended {
+		st.lastReported = max(st.lastReported, end.Seq)
 	}
-}
-
-// pause returns the pause after an answered poll that was to acknowledge ends up to the number wanted.
-func (p *runnerPoller) pause(st *pollState, wanted int64, hasRuns bool) time.Duration {
-	if st.last.highest > 0 && st.last.lowest <= wanted {
-		st.dropped++
-	} else {
-		st.dropped = 0
+	st.nextAt = p.o.loopTime + pacing.PollPause(p.o.pace.Delay(p.o.loopTime), len(report.Running) > 0)
+	if st.lastReported > p.o.sched.Acknowledged(ref.ID) {
+		st.nextAt = max(st.nextAt, p.o.loopTime+unacknowledgedPollPause)
+		return
 	}
-	pause := pacing.PollPause(p.o.pace.Delay(p.o.loopTime), hasRuns)
-	// An acknowledgement that was dropped is sent again at once, since the answer is new. If it is dropped again, a pause
-	// follows, so that the runner isn't polled in a tight loop, and then another poll whose answer is acknowledged at once.
-	retried := st.dropped > 0 && st.dropped%2 == 0
-	switch {
-	case p.acknowledgeable(st) > 0 && !retried:
-		return 0
-	case st.last.highest > 0:
-		return max(pause, unacknowledgedPollPause)
+	if p.states[ref.ID] == st && st.nextAt <= p.o.loopTime {
+		p.poll(st)
 	}
-	return pause
 }
 
-// maySucceed reports whether a poll that timed out says nothing about the runner, because this process or its link was
-// overloaded since the poll was sent: it may have reached the runner so late that the runner's wait outlasted the time-out.
-// A runner that has been silent for longer than a lease has ended its runs, whatever the reason.
-func (p *runnerPoller) maySucceed(st *pollState, sent time.Duration) bool {
-	overloaded := p.o.overloadedAt >= sent || p.o.pace.Overloaded(p.o.loopTime)
-	return overloaded && p.o.loopTime-max(st.answeredAt, st.firstAt) < p.o.n.opt.Scheduler.RunLease
+// maySucceed reports whether a poll that timed out says nothing about the runner, because this process or its link is
+// overloaded. A runner that has been silent for longer than a lease has ended its runs, whatever the reason.
+func (p *runnerPoller) maySucceed(st *pollState) bool {
+	return p.o.pace.Overloaded(p.o.loopTime) && p.o.loopTime-max(st.answeredAt, st.firstAt) < p.o.n.opt.Scheduler.RunLease
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -240,15 +240,6 @@
 	return r.acknowledged()
 }
 
-// Incarnation returns the newest incarnation of a runner that has reported; 0 if none has.
-func (s *Scheduler) Incarnation(id string) int64 {
-	r := s.runners[id]
-	if r == nil {
-		return 0
-	}
-	return r.incarnation
-}
-
 // Stored reports whether a job's acceptance is durable.
 func (s *Scheduler) Stored(id string) bool {
 	j := s.jobs[id]
