--- a/internal/entry/acquisition.go
+++ b/internal/entry/acquisition.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/gob"
 	"errors"
 	"time"
 
@@ -393,18 +391,3 @@
 		time.Sleep(claimRetryInterval)
 	}
 }
-
-func encodeExports(exports []shardExport) ([]byte, error) {
-	var buf bytes.Buffer
-	err := gob.NewEncoder(&buf).Encode(exports)
-	return buf.Bytes(), err
-}
-
-func decodeExports(data []byte) ([]shardExport, error) {
-	var out []shardExport
-	if len(data) == 0 {
-		return nil, nil
-	}
-	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&out)
-	return out, err
-}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -65,7 +65,7 @@
 	summariesFetchedAt time.Time // last fetch of all summaries from a peer
 	poolsTickedAt      time.Time // last tick that included pools without demand
 	lastPeerMessage    time.Time // last gossip message from a peer
-	lastActive         time.Time // wall clock when the last event or tick began
+	lastActive         time.Time // when the last event or tick began
 }
 
 func newLoop(n *Node) *loop {
--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -21,11 +21,13 @@
 // tell, for example during its outage, the newest view of the peers decides.
 func (l *loop) confirmAfterPause() bool {
 	last := l.lastActive
-	l.lastActive = time.Now().Round(0) // the wall clock: the monotonic one may stop with the machine
-	if last.IsZero() || l.lastActive.Sub(last) < pauseLimit {
+	l.lastActive = time.Now()
+	// The monotonic clock may stop with the machine, and the wall clock may be set back.
+	pause := max(l.lastActive.Sub(last), l.lastActive.Round(0).Sub(last.Round(0)))
+	if last.IsZero() || pause < pauseLimit {
 		return true
 	}
-	defer func() { l.lastActive = time.Now().Round(0) }()
+	defer func() { l.lastActive = time.Now() }()
 	n := l.n
 	ctx, cancel := context.WithTimeout(n.ctx, membershipTimeout)
 	defer cancel()
--- a/internal/scheduler/failure_rate.go
+++ b/internal/scheduler/failure_rate.go
@@ -13,10 +13,12 @@
 	// fleet: one failure among the first few runs is evidence against a runner, but says little about its zone.
 	runnerPriorRuns = 4
 	zonePriorRuns   = 50
-	// suspectMargin is by how much a runner's failure rate must exceed the fleet's before gangs and last attempts avoid it:
-	// it adds that much to the probability that a whole gang is broken or a job fails. With 0.1, a fleet whose tasks
-	// fail by their own fault in 5 of 100 runs has so many wrong suspects that gangs find fewer runners.
+	// suspectMargin is by how much a runner's failure rate must exceed the fleet's before gangs and urgent tasks avoid it:
+	// it adds that much to the probability that a whole gang is broken. With 0.1, a fleet whose tasks fail by their own
+	// fault in 5 of 100 runs has so many wrong suspects that gangs find fewer runners.
 	suspectMargin = 0.2
+	// lastAttemptMargin is the same for last attempts, which are few and whose failure ends the job.
+	lastAttemptMargin = 0.1
 	// suspectRefresh is the interval at which a runner's rate is compared again.
 	suspectRefresh = 200 * time.Millisecond
 )
@@ -66,29 +68,32 @@
 // observeOutcome counts a run that is done or has failed by its own fault or its runner's. A task that has failed on
 // another runner before says nothing about this one.
 func (s *Scheduler) observeOutcome(x *run, failed bool) {
-	if before := x.task.avoidRunner; failed && before != "" && before != x.runner.ID {
+	t := x.task
+	if failed && len(t.failedRuns) > 0 && t.avoidRunner != "" && t.avoidRunner != x.runner.ID {
 		return
 	}
 	for _, rate := range []*failureRate{&s.failures.all, s.failures.zone(x.runner.Zone), &x.runner.failures} {
 		rate.observe(failed, s.now)
 	}
-	x.runner.suspectCheckedAt = 0
+	x.runner.excessCheckedAt = 0
 }
 
-// isSuspect reports whether runs fail on a runner clearly more often than elsewhere. Runners of a zone in which many runs
-// fail are suspect earlier.
-func (s *Scheduler) isSuspect(r *runner) bool {
-	if r.suspectCheckedAt > 0 && s.now-r.suspectCheckedAt < suspectRefresh {
-		return r.suspect
+// isSuspect reports whether runs fail on a runner clearly more often than elsewhere, by what matters to the next run of a
+// task. Runners of a zone in which many runs fail are suspect earlier.
+func (s *Scheduler) isSuspect(r *runner, lastAttempt bool) bool {
+	if r.excessCheckedAt == 0 || s.now-r.excessCheckedAt >= suspectRefresh {
+		fleet := s.failures.all.estimate(0, runnerPriorRuns, s.now)
+		zone := s.failures.zone(r.Zone).estimate(fleet, zonePriorRuns, s.now)
+		r.excessFailures = r.failures.estimate(zone, runnerPriorRuns, s.now) - fleet
+		r.excessCheckedAt = s.now
 	}
-	fleet := s.failures.all.estimate(0, runnerPriorRuns, s.now)
-	zone := s.failures.zone(r.Zone).estimate(fleet, zonePriorRuns, s.now)
-	r.suspect = r.failures.estimate(zone, runnerPriorRuns, s.now)-fleet > suspectMargin
-	r.suspectCheckedAt = s.now
-	return r.suspect
+	if lastAttempt {
+		return r.excessFailures > lastAttemptMargin
+	}
+	return r.excessFailures > suspectMargin
 }
 
-// isLastAttempt reports whether a job fails if the next run of a task fails.
+// isLastAttempt reports whether a job fails if the next run of a task fails. The first task counts the runs of a gang.
 func (st *stage) isLastAttempt(t *task) bool {
 	limit := st.job.queue.Attempts
 	return limit > 1 && len(t.failedRuns) >= limit-1
--- a/internal/scheduler/failure_rate_test.go
+++ b/internal/scheduler/failure_rate_test.go
@@ -81,17 +81,17 @@
 	other := &failureRate{}
 	observe(50, other, false)
 	observe(3, &r.failures, true)
-	if !s.isSuspect(r) {
+	if !s.isSuspect(r, false) {
 		t.Error("three failures in a row on a fleet without failures: not suspect")
 	}
 	s.now += 3 * failureMemory
 	observe(5, &r.failures, false)
-	if s.isSuspect(r) {
+	if s.isSuspect(r, false) {
 		t.Errorf("still suspect after %v and five successes", 3*failureMemory)
 	}
 	observe(30, other, true)
 	observe(3, &r.failures, true)
-	if s.isSuspect(r) {
+	if s.isSuspect(r, false) {
 		t.Error("suspect although runs fail as often everywhere")
 	}
 }
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -74,10 +74,11 @@
 }
 
 // packGang fills the runners with capacity for the most tasks first, so that a gang uses few runners; while runners differ
-// in speed, the fastest ones. Runners on which runs fail often come last, as one member that fails breaks the whole gang.
-// With ignoreUsage, the runners that are expected to be idle soonest come first.
+// in speed, the fastest ones. Runners on which runs fail often are used only if the gang doesn't fit without them, as one
+// member that fails breaks the whole gang. With ignoreUsage, the runners that are expected to be idle soonest come first.
 func (s *Scheduler) packGang(st *stage, candidates []*runner, ignoreUsage bool) []gangPlacement {
 	need := st.step.Reserved()
+	lastAttempt := st.isLastAttempt(st.tasks[0])
 	var placements []gangPlacement
 	for _, r := range candidates {
 		if !ignoreUsage && r.claimedBy != nil && r.claimedBy != st {
@@ -93,7 +94,7 @@
 			limit = min(limit, 1)
 		}
 		if n := need.Copies(capacity, limit); n > 0 {
-			placements = append(placements, gangPlacement{runner: r, count: n, suspect: s.isSuspect(r)})
+			placements = append(placements, gangPlacement{runner: r, count: n, suspect: s.isSuspect(r, lastAttempt)})
 		}
 	}
 	if s.fleetSpeed.unequal && !ignoreUsage {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -207,7 +207,8 @@
 	runtime := s.expectedRunTime(st)
 	// A failed run costs urgent work its objective, and others what a last attempt decides. Work with slack may use suspect
 	// runners, which shows whether they have recovered.
-	avoidSuspects := st.job.queue.Priority == urgentPriority || st.isLastAttempt(t)
+	lastAttempt := st.isLastAttempt(t)
+	avoidSuspects := st.job.queue.Priority == urgentPriority || lastAttempt
 	for _, r := range candidates {
 		if !s.mayPlace(st, r, s.onRunner(runtime, r)) || !need.Fits(r.free()) || !r.health.admits(s.now) {
 			continue
@@ -223,7 +224,7 @@
 		}
 		if r.ID == t.avoidRunner {
 			cost += avoidedRunnerCost
-		} else if avoidSuspects && s.isSuspect(r) {
+		} else if avoidSuspects && s.isSuspect(r, lastAttempt) {
 			cost += suspectRunnerCost
 		}
 		if st.step.DataRack != "" && st.step.DataRack != r.Rack {
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -39,33 +39,33 @@
 
 type runner struct {
 	RunnerInfo
-	slot             int           // index of the current incarnation in incarnation sets
-	incarnation      int64         // incarnation that sent the last report
-	listed           bool          // present in discovery
-	inherited        bool          // a predecessor may have started runs there that are not known yet
-	reported         bool          // has reported to this owner at its current address
-	unreachable      bool          // the last poll failed
-	lastClock        int64         // time of the last report on the runner's clock
-	leaseExpiresAt   time.Duration // all its runs have ended by then unless the lease is extended
-	used             model.Resources
-	runs             map[runKey]*run
-	unknownRuns      int // number of runs in the last report that belong to no active job
-	unknownCharges   []unknownCharge
-	lastEndSeq       int64
-	unacknowledged   []unacknowledgedEnd // ends whose effect on a job may not be durable yet, in order
-	health           runnerHealth
-	failures         failureRate
-	suspect          bool // as of suspectCheckedAt; see isSuspect
-	suspectCheckedAt time.Duration
-	speed            runnerSpeed
-	sample           speedSample
-	slowness         float64       // estimate from the sample and the prior of the runner's kind
-	terminatesAt     time.Duration // 0 if no termination is announced
-	idleAt           time.Duration // expected end of all its runs
-	idleAtPass       int           // pass in which idleAt was estimated
-	claimStart       time.Duration // expected start of the gang that claims the runner
-	claimable        bool          // while claimRunners looks for runners: a candidate without a claim
-	claimedBy        *stage        // gang that claims the runner; nil if none
+	slot            int           // index of the current incarnation in incarnation sets
+	incarnation     int64         // incarnation that sent the last report
+	listed          bool          // present in discovery
+	inherited       bool          // a predecessor may have started runs there that are not known yet
+	reported        bool          // has reported to this owner at its current address
+	unreachable     bool          // the last poll failed
+	lastClock       int64         // time of the last report on the runner's clock
+	leaseExpiresAt  time.Duration // all its runs have ended by then unless the lease is extended
+	used            model.Resources
+	runs            map[runKey]*run
+	unknownRuns     int // number of runs in the last report that belong to no active job
+	unknownCharges  []unknownCharge
+	lastEndSeq      int64
+	unacknowledged  []unacknowledgedEnd // ends whose effect on a job may not be durable yet, in order
+	health          runnerHealth
+	failures        failureRate
+	excessFailures  float64 // failure rate above the fleet's, as of excessCheckedAt
+	excessCheckedAt time.Duration
+	speed           runnerSpeed
+	sample          speedSample
+	slowness        float64       // estimate from the sample and the prior of the runner's kind
+	terminatesAt    time.Duration // 0 if no termination is announced
+	idleAt          time.Duration // expected end of all its runs
+	idleAtPass      int           // pass in which idleAt was estimated
+	claimStart      time.Duration // expected start of the gang that claims the runner
+	claimable       bool          // while claimRunners looks for runners: a candidate without a claim
+	claimedBy       *stage        // gang that claims the runner; nil if none
 }
 
 type runKey struct {
