scheduler, control: the log says that a runner was lost with its runs, and which had just been started

The logs of the incident showed 'silent' and five seconds later 'lapsed'; neither said whether the runner's process had ended or was cut off, nor what it had just been given. A closed or refused connection is now told from silence (also through a relay, and by a start that gets no answer), the event runner-lost names the runs that were started within 100 ms before the runner was last known to be alive, a counter counts losses by evidence, and 'explain ID' shows the losses that name the job. No decision changes.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,11 +46,25 @@
 		})
 	case scheduler.TenantWait:
 		o.n.dep.Log.Log("tenant-wait", logrus.Fields{"step": e.Step.String(), "tenant": e.Tenant, "reason": e.Reason, "ended": e.Ended})
+	case scheduler.RunnerLost:
+		o.runnerLost(e)
 	case scheduler.RunnerChanged:
 		o.n.dep.Log.Log("runner", logrus.Fields{"runner": e.Runner, "change": e.Change, "detail": e.Detail})
 	}
 }
 
+func (o *ownership) runnerLost(e scheduler.RunnerLost) {
+	o.n.dep.Metrics.runnerLosses.WithLabelValues(e.Evidence).Inc()
+	started := make([]string, 0, len(e.Started))
+	for _, x := range e.Started {
+		started = append(started, fmt.Sprintf("%s run %d, %d ms", x.Task, x.Run, x.Age.Milliseconds()))
+	}
+	o.n.dep.Log.Log("runner-lost", logrus.Fields{
+		"runner": e.Runner, "addr": e.Addr, "rack": e.Rack, "evidence": e.Evidence, "runs": e.Runs,
+		"alive_ms_ago": e.AliveUntil.Milliseconds(), "just_started": started,
+	})
+}
+
 func (o *ownership) start(e scheduler.StartRun) {
 	request := StartRequest{
 		Task: e.Task, Run: e.Run, Payload: e.Payload, Ticket: e.Ticket, Checkpoint: e.Checkpoint,
@@ -79,6 +94,10 @@
 			"error": decisionlog.ErrorText(err), "after_ms": (o.loopTime - sent).Milliseconds(),
 		})
 	}
+	if outcome == scheduler.StartUnknown && closedByRunner(err) {
+		o.sched.RunnerUnreachable(e.Runner.ID, e.Runner.Addr, scheduler.ContactLoss{Reason: err.Error(), Closed: true, AliveUntil: sent})
+		o.poller.pollNow(e.Runner) // a connection may be reset although the runner is alive
+	}
 	o.sched.StartAnswered(e.Runner.ID, e.Task, e.Run, outcome)
 }
 
--- /dev/null
+++ b/internal/control/closed_connection.go
@@ -0,0 +1,25 @@
+package control
+
+import (
+	"errors"
+	"io"
+	"syscall"
+)
+
+// errClosedByRunner marks the error of a relayed call that the runner ended by closing or refusing the connection.
+var errClosedByRunner = errors.New("the runner closed the connection")
+
+// closedErrors are the errors of a connection whose other end was closed or refused it. The host of the runner answers, but
+// its process doesn't.
+var closedErrors = []error{errClosedByRunner, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE}
+
+// closedByRunner reports whether a call failed because the runner closed or refused the connection. A runner that is cut off
+// or has lost power says nothing instead.
+func closedByRunner(err error) bool {
+	for _, closed := range closedErrors {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -23,11 +23,13 @@
 	startTime  prometheus.Histogram
 	runEnds    *prometheus.CounterVec
 	runTime    prometheus.Histogram
-	jobs       *prometheus.CounterVec
-	gauges     *prometheus.GaugeVec
-	auth       *prometheus.CounterVec
-	configAge  atomic.Pointer[func() float64]
-	tenants    *prometheus.GaugeVec
+	// runnerLosses counts runners that were probably lost with their runs, by evidence.
+	runnerLosses *prometheus.CounterVec
+	jobs         *prometheus.CounterVec
+	gauges       *prometheus.GaugeVec
+	auth         *prometheus.CounterVec
+	configAge    atomic.Pointer[func() float64]
+	tenants      *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -47,18 +49,19 @@
 	fast := prometheus.ExponentialBuckets(0.001, 2, 13) // 1 ms to 4 s
 	slow := prometheus.ExponentialBuckets(0.05, 2, 10)  // 50 ms to 25 s
 	m := &Metrics{
-		Owner:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "agateyard", Name: "owner", Help: "1 while this process owns the work."}),
-		Takeover:   histogram("takeover_seconds", "Time to load the durable state after a claim.", fast),
-		Advice:     histogram("advice_seconds", "Time of advice calls, waiting included.", fast),
-		Acceptance: histogram("acceptance_seconds", "Time from a submission's arrival to its answer.", fast),
-		requests:   counter("requests_total", "Callers' requests by answer.", "answer"),
-		storeCalls: counter("store_calls_total", "Store calls by kind and result.", "call"),
-		starts:     counter("starts_total", "Orders to start a run by outcome.", "outcome"),
-		startTime:  histogram("start_seconds", "Time of orders to start a run.", fast),
-		runEnds:    counter("run_ends_total", "Ends of runs by kind.", "how"),
-		runTime:    histogram("run_seconds", "Time from the order to start a run to its end.", slow),
-		jobs:       counter("jobs_ended_total", "Jobs by final state.", "state"),
-		auth:       counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
+		Owner:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "agateyard", Name: "owner", Help: "1 while this process owns the work."}),
+		Takeover:     histogram("takeover_seconds", "Time to load the durable state after a claim.", fast),
+		Advice:       histogram("advice_seconds", "Time of advice calls, waiting included.", fast),
+		Acceptance:   histogram("acceptance_seconds", "Time from a submission's arrival to its answer.", fast),
+		requests:     counter("requests_total", "Callers' requests by answer.", "answer"),
+		storeCalls:   counter("store_calls_total", "Store calls by kind and result.", "call"),
+		starts:       counter("starts_total", "Orders to start a run by outcome.", "outcome"),
+		startTime:    histogram("start_seconds", "Time of orders to start a run.", fast),
+		runEnds:      counter("run_ends_total", "Ends of runs by kind.", "how"),
+		runTime:      histogram("run_seconds", "Time from the order to start a run to its end.", slow),
+		runnerLosses: counter("runner_losses_total", "Runners that were probably lost with their runs, by evidence.", "evidence"),
+		jobs:         counter("jobs_ended_total", "Jobs by final state.", "state"),
+		auth:         counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "owned", Help: "State of the owner by kind.",
 		}, []string{"kind"}),
--- a/internal/control/relay_messages.go
+++ b/internal/control/relay_messages.go
@@ -40,6 +40,7 @@
 	Local    bool                   // the relaying process could not make the call
 	Error    string                 // "" if the call succeeded
 	TimedOut bool                   // the runner didn't answer in time; false from processes of earlier builds
+	Closed   bool                   // the runner closed or refused the connection; false from processes of earlier builds
 	Outcome  scheduler.StartOutcome // of Start
 	Report   scheduler.Report       // of Poll
 }
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -184,6 +184,9 @@
 		if reply.TimedOut {
 			err = errors.Join(context.DeadlineExceeded, err)
 		}
+		if reply.Closed {
+			err = errors.Join(errClosedByRunner, err)
+		}
 		return reply, err
 	}
 	if args.Poll != nil {
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -120,7 +120,7 @@
 	sent := o.loopTime
 	p.send(ref, req, st.margin, func(report scheduler.Report, err error) {
 		st.adjustMargin(req, o.loopTime-sent, err)
-		p.pollFinished(st, ref, report, err)
+		p.pollFinished(st, ref, sent, report, err)
 	})
 }
 
@@ -145,7 +145,7 @@
 	})
 }
 
-func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, report scheduler.Report, err error) {
+func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, sent time.Duration, report scheduler.Report, err error) {
 	st.inFlight = false
 	if errors.Is(err, ErrFenced) {
 		p.o.handleFenced("look")
@@ -163,7 +163,7 @@
 	if err != nil {
 		st.answered = false
 		st.nextAt = p.o.loopTime + failedPollRetry
-		p.o.sched.RunnerUnreachable(ref.ID, ref.Addr, err.Error())
+		p.o.sched.RunnerUnreachable(ref.ID, ref.Addr, p.contactLoss(st, sent, err))
 		return
 	}
 	st.answered = true
@@ -182,6 +182,20 @@
 	}
 }
 
+// closeNotice is how soon the end of a runner's process is noticed by a poll that waits there: the round trip between two
+// availability zones.
+const closeNotice = 20 * time.Millisecond
+
+// contactLoss returns how a poll that was sent at the given time lost contact. If the runner closed the connection while the
+// poll waited, its process has just ended; if it did so at once, at any time since the last answer.
+func (p *runnerPoller) contactLoss(st *pollState, sent time.Duration, err error) scheduler.ContactLoss {
+	lost := scheduler.ContactLoss{Reason: err.Error(), Closed: closedByRunner(err), AliveUntil: st.answeredAt}
+	if p.o.loopTime-sent > 2*closeNotice {
+		lost.AliveUntil = max(lost.AliveUntil, p.o.loopTime-closeNotice)
+	}
+	return lost
+}
+
 // maySucceed reports whether a poll that timed out says nothing about the runner, because this process or its link is
 // overloaded. A runner that has been silent for longer than a lease has ended its runs, whatever the reason.
 func (p *runnerPoller) maySucceed(st *pollState) bool {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -70,17 +70,37 @@
 		delete(fields, "process")
 	}
 	l := line{source: source, time: at, event: event, fields: fields}
-	for _, name := range []string{"job", "task", "step"} {
-		if value, ok := fields[name].(string); ok && strings.HasPrefix(value, t.id) {
-			t.lines = append(t.lines, l)
-			return
-		}
+	if l.concerns(t.id) {
+		t.lines = append(t.lines, l)
+		return
 	}
 	if ownershipEvents[event] {
 		t.ownerLines = append(t.ownerLines, l)
 	}
 }
 
+// taskFields are the fields that name a job, or one or more of its tasks at the beginning of their text.
+var taskFields = []string{"job", "task", "step", "just_started", "suspects"}
+
+// concerns reports whether the line names the job or one of its tasks.
+func (l *line) concerns(id string) bool {
+	for _, name := range taskFields {
+		switch value := l.fields[name].(type) {
+		case string:
+			if strings.HasPrefix(value, id) {
+				return true
+			}
+		case []any:
+			for _, entry := range value {
+				if text, ok := entry.(string); ok && strings.HasPrefix(text, id) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // Print writes the history in chronological order, including the lines of ownershipEvents between the job's first and
 // last line.
 func (t *Timeline) Print(w io.Writer) error {
--- /dev/null
+++ b/internal/scheduler/contact.go
@@ -0,0 +1,52 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ContactLoss says how contact with a runner was lost.
+type ContactLoss struct {
+	Reason     string
+	Closed     bool          // the runner's process closed or refused the connection, so it has probably ended
+	AliveUntil time.Duration // the process was running until then
+}
+
+// startupTime is the time after its start within which a task that can't run on a runner is assumed to crash it.
+const startupTime = 100 * time.Millisecond
+
+// RunnerUnreachable records that a call to a runner failed.
+func (s *Scheduler) RunnerUnreachable(id, addr string, lost ContactLoss) {
+	r := s.runners[id]
+	if r == nil || r.Addr != addr || r.unreachable {
+		return
+	}
+	r.unreachable = true
+	s.emit(RunnerChanged{Runner: id, Change: "silent", Detail: lost.Reason})
+	if lost.Closed {
+		s.reportLoss(r, "closed", lost.AliveUntil)
+	}
+}
+
+// reportLoss reports that a runner has probably been lost with its runs.
+func (s *Scheduler) reportLoss(r *runner, evidence string, aliveUntil time.Duration) {
+	lost := RunnerLost{Runner: r.ID, Addr: r.Addr, Rack: r.Rack, Evidence: evidence, AliveUntil: s.now - aliveUntil}
+	for _, x := range r.sortedRuns(existing) {
+		lost.Runs++
+		if x.startedAfter(aliveUntil - startupTime) {
+			lost.Started = append(lost.Started, StartedRun{Task: x.task.id(), Run: x.number, Age: s.now - x.startSentAt})
+		}
+	}
+	slices.SortStableFunc(lost.Started, func(a, b StartedRun) int { return cmp.Compare(a.Age, b.Age) })
+	s.emit(lost)
+}
+
+// existing reports whether a run may exist on its runner.
+func existing(x *run) bool { return x.state != runReserved }
+
+// startedAfter reports whether a run was started after the given time or may still be starting: a start request without an
+// answer may be executed late. The start of an adopted run is unknown, but before this owner's time.
+func (x *run) startedAfter(at time.Duration) bool {
+	return !x.adopted && (x.startConfirmedAt == 0 || x.startSentAt >= at)
+}
--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -68,6 +68,24 @@
 	Detail string
 }
 
+// RunnerLost reports that a runner has probably been lost with its runs.
+type RunnerLost struct {
+	Runner     string
+	Addr       string
+	Rack       string
+	Evidence   string        // "closed": it closed or refused a connection
+	Runs       int           // runs that may have existed there
+	AliveUntil time.Duration // how long ago it was certainly still running
+	Started    []StartedRun  // those that were just started there, latest first
+}
+
+// StartedRun is a run and the time since its start request was sent.
+type StartedRun struct {
+	Task job.TaskID
+	Run  int
+	Age  time.Duration
+}
+
 func (StartRun) effect()      {}
 func (StopRun) effect()       {}
 func (PollRunner) effect()    {}
@@ -75,3 +93,4 @@
 func (JobFinished) effect()   {}
 func (RunEnded) effect()      {}
 func (RunnerChanged) effect() {}
+func (RunnerLost) effect()    {}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -59,16 +59,6 @@
 	EndGangIncomplete = "alone"  // other members of the gang were not started
 )
 
-// RunnerUnreachable records that a poll of a runner failed.
-func (s *Scheduler) RunnerUnreachable(id, addr, reason string) {
-	r := s.runners[id]
-	if r == nil || r.Addr != addr || r.unreachable {
-		return
-	}
-	r.unreachable = true
-	s.emit(RunnerChanged{Runner: id, Change: "silent", Detail: reason})
-}
-
 // Report processes a runner's report.
 func (s *Scheduler) Report(rep Report) {
 	r := s.runners[rep.Runner]
@@ -215,7 +205,7 @@
 	}
 	t := st.tasks[key.task.Index]
 	t.lastRun = max(t.lastRun, key.run)
-	x := &run{task: t, number: key.run, runner: r, reserved: st.step.Reserved(), state: runRunning, startSentAt: s.now, startConfirmedAt: s.now, resumed: true}
+	x := &run{task: t, number: key.run, runner: r, reserved: st.step.Reserved(), state: runRunning, startSentAt: s.now, startConfirmedAt: s.now, resumed: true, adopted: true}
 	s.charge(x)
 	j.started = true
 	s.excessLeft(j)
