scheduler: a failing test of tasks that crash one runner after the other; KNOWN-RED: TestTasksThatCrashRunners

The bounds are the users': fewer than three starts after three crashes, 2.5 crashes on average, no other job given up.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/agateyard/agateyard/internal/job"
 	"github.com/agateyard/agateyard/internal/model"
 )
@@ -34,3 +37,98 @@
 		t.Errorf("a run of one second counts as just started: %s", lines[0])
 	}
 }
+
+// crashLoad is a load of three queues in which some jobs have a task that crashes each runner which starts it.
+type crashLoad struct {
+	sim      *simulation
+	culprits map[string]bool // jobs
+	sent     map[string]time.Duration
+	jobs     int
+}
+
+var crashLoadSteps = map[string]job.Step{
+	"urgent": {Count: 2, Need: model.Resources{CoresMilli: 700}, Estimate: 600},
+	"gang":   {Count: 4, Need: model.Resources{CoresMilli: 2000}, Estimate: 2500, Gang: true},
+	"fill":   {Count: 6, Need: model.Resources{CoresMilli: 500}, Estimate: 2000, Checkpoints: true},
+}
+
+func newCrashLoad(seed int64, runners int) *crashLoad {
+	l := &crashLoad{sim: newMixedSimulation(seed, runners), culprits: map[string]bool{}, sent: map[string]time.Duration{}}
+	l.sim.eligible = func(step job.StepID, runner string) bool { return xxhash.Sum64String(step.Job+runner)%2 == 0 }
+	l.sim.deadly = func(task job.TaskID) bool { return l.culprits[task.Job] && task.Index == 1 }
+	return l
+}
+
+// submit submits a job. Its second task is deadly if culprit is true.
+func (l *crashLoad) submit(queue string, culprit bool) {
+	l.jobs++
+	id := fmt.Sprintf("%s%010x", map[string]string{"urgent": "aaaaaa", "gang": "bbbbbb", "fill": "cccccc"}[queue], l.jobs)
+	l.culprits[id], l.sent[id] = culprit, l.sim.now
+	l.sim.submitStep(queue, id, crashLoadSteps[queue])
+}
+
+// run submits jobs for the given time. One in oneIn jobs of a queue is a culprit.
+func (l *crashLoad) run(d time.Duration, queue string, oneIn int) {
+	for end := l.sim.now + d; l.sim.now < end; l.sim.run(50 * time.Millisecond) {
+		for q, perTick := range map[string]float64{"urgent": 0.4, "gang": 0.06, "fill": 0.15} {
+			if l.sim.rng.Float64() < perTick {
+				l.submit(q, q == queue && l.sim.rng.Intn(oneIn) == 0)
+			}
+		}
+	}
+}
+
+// check checks that culprits are given up after few crashes, and nothing else is.
+func (l *crashLoad) check(t *testing.T) {
+	t.Helper()
+	l.sim.mustFinish(t, 60*time.Second)
+	culprits, crashes := 0, 0
+	for id, culprit := range l.culprits {
+		finished, ok := l.sim.finished[id]
+		switch {
+		case !ok: // reported by mustFinish
+		case !culprit && finished.State != job.Done:
+			t.Errorf("job %s has no task that crashes runners and is %s: %s", id, finished.State, finished.Reason)
+		case culprit && finished.State != job.Failed:
+			t.Errorf("job %s has a task that crashes runners and is %s", id, finished.State)
+		}
+		if !culprit {
+			continue
+		}
+		n := l.sim.crashes[job.TaskID{StepID: job.StepID{Job: id}, Index: 1}]
+		culprits, crashes = culprits+1, crashes+n
+		if n > maxCrashesOfTask {
+			t.Errorf("job %s has crashed %d runners, limit %d", id, n, maxCrashesOfTask)
+		}
+	}
+	if mean := float64(crashes) / float64(max(culprits, 1)); mean > maxMeanCrashes {
+		t.Errorf("%d tasks have crashed %.1f runners each, limit %.1f", culprits, mean, maxMeanCrashes)
+	}
+}
+
+const (
+	// maxCrashesOfTask and maxMeanCrashes are the users' limits: three runners crash under a task and it is started fewer than
+	// three times more; on average, 2.5 runners crash.
+	maxCrashesOfTask = 5
+	maxMeanCrashes   = 2.5
+)
+
+// TestTasksThatCrashRunners guards against a task that crashes one runner after the other without end, because a run that is
+// lost with its runner doesn't count, and against a job that is given up for the crash of a neighbor. The owner changes
+// meanwhile.
+func TestTasksThatCrashRunners(t *testing.T) {
+	for _, queue := range []string{"urgent", "gang", "fill"} {
+		for seed := range 6 {
+			t.Run(fmt.Sprintf("%s/%d", queue, seed), func(t *testing.T) {
+				l := newCrashLoad(int64(seed), 24)
+				l.run(3*time.Second, "", 1)
+				for range 1 + seed%3 {
+					l.run(time.Duration(1500+l.sim.rng.Intn(3000))*time.Millisecond, queue, 6)
+					l.sim.takeover()
+				}
+				l.run(4*time.Second, queue, 6)
+				l.check(t)
+			})
+		}
+	}
+}
