scheduler, control, platform: runs of a replaced runner end at once, not with their leases

What callers saw: after a runner had crashed, the jobs whose runs it held waited 4.8 to 4.95 s for the end of the leases, although another runner, with another identifier, answered at its address after about 3.2 s.

Cause: a poll that is answered with 421 counted as any other failed poll. It proves that the process which had the address has ended, and its runs with it; a start that arrives late carries the identifier that it is meant for and is refused.

Ruled out: a refused connection as proof (a runner that is being restarted, a full backlog). An address that moved with its identifier starts anew with the next entry or report.

--- a/internal/control/closed_connection.go
+++ b/internal/control/closed_connection.go
@@ -9,6 +9,9 @@
 // errClosedByRunner marks the error of a relayed call that the runner ended by closing or refusing the connection.
 var errClosedByRunner = errors.New("the runner closed the connection")
 
+// ErrReplaced is the error of a call to a runner at whose address another one answers.
+var ErrReplaced = errors.New("another runner answers at the address")
+
 // closedErrors are the errors of a connection whose other end was closed or refused it. The host of the runner answers, but
 // its process doesn't.
 var closedErrors = []error{errClosedByRunner, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE}
--- a/internal/control/relay_messages.go
+++ b/internal/control/relay_messages.go
@@ -41,6 +41,7 @@
 	Error    string                 // "" if the call succeeded
 	TimedOut bool                   // the runner didn't answer in time; false from processes of earlier builds
 	Closed   bool                   // the runner closed or refused the connection; false from processes of earlier builds
+	Replaced bool                   // another runner answers at the address; false from processes of earlier builds
 	Outcome  scheduler.StartOutcome // of Start
 	Report   scheduler.Report       // of Poll
 }
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -187,6 +187,9 @@
 		if reply.Closed {
 			err = errors.Join(errClosedByRunner, err)
 		}
+		if reply.Replaced {
+			err = errors.Join(ErrReplaced, err)
+		}
 		return reply, err
 	}
 	if args.Poll != nil {
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -19,6 +19,8 @@
 	maxPollTimeoutMargin = 1500 * time.Millisecond
 	// failedPollRetry is the pause before a poll is repeated that has failed.
 	failedPollRetry = 200 * time.Millisecond
+	// replacedPollRetry is the pause before a runner is polled again at whose address another one answers.
+	replacedPollRetry = time.Second
 	// acknowledgeWindow is how long after an answered poll the ends of runs may be acknowledged. Their numbers restart with
 	// each incarnation of a runner; a new incarnation under the same identifier starts later than that, so a number can't
 	// acknowledge an end of the wrong incarnation.
@@ -160,6 +162,12 @@
 		st.nextAt = p.o.loopTime + failedPollRetry
 		return
 	}
+	if errors.Is(err, ErrReplaced) {
+		st.answered = false
+		st.nextAt = p.o.loopTime + replacedPollRetry
+		p.o.sched.RunnerReplaced(ref.ID, ref.Addr)
+		return
+	}
 	if err != nil {
 		st.answered = false
 		st.nextAt = p.o.loopTime + failedPollRetry
--- a/internal/scheduler/contact.go
+++ b/internal/scheduler/contact.go
@@ -42,6 +42,21 @@
 	s.emit(lost)
 }
 
+// RunnerReplaced records that another runner answers at the address of a runner, so that its process and its runs have ended.
+func (s *Scheduler) RunnerReplaced(id, addr string) {
+	r := s.runners[id]
+	if r == nil || r.Addr != addr || r.replaced {
+		return
+	}
+	r.replaced, r.unreachable, r.inherited = true, true, false
+	s.emit(RunnerChanged{Runner: id, Change: "replaced", Detail: addr})
+	s.releaseUnknown(r)
+	for _, x := range r.sortedRuns(matchAnyRun) {
+		s.endRun(x, "replaced", "")
+	}
+	s.runnersChanged()
+}
+
 // existing reports whether a run may exist on its runner.
 func existing(x *run) bool { return x.state != runReserved }
 
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// TestRunsOfReplacedRunnerStartElsewhere guards against the runs of a runner that wait for the end of their leases although
+// another runner already answers at its address.
+func TestRunsOfReplacedRunnerStartElsewhere(t *testing.T) {
+	sim := newMixedSimulation(1, 2)
+	sim.removeAdvice("fill")
+	sim.submitStep("fill", "f000000000000001", job.Step{Count: 2, Need: model.Resources{CoresMilli: 5000}, Estimate: 10_000})
+	sim.run(time.Second)
+	lost := sim.runners["r00"]
+	lost.crash()
+	sim.run(crashDowntime + 250*time.Millisecond) // the next poll follows within 200 ms
+	if ends := sim.history("Outcome:replaced"); len(ends) != 1 {
+		t.Errorf("%d runs ended as replaced, want 1: %s", len(ends), sim.history("RunEnded"))
+	}
+	sim.reportViolations(t)
+}
+
 // crashLoad is a load of three queues in which some jobs have a task that crashes each runner which starts it.
 type crashLoad struct {
 	sim      *simulation
--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -16,7 +16,7 @@
 	}
 	if r.Addr != info.Addr && r.Addr != "" {
 		s.emit(RunnerChanged{Runner: info.ID, Change: "moved", Detail: info.Addr})
-		r.reported = false
+		r.reported, r.replaced = false, false
 	}
 	switch at := s.now + info.TerminatesIn; {
 	case !info.Draining:
--- a/internal/scheduler/fake_crash_test.go
+++ b/internal/scheduler/fake_crash_test.go
@@ -53,6 +53,10 @@
 	if r.delisted {
 		return
 	}
+	if r.replacedBy != nil {
+		sched.RunnerReplaced(r.info.ID, r.info.Addr)
+		return
+	}
 	sched.RunnerUnreachable(r.info.ID, r.info.Addr, ContactLoss{Reason: "connection refused", Closed: true, AliveUntil: sim.now - 200*time.Millisecond})
 	sim.afterFunc(200*time.Millisecond, func() { sim.poll(sched, r, 0) })
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -72,7 +72,7 @@
 		s.emit(RunnerChanged{Runner: r.ID, Change: "answers again"})
 		s.runnersChanged()
 	}
-	r.unreachable = false
+	r.unreachable, r.replaced = false, false
 	if rep.Clock < r.lastClock {
 		return // a later report, which includes all of this one, has already been processed
 	}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -45,6 +45,7 @@
 	inherited       bool          // a predecessor may have started runs there that are not known yet
 	reported        bool          // has reported to this owner at its current address
 	unreachable     bool          // the last poll failed
+	replaced        bool          // another runner answers at its address
 	lastClock       int64         // time of the last report on the runner's clock
 	leaseExpiresAt  time.Duration // all its runs have ended by then unless the lease is extended
 	used            model.Resources
