--- /dev/null
+++ b/internal/blame/blame.go
@@ -0,0 +1,57 @@
+// Package blame decides what the loss of runners says about the tasks that ran there: which tasks are suspects, which are
+// given up, and which queues start tasks that crash runners. It performs no I/O, and time is passed in.
+package blame
+
+import "github.com/agateyard/agateyard/internal/job"
+
+// Verdict is what the losses of runners under a task say about it.
+type Verdict int
+
+// Verdicts.
+const (
+	Unsuspected Verdict = iota
+	Suspect             // it has to start apart from others, so that the next loss has one suspect
+	Culprit             // it must not be started again
+)
+
+// String returns the verdict's name for logs and metrics.
+func (v Verdict) String() string {
+	switch v {
+	case Suspect:
+		return "suspect"
+	case Culprit:
+		return "given-up"
+	}
+	return "unsuspected"
+}
+
+const (
+	// culpritCrashes is the number of losses after which a task that was the only suspect of one of them is given up. One
+	// loss may be a coincidence.
+	culpritCrashes = 2
+	// suspectLosses is the number of losses without a likely culprit after which a task is a suspect as well: it may crash
+	// its runners later than as it starts.
+	suspectLosses = 3
+	// maxCrashes is the number of losses after which a task is given up, whatever else ran there.
+	maxCrashes = 5
+)
+
+// Judge returns the verdict on a task, or a gang, by the losses that it may have caused.
+func Judge(crashes []job.Crash) Verdict {
+	suspected, alone := false, false
+	started := 0 // losses of runners that had certainly started the task
+	for _, c := range crashes {
+		suspected = suspected || c.Suspects > 0
+		alone = alone || c.Suspects == 1
+		if c.Started || c.Suspects == 1 {
+			started++
+		}
+	}
+	switch {
+	case started >= maxCrashes, started >= culpritCrashes && alone:
+		return Culprit
+	case suspected, started >= suspectLosses:
+		return Suspect
+	}
+	return Unsuspected
+}
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -48,6 +48,11 @@
 		o.n.dep.Log.Log("tenant-wait", logrus.Fields{"step": e.Step.String(), "tenant": e.Tenant, "reason": e.Reason, "ended": e.Ended})
 	case scheduler.RunnerLost:
 		o.runnerLost(e)
+	case scheduler.CrashCounted:
+		o.crashCounted(e)
+	case scheduler.SuspectCleared:
+		o.n.dep.Metrics.suspects.WithLabelValues("cleared").Inc()
+		o.n.dep.Log.Log("suspect-cleared", logrus.Fields{"task": e.Task.String()})
 	case scheduler.RunnerChanged:
 		o.n.dep.Log.Log("runner", logrus.Fields{"runner": e.Runner, "change": e.Change, "detail": e.Detail})
 	}
@@ -65,6 +70,14 @@
 	})
 }
 
+func (o *ownership) crashCounted(e scheduler.CrashCounted) {
+	o.n.dep.Metrics.suspects.WithLabelValues(e.Verdict.String()).Inc()
+	o.n.dep.Log.Log("crash-counted", logrus.Fields{
+		"task": e.Task.String(), "run": e.Run, "runner": e.Runner, "suspects": e.Suspects, "common_cause": e.CommonCause,
+		"crashes": e.Crashes, "verdict": e.Verdict.String(),
+	})
+}
+
 func (o *ownership) start(e scheduler.StartRun) {
 	request := StartRequest{
 		Task: e.Task, Run: e.Run, Payload: e.Payload, Ticket: e.Ticket, Checkpoint: e.Checkpoint,
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -25,11 +25,13 @@
 	runTime    prometheus.Histogram
 	// runnerLosses counts runners that were probably lost with their runs, by evidence.
 	runnerLosses *prometheus.CounterVec
-	jobs         *prometheus.CounterVec
-	gauges       *prometheus.GaugeVec
-	auth         *prometheus.CounterVec
-	configAge    atomic.Pointer[func() float64]
-	tenants      *prometheus.GaugeVec
+	// suspects counts the tasks that were suspected of the loss of a runner, by what followed.
+	suspects  *prometheus.CounterVec
+	jobs      *prometheus.CounterVec
+	gauges    *prometheus.GaugeVec
+	auth      *prometheus.CounterVec
+	configAge atomic.Pointer[func() float64]
+	tenants   *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -60,6 +62,7 @@
 		runEnds:      counter("run_ends_total", "Ends of runs by kind.", "how"),
 		runTime:      histogram("run_seconds", "Time from the order to start a run to its end.", slow),
 		runnerLosses: counter("runner_losses_total", "Runners that were probably lost with their runs, by evidence.", "evidence"),
+		suspects:     counter("crash_suspects_total", "Tasks under which a runner was lost, by verdict, and those that were cleared.", "verdict"),
 		jobs:         counter("jobs_ended_total", "Jobs by final state.", "state"),
 		auth:         counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -124,7 +127,7 @@
 	m.setTenants(s.Tenants)
 	for kind, value := range map[string]float64{
 		"active_jobs": float64(s.ActiveJobs), "open_stages": float64(s.OpenStages), "waiting_tasks": float64(s.WaitingTasks), "runs": float64(s.Runs),
-		"runners": float64(s.Runners), "usable_runners": float64(s.UsableRunners), "used_cpu_milli": float64(s.UsedCPU), "cpu_milli": float64(s.CapacityCPU),
+		"runners": float64(s.Runners), "usable_runners": float64(s.UsableRunners), "isolated_runners": float64(s.IsolatedRunners), "used_cpu_milli": float64(s.UsedCPU), "cpu_milli": float64(s.CapacityCPU),
 	} {
 		m.gauges.WithLabelValues(kind).Set(value)
 	}
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -228,7 +228,7 @@
 		o.n.dep.Metrics.setStats(stats)
 		o.n.dep.Log.Log("load", logrus.Fields{
 			"jobs": stats.ActiveJobs, "open_stages": stats.OpenStages, "waiting_tasks": stats.WaitingTasks,
-			"runs": stats.Runs, "runners": stats.Runners, "usable": stats.UsableRunners,
+			"runs": stats.Runs, "runners": stats.Runners, "usable": stats.UsableRunners, "set_apart": stats.IsolatedRunners,
 			"used_cpu_milli": stats.UsedCPU, "cpu_milli": stats.CapacityCPU, "advice_backlog_ms": o.sched.Dispatcher().Backlog().Milliseconds(),
 		})
 	}
--- a/internal/control/relay_messages.go
+++ b/internal/control/relay_messages.go
@@ -44,6 +44,8 @@
 	Replaced bool                   // another runner answers at the address; false from processes of earlier builds
 	Outcome  scheduler.StartOutcome // of Start
 	Report   scheduler.Report       // of Poll
+
+	endedAt time.Duration // when the call ended, on the clock of this process; not sent
 }
 
 // stale reports whether a poll acknowledges run ends and was prepared so long ago, before a pause of this process, that the
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -106,6 +106,7 @@
 	go func() {
 		reply, err := c.o.callRunner(rt, args)
 		ended := c.o.n.clock.Now()
+		reply.endedAt = ended
 		c.o.post(func() {
 			c.o.pace.Lagged(c.o.loopTime-ended, c.o.loopTime)
 			c.o.pace.Done(tracked, c.o.loopTime)
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -120,34 +120,34 @@
 	st.acknowledged = req.Acknowledged
 	ref := st.ref
 	sent := o.loopTime
-	p.send(ref, req, st.margin, func(report scheduler.Report, err error) {
+	p.send(ref, req, st.margin, func(reply RelayReply, err error) {
 		st.adjustMargin(req, o.loopTime-sent, err)
-		p.pollFinished(st, ref, sent, report, err)
+		p.pollFinished(st, ref, sent, reply, err)
 	})
 }
 
 // pollNow sends an additional poll that doesn't wait for a run to end, if the runner answered its last regular poll.
 func (p *runnerPoller) pollNow(ref scheduler.RunnerRef) {
 	if st := p.states[ref.ID]; st != nil && st.answered {
-		p.send(st.ref, PollRequest{Fence: p.o.info.Rev}, st.margin, func(report scheduler.Report, err error) {
+		p.send(st.ref, PollRequest{Fence: p.o.info.Rev}, st.margin, func(reply RelayReply, err error) {
 			if err == nil { // an unreachable runner is reported by its regular polls
-				p.o.sched.Report(report)
+				p.o.sched.Report(reply.Report)
 			}
 		})
 	}
 }
 
-// send polls a runner in the background and passes the report to the event loop.
-func (p *runnerPoller) send(ref scheduler.RunnerRef, req PollRequest, margin time.Duration, done func(scheduler.Report, error)) {
+// send polls a runner in the background and passes the reply to the event loop.
+func (p *runnerPoller) send(ref scheduler.RunnerRef, req PollRequest, margin time.Duration, done func(RelayReply, error)) {
 	sent := p.o.loopTime
 	args := RelayArgs{Runner: ref, Fence: req.Fence, Within: req.Wait + margin, Poll: &req}
 	p.o.calls.send(args, func(reply RelayReply, err error) {
 		reply.Report.RequestedAt = sent
-		done(reply.Report, err)
+		done(reply, err)
 	})
 }
 
-func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, sent time.Duration, report scheduler.Report, err error) {
+func (p *runnerPoller) pollFinished(st *pollState, ref scheduler.RunnerRef, sent time.Duration, reply RelayReply, err error) {
 	st.inFlight = false
 	if errors.Is(err, ErrFenced) {
 		p.o.handleFenced("look")
@@ -171,11 +171,12 @@
 	if err != nil {
 		st.answered = false
 		st.nextAt = p.o.loopTime + failedPollRetry
-		p.o.sched.RunnerUnreachable(ref.ID, ref.Addr, p.contactLoss(st, sent, err))
+		p.o.sched.RunnerUnreachable(ref.ID, ref.Addr, p.contactLoss(st, sent, reply.endedAt, err))
 		return
 	}
 	st.answered = true
 	st.answeredAt = p.o.loopTime
+	report := reply.Report
 	p.o.sched.Report(report)
 	for _, end := range report.Ended {
 		st.lastReported = max(st.lastReported, end.Seq)
@@ -194,12 +195,12 @@
 // availability zones.
 const closeNotice = 20 * time.Millisecond
 
-// contactLoss returns how a poll that was sent at the given time lost contact. If the runner closed the connection while the
-// poll waited, its process has just ended; if it did so at once, at any time since the last answer.
-func (p *runnerPoller) contactLoss(st *pollState, sent time.Duration, err error) scheduler.ContactLoss {
+// contactLoss returns how a poll lost contact that was sent and ended at the given times. If the runner closed the connection
+// while the poll waited, its process ended then; if it did so at once, at any time since the last answer.
+func (p *runnerPoller) contactLoss(st *pollState, sent, ended time.Duration, err error) scheduler.ContactLoss {
 	lost := scheduler.ContactLoss{Reason: err.Error(), Closed: closedByRunner(err), AliveUntil: st.answeredAt}
-	if p.o.loopTime-sent > 2*closeNotice {
-		lost.AliveUntil = max(lost.AliveUntil, p.o.loopTime-closeNotice)
+	if ended-sent > 2*closeNotice {
+		lost.AliveUntil = max(lost.AliveUntil, ended-closeNotice)
 	}
 	return lost
 }
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -26,13 +26,15 @@
 
 // Progress is the durable progress of the tasks of one occurrence of a step.
 type Progress struct {
-	Occurrence      int            `json:"k"`
-	Step            int            `json:"s"`
-	AllDone         bool           `json:"all,omitempty"`
-	Done            []int          `json:"done,omitempty"`   // indexes of completed tasks
-	Failed          map[int][]int  `json:"failed,omitempty"` // numbers of the failed runs, by task index
-	Checkpoints     map[int]string `json:"saved,omitempty"`  // last checkpoint, by task index
-	EligibleRunners []string       `json:"good,omitempty"`   // eligible runners, if repeating the advice calls would be expensive
+	Occurrence  int            `json:"k"`
+	Step        int            `json:"s"`
+	AllDone     bool           `json:"all,omitempty"`
+	Done        []int          `json:"done,omitempty"`   // indexes of completed tasks
+	Failed      map[int][]int  `json:"failed,omitempty"` // numbers of the failed runs, by task index
+	Checkpoints map[int]string `json:"saved,omitempty"`  // last checkpoint, by task index
+	// Crashes are the losses of runners that may have been caused by a task, by task index. A gang counts under its first task.
+	Crashes         map[int][]Crash `json:"crashed,omitempty"`
+	EligibleRunners []string        `json:"good,omitempty"` // eligible runners, if repeating the advice calls would be expensive
 }
 
 // Encode returns the stored form of the record.
--- a/internal/job/record_check.go
+++ b/internal/job/record_check.go
@@ -47,6 +47,11 @@
 			return oops.Errorf("progress: no task %d in step %d", task, p.Step)
 		}
 	}
+	for task := range p.Crashes {
+		if outside(task) {
+			return oops.Errorf("progress: no task %d in step %d", task, p.Step)
+		}
+	}
 	for task := range p.Checkpoints {
 		if outside(task) {
 			return oops.Errorf("progress: no task %d in step %d", task, p.Step)
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -100,6 +100,9 @@
 		order = append(order, s.byFreeCores[(start-k+fits)%fits])
 	}
 	s.sortBySpeed(st, order)
+	if st.apart {
+		slices.SortStableFunc(order, byIsolation)
+	}
 	var refs []RunnerRef
 	found := 0
 	for _, r := range order {
--- a/internal/scheduler/charges.go
+++ b/internal/scheduler/charges.go
@@ -9,6 +9,10 @@
 // that does; release is its counterpart.
 func (s *Scheduler) charge(x *run) {
 	x.runner.runs[x.key()] = x
+	if x.risk != noRisk {
+		x.runner.riskyRuns++
+		x.runner.riskyAt = s.now
+	}
 	x.runner.used = x.runner.used.Add(x.reserved)
 	st := x.task.stage
 	x.task.runs++
@@ -25,6 +29,9 @@
 // release removes a run whose end is proved, or that was never sent, and releases what charge has reserved.
 func (s *Scheduler) release(x *run) {
 	delete(x.runner.runs, x.key())
+	if x.risk != noRisk {
+		x.runner.riskyRuns--
+	}
 	x.runner.used = x.runner.used.Sub(x.reserved)
 	st := x.task.stage
 	x.task.runs--
--- a/internal/scheduler/contact.go
+++ b/internal/scheduler/contact.go
@@ -14,7 +14,7 @@
 }
 
 // startupTime is the time after its start within which a task that can't run on a runner is assumed to crash it.
-const startupTime = 100 * time.Millisecond
+const startupTime = 40 * time.Millisecond
 
 // RunnerUnreachable records that a call to a runner failed.
 func (s *Scheduler) RunnerUnreachable(id, addr string, lost ContactLoss) {
@@ -26,6 +26,7 @@
 	s.emit(RunnerChanged{Runner: id, Change: "silent", Detail: lost.Reason})
 	if lost.Closed {
 		s.reportLoss(r, "closed", lost.AliveUntil)
+		s.recordLoss(r, lost.AliveUntil, true)
 	}
 }
 
@@ -50,10 +51,15 @@
 	}
 	r.replaced, r.unreachable, r.inherited = true, true, false
 	s.emit(RunnerChanged{Runner: id, Change: "replaced", Detail: addr})
+	if r.loss == nil {
+		s.reportLoss(r, "replaced", r.aliveAt)
+		s.recordLoss(r, r.aliveAt, true)
+	}
 	s.releaseUnknown(r)
 	for _, x := range r.sortedRuns(matchAnyRun) {
 		s.endRun(x, "replaced", "")
 	}
+	s.proveLoss(r)
 	s.runnersChanged()
 }
 
--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -98,6 +98,7 @@
 	for _, r := range s.sortedRunners() {
 		if s.discoveryRead && !r.listed && len(r.runs) == 0 && r.unknownRuns == 0 && !r.inherited {
 			delete(s.runners, r.ID)
+			delete(s.crashes.unproved, incarnationKey{r.ID, r.incarnation})
 			s.runnersChanged()
 			continue
 		}
@@ -109,9 +110,14 @@
 		}
 		r.inherited = false
 		s.releaseUnknown(r)
+		if r.loss == nil && len(r.runs) > 0 {
+			s.reportLoss(r, "silent", r.aliveAt)
+			s.recordLoss(r, r.aliveAt, false)
+		}
 		for _, x := range r.sortedRuns(matchAnyRun) {
 			s.endRun(x, "lapsed", "")
 		}
+		s.proveLoss(r)
 	}
 }
 
--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/agateyard/agateyard/internal/blame"
 	"github.com/agateyard/agateyard/internal/job"
 )
 
@@ -86,11 +87,29 @@
 	Age  time.Duration
 }
 
-func (StartRun) effect()      {}
-func (StopRun) effect()       {}
-func (PollRunner) effect()    {}
-func (RequestAdvice) effect() {}
-func (JobFinished) effect()   {}
-func (RunEnded) effect()      {}
-func (RunnerChanged) effect() {}
-func (RunnerLost) effect()    {}
+// CrashCounted reports that a runner was lost and which tasks may have caused it.
+type CrashCounted struct {
+	Task        job.TaskID // one of the suspects
+	Run         int
+	Runner      string
+	Suspects    []string // all of them; a gang is named by its first task
+	CommonCause bool     // many runners were lost at the same time, so that the loss counts against none of them
+	Crashes     int      // losses that the task may have caused
+	Verdict     blame.Verdict
+}
+
+// SuspectCleared reports that a task has caused none of the losses of runners for which it was a suspect.
+type SuspectCleared struct {
+	Task job.TaskID
+}
+
+func (StartRun) effect()       {}
+func (StopRun) effect()        {}
+func (PollRunner) effect()     {}
+func (RequestAdvice) effect()  {}
+func (JobFinished) effect()    {}
+func (RunEnded) effect()       {}
+func (RunnerChanged) effect()  {}
+func (RunnerLost) effect()     {}
+func (CrashCounted) effect()   {}
+func (SuspectCleared) effect() {}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -49,6 +49,7 @@
 
 func (s *Scheduler) taskDone(t *task) {
 	st := t.stage
+	s.clearSuspect(t)
 	if st.step.Gang {
 		for _, member := range st.tasks { // the members end together, so one end applies to all
 			s.markDone(member)
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -15,17 +15,32 @@
 		return
 	}
 	candidates := s.candidates(st, runners)
+	all := candidates
+	why := s.riskOf(st.tasks[0])
+	if why != noRisk {
+		candidates = s.riskyGangCandidates(st, why, candidates)
+	} else if s.crashes.known() {
+		candidates = slices.DeleteFunc(candidates, func(r *runner) bool { return !s.admitsRisk(r, noRisk, false) })
+	}
 	chosen := s.planGang(st, candidates, false)
 	if chosen == nil {
 		if s.isLimitedExcess(st) {
 			return
 		}
+		if why == riskByTask {
+			s.prepareIsolation(st, all)
+		}
 		if !s.preemptFor(st, candidates) {
 			s.claimRunners(st, candidates, runners)
 		}
 		return
 	}
 	s.reserveGang(st, chosen)
+	if why != noRisk {
+		for _, placement := range chosen {
+			s.setApart(placement.runner, why)
+		}
+	}
 	s.startReserved(st)
 }
 
--- /dev/null
+++ b/internal/scheduler/innocent_test.go
@@ -0,0 +1,226 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/job"
+	"github.com/agateyard/agateyard/internal/model"
+)
+
+// mustFinishAll checks that all jobs end as done.
+func (l *crashLoad) mustFinishAll(t *testing.T) {
+	t.Helper()
+	l.sim.mustFinish(t, 60*time.Second)
+	for id, finished := range l.sim.finished {
+		if finished.State != job.Done {
+			t.Errorf("job %s is %s: %s", id, finished.State, finished.Reason)
+		}
+	}
+}
+
+// runnersAt returns the runners that are up and whose info matches.
+func (sim *simulation) runnersAt(match func(RunnerInfo) bool) []*fakeRunner {
+	var out []*fakeRunner
+	for _, r := range sim.runners {
+		if !r.ended && match(r.info) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *fakeRunner) int { return strings.Compare(a.info.ID, b.info.ID) })
+	return out
+}
+
+// TestLostRacksBlameNoTask guards against a job that is given up because its runners were in racks that lost power.
+func TestLostRacksBlameNoTask(t *testing.T) {
+	for seed := range 5 {
+		l := newCrashLoad(int64(seed), 24)
+		for i := range 6 {
+			l.run(2*time.Second, "", 1)
+			for _, r := range l.sim.runnersAt(func(info RunnerInfo) bool { return info.Rack == fmt.Sprintf("rack%d", (i+seed)%6) }) {
+				r.crash()
+			}
+		}
+		l.mustFinishAll(t)
+	}
+}
+
+// TestCrashingRunnersBlameNoTask guards against a job that is given up because of runners that crash by themselves, again and
+// again, whatever runs there.
+func TestCrashingRunnersBlameNoTask(t *testing.T) {
+	for seed := range 5 {
+		l := newCrashLoad(int64(seed), 24)
+		for range 20 {
+			l.run(700*time.Millisecond, "", 1)
+			for _, r := range l.sim.runnersAt(func(info RunnerInfo) bool { return info.Addr == "10.0.0.3:1" || info.Addr == "10.0.0.7:1" }) {
+				r.crash()
+			}
+		}
+		l.mustFinishAll(t)
+	}
+}
+
+// TestSilentRunnersBlameNoTask guards against a task that is a suspect, or given up, because runners were cut off and answer
+// again, or because their connections were reset.
+func TestSilentRunnersBlameNoTask(t *testing.T) {
+	for seed := range 5 {
+		l := newCrashLoad(int64(seed), 24)
+		for range 12 {
+			l.run(time.Second, "", 1)
+			r := l.sim.runnersAt(func(RunnerInfo) bool { return true })[l.sim.rng.Intn(24)]
+			if l.sim.rng.Intn(2) == 0 {
+				l.sim.sched.RunnerUnreachable(r.info.ID, r.info.Addr, ContactLoss{Reason: "reset", Closed: true, AliveUntil: l.sim.now})
+				continue
+			}
+			r.unreachable = true
+			l.sim.afterFunc(time.Duration(1000+l.sim.rng.Intn(7000))*time.Millisecond, func() { r.unreachable = false })
+		}
+		l.sim.run(10 * time.Second)
+		if lines := l.sim.history("CrashCounted"); len(lines) > 0 {
+			for _, line := range lines {
+				if !strings.Contains(line, "Suspects:[]") && strings.Contains(line, "Verdict:given-up") {
+					t.Errorf("given up: %s", line)
+				}
+			}
+		}
+		l.mustFinishAll(t)
+	}
+}
+
+// TestSuspectsStartApart guards against a second crash that costs others their runs: a task under which a runner was lost starts
+// on a runner where nothing runs but other suspects.
+func TestSuspectsStartApart(t *testing.T) {
+	for seed := range 5 {
+		l := newCrashLoad(int64(seed), 24)
+		l.run(2*time.Second, "", 1)
+		l.submit("fill", true)
+		l.submit("urgent", true)
+		l.run(12*time.Second, "", 1)
+		suspects, apart, lost := map[string]bool{}, map[string]bool{}, 0
+		for _, line := range l.sim.history("") {
+			task, runner := field(line, "Task"), field(line, "Runner")
+			switch {
+			case strings.Contains(line, "CrashCounted"):
+				suspects[task] = true
+			case strings.Contains(line, "Change:set apart"):
+				apart[runner] = true
+			case strings.Contains(line, "Outcome:replaced") && apart[runner]:
+				lost++
+				if !suspects[task] {
+					t.Errorf("seed %d: lost with a suspect: %s", seed, line)
+				}
+			}
+		}
+		if lost < 2 {
+			t.Errorf("seed %d: %d runs were lost with runners that were set apart, want one of each culprit", seed, lost)
+		}
+		l.mustFinishAllBut(t, 2)
+	}
+}
+
+// field returns the value of a field in a line of the trace.
+func field(line, name string) string {
+	_, rest, _ := strings.Cut(line, name+":")
+	value, _, _ := strings.Cut(rest, " ")
+	return strings.TrimSuffix(value, "}")
+}
+
+// mustFinishAllBut checks that all jobs end as done but for a number that fail.
+func (l *crashLoad) mustFinishAllBut(t *testing.T, failed int) {
+	t.Helper()
+	l.sim.mustFinish(t, 60*time.Second)
+	n := 0
+	for _, finished := range l.sim.finished {
+		if finished.State == job.Failed {
+			n++
+		}
+	}
+	if n != failed {
+		t.Errorf("%d jobs have failed, want %d", n, failed)
+	}
+}
+
+// TestHarmfulQueueIsKeptApart guards against tasks of one queue that crash so many runners that the work of the other queues is
+// lost again and again.
+func TestHarmfulQueueIsKeptApart(t *testing.T) {
+	lost := func(kept bool) int {
+		l := newCrashLoad(3, 48)
+		if !kept {
+			l.sim.sched.crashes.kept["urgent"] = keptQueue{at: l.sim.now}
+		}
+		l.run(2*time.Second, "", 1)
+		l.run(10*time.Second, "urgent", 4)
+		n := 0
+		for _, line := range l.sim.history("RunEnded") {
+			if strings.Contains(line, "Outcome:replaced") && !strings.Contains(line, "Task:aaaaaa") {
+				n++
+			}
+		}
+		return n
+	}
+	without, with := lost(false), lost(true)
+	if 2*with > without {
+		t.Errorf("%d runs of other queues were lost, %d if the queue isn't kept apart; want at most half", with, without)
+	}
+}
+
+// TestSpeculativeTaskThatCrashesRunners guards against copies of a speculative task that crash one runner after the other before
+// the loss of the first one is certain.
+func TestSpeculativeTaskThatCrashesRunners(t *testing.T) {
+	sim := newMixedSimulation(4, 12)
+	sim.removeAdvice("fill")
+	sim.deadly = func(job.TaskID) bool { return true }
+	sim.submitStep("fill", "f000000000000001", job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 2000, Speculative: true})
+	sim.run(30 * time.Second)
+	if n := sim.crashes[job.TaskID{StepID: job.StepID{Job: "f000000000000001"}}]; n > 2 {
+		t.Errorf("the task has crashed %d runners, want 2", n)
+	}
+	if state := sim.finished["f000000000000001"].State; state != job.Failed {
+		t.Errorf("the job is %q, want failed", state)
+	}
+}
+
+// TestLongRunningTaskIsClearedAfterItSurvives guards against a service that is given up after it has lost its runner a few times
+// in a long life.
+func TestLongRunningTaskIsClearedAfterItSurvives(t *testing.T) {
+	sim := newMixedSimulation(5, 12)
+	sim.removeAdvice("fill")
+	sim.runFor = func(job.Step) time.Duration { return time.Hour }
+	sim.submitStep("fill", "f000000000000001", job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 2000, LongRunning: true})
+	for range 8 {
+		sim.run(15 * time.Second)
+		for _, r := range sim.runnersAt(func(RunnerInfo) bool { return true }) {
+			if len(r.runs) > 0 {
+				r.crash()
+			}
+		}
+	}
+	sim.run(10 * time.Second)
+	if finished, ok := sim.finished["f000000000000001"]; ok {
+		t.Errorf("the service is %s: %s", finished.State, finished.Reason)
+	}
+}
+
+// TestGangStartsAfterIsolation guards against a gang that needs a runner which was set apart while the gang looked for runners, and
+// that never asks for advice about it again.
+func TestGangStartsAfterIsolation(t *testing.T) {
+	sim := newMixedSimulation(6, 4)
+	sim.eligible = func(job.StepID, string) bool { return true }
+	sim.sched.updateIsolation()
+	r := sim.sched.sortedRunners()[1]
+	sim.sched.isolationFor(r.Service, riskByTask).limit, sim.sched.isolationFor(r.Service, riskByTask).wanted = 1, 1
+	sim.sched.setApart(r, riskByTask)
+	if r.isolation == nil {
+		t.Fatal("the runner was not set apart")
+	}
+	r.riskyAt = sim.now + time.Second
+	sim.submitStep("gang", "g000000000000001", job.Step{Count: 4, Need: model.Resources{CoresMilli: 8000}, Estimate: 1000, Gang: true})
+	sim.run(time.Second)
+	if _, begun := sim.firstStarts["g000000000000001"]; begun {
+		t.Error("the gang has started on a runner that is set apart")
+	}
+	sim.mustFinish(t, 15*time.Second)
+}
--- /dev/null
+++ b/internal/scheduler/isolation.go
@@ -0,0 +1,386 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/blame"
+)
+
+// risk is the reason for which a task is kept apart from others.
+type risk int
+
+const (
+	noRisk      risk = iota
+	riskByQueue      // the queue starts tasks that crash runners
+	riskByTask       // the task is a suspect
+)
+
+const (
+	// isolationTime is how long no other run is started on a runner after one that may crash it: startupTime, and the time until
+	// the loss is noticed.
+	isolationTime = startupTime + 20*time.Millisecond
+	// minIsolationFleet is the number of runners below which none is set apart: the others would have too few left.
+	minIsolationFleet = 4
+	// isolationIdle is how long a runner without a run that may crash it stays set apart.
+	isolationIdle = 2 * time.Second
+	// isolationDowntime is how long a lost runner that was set apart counts as one, unless another one answers at its address
+	// before.
+	isolationDowntime = 4 * time.Second
+	// tickSlack is how much later than due a pass over all stages may come.
+	tickSlack = 400 * time.Millisecond
+	// maxIsolationWait is how long a task waits for a runner that is set apart and that it may use. Then it may use others.
+	maxIsolationWait = 3 * time.Second
+)
+
+// isolationShares: of n runners of a service, at most one in so many is set apart for a kind of risk, or has been lost lately
+// while it was. It bounds how many runners such tasks may take down at the same time. Suspects get few, as most of them
+// will crash their runner again. While half of the cores are free, idleIsolationShare applies.
+var isolationShares = map[risk]int{riskByQueue: 4, riskByTask: 12}
+
+const idleIsolationShare = 4
+
+const (
+	// shortIsolationShare replaces the share for harmful queues while more than shortageUsage of the cores that other work may use
+	// are in use.
+	shortIsolationShare = 8
+	shortageUsage       = 0.9
+)
+
+// isolationReserve is how many times the cores that the tasks of harmful queues need are set apart for them: with more runners,
+// fewer runs are lost with each.
+const isolationReserve = 1.5
+
+// isolationKey identifies the runners of a service that are set apart for a kind of risk.
+type isolationKey struct {
+	service string
+	risk    risk
+}
+
+// isolation holds the runners of a service that are set apart for tasks that may crash them.
+type isolation struct {
+	key      isolationKey
+	runners  []*runner
+	lostAt   map[string]time.Duration // when runners that were set apart were lost, by identifier
+	limit    int                      // how many may be set apart, or have been lost lately while they were; 0: the service has too few
+	wanted   int                      // how many are of use, and can be spared by other work
+	capacity int64                    // of limit runners, in millicores
+}
+
+// riskOf returns why a task has to be kept apart from others.
+func (s *Scheduler) riskOf(t *task) risk {
+	switch {
+	case t.verdict() != blame.Unsuspected:
+		return riskByTask
+	case s.crashes.harmful[t.stage.job.spec.Queue]:
+		return riskByQueue
+	}
+	return noRisk
+}
+
+// isKeptApart reports whether the stage has waiting tasks that may crash their runner.
+func (s *Scheduler) isKeptApart(st *stage) bool {
+	return s.crashes.known() && slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && s.riskOf(t) != noRisk })
+}
+
+// isolationFor returns the isolation of a service for a kind of risk.
+func (s *Scheduler) isolationFor(service string, why risk) *isolation {
+	key := isolationKey{service, why}
+	is := s.isolations[key]
+	if is == nil {
+		is = &isolation{key: key, lostAt: map[string]time.Duration{}}
+		s.isolations[key] = is
+	}
+	return is
+}
+
+// room returns how many more runners may be set apart.
+func (is *isolation) room() int {
+	return max(min(is.limit-len(is.lostAt), is.wanted)-len(is.runners), 0)
+}
+
+// setApart reserves a runner for tasks that may crash it, if the limit allows one more.
+func (s *Scheduler) setApart(r *runner, why risk) {
+	is := s.isolationFor(r.Service, why)
+	if r.isolation != nil || is.room() == 0 {
+		return
+	}
+	r.isolation, r.riskyAt = is, s.now
+	is.runners = append(is.runners, r)
+	detail := "for tasks that have crashed runners"
+	if why == riskByQueue {
+		detail = "for a queue whose tasks crash runners"
+	}
+	s.emit(RunnerChanged{Runner: r.ID, Change: "set apart", Detail: detail})
+}
+
+// endIsolation makes a runner that was set apart available to all tasks again.
+func (s *Scheduler) endIsolation(r *runner) {
+	is := r.isolation
+	r.isolation = nil
+	s.runnersChanged() // stages that had no runner left to query may query this one
+	is.runners = slices.DeleteFunc(is.runners, func(other *runner) bool { return other == r })
+}
+
+// isolatedLost records that a runner which was set apart has been lost.
+func (s *Scheduler) isolatedLost(r *runner) {
+	if is := r.isolation; is != nil {
+		s.endIsolation(r)
+		is.lostAt[r.ID] = s.now
+	}
+}
+
+// updateHarmful updates which queues are kept apart: those whose new tasks are likely to crash runners, unless they use so many
+// cores that keeping them apart would cost the others more than their crashes do.
+func (s *Scheduler) updateHarmful() {
+	s.crashes.harmful = s.crashes.queues.Harmful(s.now)
+	for queue := range s.crashes.harmful {
+		kept, known := s.crashes.kept[queue]
+		if !known || s.now-kept.at > keptMemory {
+			kept.apart = s.canKeepApart(queue)
+		}
+		kept.at = s.now
+		s.crashes.kept[queue] = kept
+		s.crashes.harmful[queue] = kept.apart
+	}
+}
+
+// keptMemory is how long the decision to keep a queue apart is remembered. While jobs that had to wait are made up for, the
+// queue uses more cores than usual.
+const keptMemory = time.Minute
+
+// keptQueue is whether a harmful queue is kept apart.
+type keptQueue struct {
+	apart bool
+	at    time.Duration // when it was last harmful
+}
+
+// canKeepApart reports whether the running tasks of a queue, with the reserve for them, need at most the cores that may be set
+// apart for harmful queues.
+func (s *Scheduler) canKeepApart(queue string) bool {
+	q := s.queues[queue]
+	var used, capacity int64
+	for _, r := range s.runners {
+		if r.Service != q.Service || !r.listed {
+			continue
+		}
+		capacity += r.Capacity.CoresMilli
+		for _, x := range r.runs {
+			if x.task.stage.job.spec.Queue == queue {
+				used += x.reserved.CoresMilli
+			}
+		}
+	}
+	return isolationReserve*float64(used)*float64(isolationShares[riskByQueue]) <= float64(capacity)
+}
+
+// updateIsolation ends the isolation of runners without tasks that may crash them, and updates the limits.
+func (s *Scheduler) updateIsolation() {
+	s.updateHarmful()
+	if !s.crashes.known() && len(s.isolations) == 0 {
+		return
+	}
+	runners, cores := map[string]int{}, map[string]int64{}
+	for _, r := range s.runners {
+		if r.listed {
+			runners[r.Service]++
+			cores[r.Service] += r.Capacity.CoresMilli
+		}
+	}
+	for service, n := range runners {
+		for why, share := range isolationShares {
+			if s.mostlyFree {
+				share = min(share, idleIsolationShare)
+			}
+			is := s.isolationFor(service, why)
+			is.limit = 0
+			if n >= minIsolationFleet {
+				is.limit = (n + share - 1) / share
+			}
+			meanCores := max(cores[service]/int64(n), 1)
+			is.capacity = meanCores * int64(is.limit)
+			is.wanted = is.limit
+			if why == riskByQueue {
+				is.wanted = 1 + int(isolationReserve*float64(s.harmfulDemand(service))/float64(meanCores))
+				if s.isShort(service) {
+					is.wanted = min(is.wanted, (n+shortIsolationShare-1)/shortIsolationShare)
+				}
+			}
+		}
+	}
+	for key, is := range s.isolations {
+		maps.DeleteFunc(is.lostAt, func(id string, at time.Duration) bool {
+			r := s.runners[id]
+			return r == nil || r.replaced || s.now-at > isolationDowntime
+		})
+		for _, r := range slices.Clone(is.runners) {
+			if s.runners[r.ID] != r || !r.listed || r.riskyRuns == 0 && s.now-r.riskyAt > isolationIdle {
+				s.endIsolation(r)
+			}
+		}
+		if len(is.runners) == 0 && len(is.lostAt) == 0 && !s.crashes.known() {
+			delete(s.isolations, key)
+		}
+	}
+}
+
+// isShort reports whether the runners that aren't set apart have little free capacity left for other work.
+func (s *Scheduler) isShort(service string) bool {
+	var used, capacity int64
+	for _, r := range s.runners {
+		if r.Service == service && r.isolation == nil && r.usable() {
+			used += r.used.CoresMilli
+			capacity += r.Capacity.CoresMilli
+		}
+	}
+	return float64(used) > shortageUsage*float64(capacity)
+}
+
+// harmfulDemand returns the cores of the started and the waiting tasks of harmful queues, in millicores.
+func (s *Scheduler) harmfulDemand(service string) int64 {
+	var demand int64
+	for _, st := range s.openStages {
+		if q := &st.job.queue; q.Service == service && s.crashes.harmful[q.Name] {
+			demand += st.step.Reserved().CoresMilli * int64(len(st.tasks)-st.doneCount)
+		}
+	}
+	return demand
+}
+
+// isSettled reports whether no run that may crash the runner is reserved or starting there.
+func (s *Scheduler) isSettled(r *runner) bool {
+	if r.riskyRuns == 0 {
+		return true
+	}
+	for _, x := range r.runs {
+		if x.risk != noRisk && s.isStarting(x) {
+			return false
+		}
+	}
+	return true
+}
+
+// isQuiet reports whether no run at all is reserved or starting on the runner.
+func (s *Scheduler) isQuiet(r *runner) bool {
+	if s.now-r.lastStartAt < isolationTime {
+		return false
+	}
+	for _, x := range r.runs {
+		if s.isStarting(x) {
+			return false
+		}
+	}
+	return true
+}
+
+// isStarting reports whether a run may still crash its runner as it starts. For a suspect, the runner has to answer a poll
+// afterwards: without it, a loss that is noticed late would be that of the next suspect as well.
+func (s *Scheduler) isStarting(x *run) bool {
+	if x.state == runReserved || x.startConfirmedAt == 0 || s.now-x.startSentAt < isolationTime {
+		return true
+	}
+	return x.risk == riskByTask && x.runner.aliveAt <= x.startSentAt+startupTime
+}
+
+// pollStartingSuspects requests a report from the runners on which the next suspect may be started as soon as they answer.
+func (s *Scheduler) pollStartingSuspects() {
+	for key, is := range s.isolations {
+		if key.risk != riskByTask {
+			continue
+		}
+		for _, r := range is.runners {
+			for _, x := range r.sortedRuns(existing) {
+				if due := x.startSentAt + isolationTime; x.risk == riskByTask && s.now >= due && r.aliveAt <= x.startSentAt+startupTime && r.polledAt < due {
+					r.polledAt = s.now
+					s.emit(PollRunner{Runner: r.ref()})
+				}
+			}
+		}
+	}
+}
+
+// admitsRisk reports whether a run may be placed on a runner, as far as runs that may crash it are concerned: the run itself, or
+// others there. With anywhere, a run that is kept apart need not be placed on a runner that is set apart for it.
+func (s *Scheduler) admitsRisk(r *runner, why risk, anywhere bool) bool {
+	switch {
+	case why == noRisk:
+		return r.isolation == nil && s.isSettled(r)
+	case r.isolation == nil:
+		return anywhere && s.isQuiet(r)
+	case r.isolation.key.risk != why:
+		return false
+	}
+	return (why != riskByTask || len(r.runs) == r.riskyRuns) && s.isQuiet(r)
+}
+
+// prepareIsolation sets the runner apart that is expected to be idle first, if a suspect of the stage finds none that is. The
+// suspect starts there once the runs of others have ended, so that they aren't lost with the runner.
+func (s *Scheduler) prepareIsolation(st *stage, candidates []*runner) {
+	is := s.isolationFor(st.job.queue.Service, riskByTask)
+	var first *runner
+	for _, r := range candidates {
+		if r.isolation == is {
+			r.riskyAt = max(r.riskyAt, s.now-isolationTime) // it is waited for
+			return
+		}
+		if r.isolation != nil || !st.step.Reserved().Fits(r.Capacity) || s.crashesByItself(r.Addr) {
+			continue
+		}
+		s.estimateIdleAt(r)
+		if first == nil || r.idleAt < first.idleAt {
+			first = r
+		}
+	}
+	if first != nil {
+		s.setApart(first, riskByTask)
+	}
+}
+
+// mayRunAnywhere reports whether risky runs of a stage may be placed on runners that are not set apart: because another one may
+// be set apart for a queue, or because the stage has found none of those that are for a while.
+func (s *Scheduler) mayRunAnywhere(st *stage, why risk, candidates []*runner) bool {
+	is := s.isolationFor(st.job.queue.Service, why)
+	if is.limit == 0 || why == riskByQueue && is.room() > 0 {
+		return true
+	}
+	if slices.ContainsFunc(candidates, func(r *runner) bool { return r.isolation == is }) {
+		st.notIsolatedSince = 0
+		return false
+	}
+	if st.notIsolatedSince == 0 || s.now-st.notIsolatedAt > fullPassInterval+tickSlack {
+		st.notIsolatedSince = s.now // it hasn't looked for runners in between
+	}
+	st.notIsolatedAt = s.now
+	return s.now-st.notIsolatedSince >= maxIsolationWait
+}
+
+// riskyGangCandidates returns the runners for a gang that may crash them, those that are set apart first. A gang that is wide
+// for the runners that may be set apart uses any runners.
+func (s *Scheduler) riskyGangCandidates(st *stage, why risk, candidates []*runner) []*runner {
+	is := s.isolationFor(st.job.queue.Service, why)
+	wide := 2*st.step.Reserved().CoresMilli*int64(len(st.tasks)) > is.capacity
+	anywhere := wide || s.mayRunAnywhere(st, why, candidates)
+	admitted := slices.DeleteFunc(slices.Clone(candidates), func(r *runner) bool { return !s.admitsRisk(r, why, anywhere) })
+	if wide || is.room() == 0 {
+		return admitted
+	}
+	slices.SortStableFunc(admitted, byIsolation)
+	isolated := 0
+	for isolated < len(admitted) && admitted[isolated].isolation != nil {
+		isolated++
+	}
+	return admitted[:min(len(admitted), isolated+is.room())]
+}
+
+// byIsolation orders runners: those that are set apart first, then those with the fewest cores in use.
+func byIsolation(a, b *runner) int {
+	if isolated := a.isolation != nil; isolated != (b.isolation != nil) {
+		if isolated {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.used.CoresMilli, b.used.CoresMilli)
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -38,6 +38,7 @@
 	s.updateFreeCapacity(runners)
 	s.refreshSpeeds(runners)
 	s.updateShares()
+	s.updateIsolation()
 	full := s.now-s.lastFullPass >= fullPassInterval
 	if full {
 		s.lastFullPass = s.now
@@ -114,12 +115,16 @@
 		s.prefetchAdvice(st)
 		return
 	}
+	st.apart = s.isKeptApart(st)
 	if !st.job.stored || st.job.inherited && awaitingInherited {
 		if st.advice.requests == 0 && s.mayCharge(st, 1) {
 			s.requestAdvice(st, waiting) // overlaps the call with the write of the acceptance
 		}
 		return
 	}
+	if st.apart && s.giveUpCulprits(st) {
+		return
+	}
 	if s.heldBack = !s.tenantAllows(st); s.heldBack {
 		return
 	}
@@ -154,9 +159,10 @@
 	return out
 }
 
-// feasible reports whether a runner's service, state and labels allow it to run the stage.
+// feasible reports whether a runner's service, state and labels allow it to run the stage. Runners that are set apart take
+// only stages with tasks that may crash them.
 func (s *Scheduler) feasible(st *stage, r *runner) bool {
-	return r.usable() && r.Service == st.job.queue.Service && r.hasLabel(st.step.RequiredLabel)
+	return r.usable() && r.Service == st.job.queue.Service && r.hasLabel(st.step.RequiredLabel) && (st.apart || r.isolation == nil)
 }
 
 // approved reports whether the advice service has named the runner as eligible for the stage. Queues without advice
@@ -190,10 +196,16 @@
 			break // the owner can't deliver more starts at present
 		}
 		r := s.bestFit(st, t, need, candidates, costs)
+		if r == nil && s.riskOf(t) == riskByTask {
+			s.prepareIsolation(st, candidates)
+			continue // a task that may crash its runner waits without holding back the others
+		}
 		if r == nil {
 			return
 		}
-		s.reserve(t, r, s.nextRunNumber(t))
+		if x := s.reserve(t, r, s.nextRunNumber(t)); x.risk != noRisk {
+			s.setApart(r, x.risk)
+		}
 	}
 	s.startReserved(st)
 }
@@ -209,10 +221,15 @@
 	// runners, which shows whether they have recovered.
 	lastAttempt := st.isLastAttempt(t)
 	avoidSuspects := st.job.queue.Priority == urgentPriority || lastAttempt
+	why := s.riskOf(t)
+	anywhere := why != noRisk && s.mayRunAnywhere(st, why, candidates)
 	for _, r := range candidates {
 		if !s.mayPlace(st, r, s.onRunner(runtime, r)) || !need.Fits(r.free()) || !r.health.admits(s.now) {
 			continue
 		}
+		if !s.admitsRisk(r, why, anywhere) {
+			continue
+		}
 		if st.step.MaxPerRunner > 0 && st.runsOn(r) >= st.step.MaxPerRunner {
 			continue
 		}
@@ -222,6 +239,15 @@
 		} else if st.job.queue.Priority == urgentPriority {
 			cost += int64(slownessCost * r.speed.slowness())
 		}
+		if why != noRisk {
+			cost = r.used.CoresMilli // the fewest runs to lose with it
+			if r.isolation == nil {
+				cost += notIsolatedCost
+			}
+		}
+		if why != noRisk && s.crashesByItself(r.Addr) {
+			cost += suspectRunnerCost
+		}
 		if r.ID == t.avoidRunner {
 			cost += avoidedRunnerCost
 		} else if avoidSuspects && s.isSuspect(r, lastAttempt) {
@@ -234,7 +260,7 @@
 			best, bestCost = r, cost
 		}
 	}
-	if best != nil && best.ID == t.avoidRunner && len(t.failedRuns) > 0 && len(candidates) > 1 {
+	if best != nil && best.ID == t.avoidRunner && len(t.failedRuns) > 0 && len(candidates) > 1 && why == noRisk { // few runners are set apart
 		return nil
 	}
 	return best
@@ -246,6 +272,8 @@
 	avoidedRunnerCost = 10_000_000
 	suspectRunnerCost = 3_000_000
 	remoteRackCost    = 1_000_000
+	// notIsolatedCost is added for a task that may crash its runner on one that is not set apart.
+	notIsolatedCost = 5_000_000
 	// slownessCost is added for urgent work on a runner that is slower by a factor of e: 10 % of run time counts
 	// about as much as 3 cores.
 	slownessCost = 30_000
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -113,6 +113,12 @@
 			}
 			p.Failed[t.index] = slices.Clone(t.failedRuns)
 		}
+		if len(t.crashes) > 0 {
+			if p.Crashes == nil {
+				p.Crashes = map[int][]job.Crash{}
+			}
+			p.Crashes[t.index] = slices.Clone(t.crashes)
+		}
 		if t.checkpoint != "" {
 			if p.Checkpoints == nil {
 				p.Checkpoints = map[int]string{}
@@ -125,7 +131,7 @@
 			p.EligibleRunners = append(p.EligibleRunners, e.runner.ID)
 		}
 	}
-	return p, len(p.Done)+len(p.Failed)+len(p.Checkpoints)+len(p.EligibleRunners) > 0
+	return p, len(p.Done)+len(p.Failed)+len(p.Checkpoints)+len(p.Crashes)+len(p.EligibleRunners) > 0
 }
 
 func (s *Scheduler) restoreProgress(j *jobState, p job.Progress) {
@@ -155,8 +161,9 @@
 			st.tasks[i].checkpoint = checkpoint
 		}
 	}
+	s.restoreCrashes(st, p.Crashes)
 	st.advice.recordedEligible = p.EligibleRunners
-	j.started = j.started || p.AllDone || len(p.Done)+len(p.Failed)+len(p.Checkpoints) > 0
+	j.started = j.started || p.AllDone || len(p.Done)+len(p.Failed)+len(p.Checkpoints)+len(p.Crashes) > 0
 	if s.occurrenceIsDone(j, p.Occurrence) {
 		j.doneOccurrences++
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -68,11 +68,15 @@
 	if r.incarnation != rep.Incarnation {
 		s.newIncarnation(r, rep)
 	}
+	if r.loss != nil || len(s.crashes.unproved[incarnationKey{r.ID, r.incarnation}]) > 0 {
+		s.takeBackLoss(r)
+	}
+	r.replaced, r.aliveAt = false, max(r.aliveAt, rep.RequestedAt)
 	if r.unreachable {
 		s.emit(RunnerChanged{Runner: r.ID, Change: "answers again"})
 		s.runnersChanged()
 	}
-	r.unreachable, r.replaced = false, false
+	r.unreachable = false
 	if rep.Clock < r.lastClock {
 		return // a later report, which includes all of this one, has already been processed
 	}
@@ -92,6 +96,10 @@
 // restart no earlier run exists there, but an unanswered start request may still arrive.
 func (s *Scheduler) newIncarnation(r *runner, rep Report) {
 	first := r.incarnation == 0
+	if !first && r.loss == nil {
+		s.reportLoss(r, "restarted", r.aliveAt)
+		s.recordLoss(r, r.aliveAt, true)
+	}
 	s.runnersChanged()
 	r.incarnation = rep.Incarnation
 	s.assignSlot(r)
@@ -118,6 +126,7 @@
 		s.stop(x, "runner restarted before it answered the start")
 		x.stopConfirmedAt, x.stopSentAt = 0, 0 // the new incarnation has to refuse the start as well
 	}
+	s.proveLoss(r)
 }
 
 // handleEnds processes the ends that are new and returns the runs that the report lists as ended.
@@ -189,6 +198,9 @@
 	if row.Checkpoint != "" {
 		x.task.checkpoint = row.Checkpoint
 	}
+	if x.task.stage.step.LongRunning && s.now-x.startSentAt > survivalTime {
+		s.clearSuspect(x.task) // it never completes
+	}
 	s.checkProgress(x, row.Usage)
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -29,6 +29,7 @@
 	stopSentAt       time.Duration
 	stopConfirmedAt  time.Duration // when the stop was confirmed; 0 if it wasn't
 	resumed          bool          // started from a checkpoint or by another owner
+	risk             risk          // why it is kept apart from others
 	adopted          bool          // started by another owner
 	idleChecks       int           // consecutive usage checks without CPU usage
 	lastUsageCheck   time.Duration
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -46,6 +46,13 @@
 	reported        bool          // has reported to this owner at its current address
 	unreachable     bool          // the last poll failed
 	replaced        bool          // another runner answers at its address
+	aliveAt         time.Duration // when the latest of its reports was requested
+	polledAt        time.Duration // when a report was last requested for a suspect that starts there
+	loss            *runnerLoss   // it was probably lost, which is not certain yet
+	isolation       *isolation    // set apart for tasks that may crash it; nil if it isn't
+	riskyRuns       int           // runs that may crash it
+	riskyAt         time.Duration // when the last one of them was placed or started
+	lastStartAt     time.Duration // when a run was last started there
 	lastClock       int64         // time of the last report on the runner's clock
 	leaseExpiresAt  time.Duration // all its runs have ended by then unless the lease is extended
 	used            model.Resources
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -46,9 +46,11 @@
 	takenOverAt     time.Duration
 	discoveryRead   bool // all runners in discovery have been listed once
 	needsPass       bool
-	heldBack        bool        // the stage that passStage has just visited waits for its tenant's limits
-	startBudget     int         // number of starts that may be sent now
-	unsettled       []*run      // runs that a poll has to find
+	heldBack        bool   // the stage that passStage has just visited waits for its tenant's limits
+	startBudget     int    // number of starts that may be sent now
+	unsettled       []*run // runs that a poll has to find
+	crashes         crashes
+	isolations      map[isolationKey]*isolation
 	unsent          []*run      // runs whose start requests this process could not send
 	expired         []string    // jobs whose records may be deleted
 	finalJobs       []*jobState // in the order in which they finished
@@ -73,6 +75,8 @@
 		dispatcher:     NewAdviceDispatcher(),
 		eligibleShares: map[string]float64{},
 		dirty:          map[string]*jobState{},
+		crashes:        newCrashes(),
+		isolations:     map[isolationKey]*isolation{},
 		takenOverAt:    now,
 		startBudget:    math.MaxInt,
 	}
@@ -116,6 +120,8 @@
 func (s *Scheduler) Tick() {
 	s.openDueOccurrences()
 	s.expireLeases()
+	s.noticeLosses()
+	s.pollStartingSuspects()
 	s.resendStarts()
 	s.stopUnsettled()
 	s.resendStops()
@@ -174,6 +180,7 @@
 // Stats are figures for metrics and status pages.
 type Stats struct {
 	ActiveJobs, OpenStages, WaitingTasks, Runs, Runners, UsableRunners int
+	IsolatedRunners                                                    int           // set apart for tasks that may crash them
 	UsedCPU, CapacityCPU                                               int64         // millicores
 	Tenants                                                            []TenantStats // those with the most usage, and "other"
 }
@@ -193,6 +200,9 @@
 	for _, r := range s.runners {
 		st.Runners++
 		st.Runs += len(r.runs)
+		if r.isolation != nil {
+			st.IsolatedRunners++
+		}
 		if r.usable() {
 			st.UsableRunners++
 			st.UsedCPU += min(r.used.CoresMilli, r.Capacity.CoresMilli) // more may be reserved while preempted runs end
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -18,6 +18,9 @@
 	advice             stageAdvice
 	claimedRunners     []*runner     // runners that a gang has claimed
 	gangRunners        []*runner     // runners on which this owner has started a gang
+	apart              bool          // has waiting tasks that may crash their runner, as of the last pass
+	notIsolatedSince   time.Duration // since when no runner that is set apart is eligible; 0 if one is
+	notIsolatedAt      time.Duration // when that was last checked
 	nextPreemption     time.Duration // earliest time to look for runs to preempt again
 	requested          int32         // tasks that count in the demand of the job's tenant
 	runSeconds         float32       // expected run time of a task when it was first counted there
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -24,6 +24,10 @@
 	x.state = runStarting
 	t.stage.reservedCount--
 	x.startSentAt = s.now
+	x.runner.lastStartAt = s.now
+	if x.risk != noRisk {
+		x.runner.riskyAt = s.now
+	}
 	s.startBudget--
 	t.lastRun = max(t.lastRun, x.number)
 	t.stage.job.started = true
@@ -108,7 +112,7 @@
 			s.endRun(x, "tenant over its cap", "") // the cap has fallen since the start was decided
 			continue
 		}
-		x.startSentAt = s.now
+		x.startSentAt, x.runner.lastStartAt = s.now, s.now
 		s.sendStart(x, "not sent before")
 	}
 }
@@ -121,6 +125,7 @@
 // allowCopy makes a speculative task available for another run at once, as its copies may run in parallel.
 func (s *Scheduler) allowCopy(x *run) {
 	limited := x.task.stage.job.tenant != nil && x.task.runs >= maxCopies
+	limited = limited || len(x.task.crashes) > 0 // it may have crashed the runner
 	if x.task.stage.step.Speculative && x.task.current == x && !limited {
 		x.task.current = nil
 		s.needsPass = true
@@ -129,7 +134,10 @@
 
 // reserve reserves capacity for a run, which startReserved starts.
 func (s *Scheduler) reserve(t *task, r *runner, number int) *run {
-	x := &run{task: t, number: number, runner: r, reserved: t.stage.step.Reserved(), state: runReserved, startSentAt: s.now}
+	x := &run{
+		task: t, number: number, runner: r, reserved: t.stage.step.Reserved(), state: runReserved, startSentAt: s.now,
+		risk: s.riskOf(t),
+	}
 	t.current = x
 	t.stage.reservedCount++
 	t.lastRun = number
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -119,6 +119,7 @@
 		}
 		delete(s.stages, st.id)
 	}
+	s.forgetSuspects(j)
 	s.removeClosedStages()
 	s.stateChanged(j)
 	finished := JobFinished{Job: j.spec.ID, Queue: j.spec.Queue, State: state, Reason: reason}
