scheduler, blame: losses of one moment are one loss, and nothing is given up before it is certain

Cause: the verdict counted runners instead of runs, and a pass gave up by losses that could still be taken back. Class: a decision on evidence that isn't certain yet.

Change: several losses under one run count once; a job is given up only once the end of each runner is certain.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -36,14 +36,19 @@
 	maxCrashes = 5
 )
 
-// Judge returns the verdict on a task, or a gang, by the losses that it may have caused.
+// Judge returns the verdict on a task, or a gang, by the losses that it may have caused. Several losses under one run of a gang
+// count once: more than one of its members would have to be at fault.
 func Judge(crashes []job.Crash) Verdict {
 	suspected, alone := false, false
-	started := 0 // losses of runners that had certainly started the task
-	for _, c := range crashes {
+	started := 0 // runs that were lost with runners which had certainly started them
+	for i, c := range crashes {
 		suspected = suspected || c.Suspects > 0
 		alone = alone || c.Suspects == 1
-		if c.Started || c.Suspects == 1 {
+		counted := c.Started || c.Suspects == 1
+		for _, earlier := range crashes[:i] {
+			counted = counted && earlier.Run != c.Run
+		}
+		if counted {
 			started++
 		}
 	}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -38,10 +38,17 @@
 		{[]job.Crash{amongThree, amongThree, amongThree, amongThree}, Suspect},
 		{[]job.Crash{amongThree, amongThree, amongThree, amongThree, amongThree}, Culprit},
 	} {
+		for i := range c.crashes {
+			c.crashes[i].Run = i + 1
+		}
 		if got := Judge(c.crashes); got != c.want {
 			t.Errorf("%+v: %s, want %s", c.crashes, got, c.want)
 		}
 	}
+	oneRun := []job.Crash{{Runner: "a", Run: 1, Suspects: 1, Started: true}, {Runner: "b", Run: 1, Suspects: 1, Started: true}}
+	if got := Judge(oneRun); got != Suspect {
+		t.Errorf("two runners lost under one run of a gang: %s, want %s", got, Suspect)
+	}
 }
 
 // TestJudgeNeverForgives guards against a loss after which a task is trusted more than before.
@@ -51,7 +58,7 @@
 		before := Unsuspected
 		for range rapid.IntRange(0, 8).Draw(t, "losses") {
 			crashes = append(crashes, job.Crash{
-				Suspects: rapid.IntRange(0, 4).Draw(t, "suspects"), Started: rapid.Bool().Draw(t, "started"),
+				Run: rapid.IntRange(1, 4).Draw(t, "run"), Suspects: rapid.IntRange(0, 4).Draw(t, "suspects"), Started: rapid.Bool().Draw(t, "started"),
 			})
 			after := Judge(crashes)
 			if after < before {
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -240,6 +241,9 @@
 // proveLoss records that an incarnation of a runner has ended with all its runs, and gives up the jobs of the tasks that have
 // caused it. The runs have been ended by the caller, so that their tasks could start again.
 func (s *Scheduler) proveLoss(r *runner) {
+	maps.DeleteFunc(s.crashes.unproved, func(key incarnationKey, _ []*task) bool {
+		return key.runner == r.ID && (r.incarnation == 0 || key.incarnation <= r.incarnation)
+	})
 	l := r.loss
 	if l == nil {
 		return
@@ -247,7 +251,6 @@
 	r.loss = nil
 	s.noticeLoss(l)
 	l.proved = true
-	delete(s.crashes.unproved, l.key())
 	for _, t := range slices.Clone(l.suspects) {
 		crash := t.crashOn(l.key())
 		if crash == nil || t.stage.job.finalState != "" {
@@ -270,10 +273,15 @@
 	return names
 }
 
+// mayBeTakenBack reports whether the runner of a crash may still answer in the same incarnation.
+func (s *Scheduler) mayBeTakenBack(c job.Crash) bool {
+	return len(s.crashes.unproved[incarnationKey{c.Runner, c.Incarnation}]) > 0
+}
+
 // giveUpCulprit ends the job of a task that must not be started again, and reports whether it did.
 func (s *Scheduler) giveUpCulprit(t *task) bool {
 	t = t.counted()
-	if blame.Judge(t.crashes) != blame.Culprit {
+	if blame.Judge(t.crashes) != blame.Culprit || slices.ContainsFunc(t.crashes, s.mayBeTakenBack) {
 		return false
 	}
 	runners := make([]string, 0, len(t.crashes))
