scheduler: a gang under which a runner was lost finds runners again

Cause: a gang of suspects waits for runners that are set apart, and one was set apart for it, whatever it needs; it waited without end for the second.

The stand-in runner and the soak play tasks that crash runners.

--- a/internal/scheduler/innocent_test.go
+++ b/internal/scheduler/innocent_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/agateyard/agateyard/internal/job"
 	"github.com/agateyard/agateyard/internal/model"
 )
@@ -224,3 +226,58 @@
 	}
 	sim.mustFinish(t, 15*time.Second)
 }
+
+// TestSuspectGangFindsRunners guards against a gang under which a runner was lost that never starts again, because it needs more
+// runners than are set apart, or others than are eligible.
+func TestSuspectGangFindsRunners(t *testing.T) {
+	for seed := range 10 {
+		sim := newMixedSimulation(int64(seed), 24)
+		sim.eligible = func(step job.StepID, runner string) bool { return xxhash.Sum64String(step.Job+runner)%4 == 0 }
+		l := &crashLoad{sim: sim, culprits: map[string]bool{}, sent: map[string]time.Duration{}}
+		const gang = "g000000000000001"
+		step := job.Step{Count: 3, Need: model.Resources{CoresMilli: 3500}, Estimate: 4000, Gang: true}
+		sim.specs[gang] = job.Spec{ID: gang, Queue: "gang", Steps: []job.Step{step}}
+		sim.submitStep("gang", gang, step)
+		for begun := false; !begun; _, begun = sim.firstStarts[gang] {
+			sim.run(10 * time.Millisecond)
+		}
+		for _, r := range sim.runnersAt(func(RunnerInfo) bool { return true }) {
+			if len(r.runs) > 0 { // its start is a few milliseconds old
+				r.crash()
+				break
+			}
+		}
+		l.run(10*time.Second, "", 1)
+		if len(sim.history("CrashCounted")) == 0 {
+			t.Fatal("the gang is no suspect")
+		}
+		sim.mustFinish(t, 30*time.Second)
+	}
+}
+
+// TestLossesOfOneMomentGiveNothingUp guards against a gang that is given up because several of its runners were lost at the same
+// moment, and against one that is given up before it is certain that they were.
+func TestLossesOfOneMomentGiveNothingUp(t *testing.T) {
+	for seed := range 10 {
+		sim := newMixedSimulation(int64(seed), 24)
+		const gang = "g000000000000001"
+		sim.submitStep("gang", gang, job.Step{Count: 4, Need: model.Resources{CoresMilli: 5000}, Estimate: 3000, Gang: true})
+		for begun := false; !begun; _, begun = sim.firstStarts[gang] {
+			sim.run(10 * time.Millisecond)
+		}
+		lost := 0
+		for _, r := range sim.runnersAt(func(RunnerInfo) bool { return true }) {
+			if len(r.runs) > 0 && lost < 2 {
+				lost++
+				r.crash()
+			}
+		}
+		if lost != 2 {
+			t.Fatalf("%d runners were lost, want 2", lost)
+		}
+		sim.mustFinish(t, 60*time.Second)
+		if state := sim.finished[gang].State; state != job.Done {
+			t.Errorf("the gang is %s: %s", state, sim.finished[gang].Reason)
+		}
+	}
+}
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -315,37 +315,46 @@
 	return (why != riskByTask || len(r.runs) == r.riskyRuns) && s.isQuiet(r)
 }
 
-// prepareIsolation sets the runner apart that is expected to be idle first, if a suspect of the stage finds none that is. The
-// suspect starts there once the runs of others have ended, so that they aren't lost with the runner.
+// prepareIsolation sets runners apart for a suspect of the stage, or its gang, that finds none: those that are expected to be
+// idle first. The suspect starts there once the runs of others have ended, so that they aren't lost with the runner.
 func (s *Scheduler) prepareIsolation(st *stage, candidates []*runner) {
 	is := s.isolationFor(st.job.queue.Service, riskByTask)
-	var first *runner
+	missing := 1
+	if st.step.Gang {
+		missing = len(st.tasks)
+	}
+	limit := st.maxOnRunner(missing)
+	copies := func(r *runner) int { return st.step.Reserved().Copies(r.Capacity, limit) }
+	var others []*runner
 	for _, r := range candidates {
-		if r.isolation == is {
+		switch {
+		case r.isolation == is && copies(r) > 0:
 			r.riskyAt = max(r.riskyAt, s.now-isolationTime) // it is waited for
-			return
-		}
-		if r.isolation != nil || !st.step.Reserved().Fits(r.Capacity) || s.crashesByItself(r.Addr) {
-			continue
-		}
-		s.estimateIdleAt(r)
-		if first == nil || r.idleAt < first.idleAt {
-			first = r
+			missing -= copies(r)
+		case r.isolation == nil && copies(r) > 0 && !s.crashesByItself(r.Addr):
+			s.estimateIdleAt(r)
+			others = append(others, r)
 		}
 	}
-	if first != nil {
-		s.setApart(first, riskByTask)
+	slices.SortStableFunc(others, func(a, b *runner) int { return cmp.Compare(a.idleAt, b.idleAt) })
+	for _, r := range others[:min(len(others), is.room())] {
+		if missing <= 0 {
+			return
+		}
+		s.setApart(r, riskByTask)
+		missing -= copies(r)
 	}
 }
 
 // mayRunAnywhere reports whether risky runs of a stage may be placed on runners that are not set apart: because another one may
-// be set apart for a queue, or because the stage has found none of those that are for a while.
+// be set apart for a queue, or because the stage has found none of those that are, or not enough for its gang, for a while.
 func (s *Scheduler) mayRunAnywhere(st *stage, why risk, candidates []*runner) bool {
 	is := s.isolationFor(st.job.queue.Service, why)
 	if is.limit == 0 || why == riskByQueue && is.room() > 0 {
 		return true
 	}
-	if slices.ContainsFunc(candidates, func(r *runner) bool { return r.isolation == is }) {
+	need := st.step.Reserved()
+	if !st.step.Gang && slices.ContainsFunc(candidates, func(r *runner) bool { return r.isolation == is && need.Fits(r.Capacity) }) {
 		st.notIsolatedSince = 0
 		return false
 	}
@@ -363,7 +372,7 @@
 	wide := 2*st.step.Reserved().CoresMilli*int64(len(st.tasks)) > is.capacity
 	anywhere := wide || s.mayRunAnywhere(st, why, candidates)
 	admitted := slices.DeleteFunc(slices.Clone(candidates), func(r *runner) bool { return !s.admitsRisk(r, why, anywhere) })
-	if wide || is.room() == 0 {
+	if wide || is.room() == 0 || s.now-st.notIsolatedSince >= maxIsolationWait && st.notIsolatedSince > 0 {
 		return admitted
 	}
 	slices.SortStableFunc(admitted, byIsolation)
