scheduler: runs that were reserved on a runner that has shrunk since don't start

Entries of discovery change the capacity at once, and packing, caps, shares, gangs and claims read it where they decide. One place kept the old one: a reserved run, or one that couldn't be sent, starts later without looking at the capacity again.

--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -285,8 +285,10 @@
 	if st.reservedCount == 0 {
 		return
 	}
-	// Runners may have started to drain or become unreachable since the reservation.
-	s.releaseReserved(st, "the runner is no longer usable", func(r *runner) bool { return !r.usable() })
+	// Runners may have started to drain, become unreachable or shrunk since the reservation.
+	s.releaseReserved(st, "the runner is no longer usable", func(r *runner) bool {
+		return !r.usable() || st.preemptionDeadline == 0 && !r.used.Fits(r.Capacity)
+	})
 	var reserved []*run
 	for _, t := range st.tasks {
 		if t.current != nil && t.current.state == runReserved {
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -112,6 +112,10 @@
 			s.endRun(x, "tenant over its cap", "") // the cap has fallen since the start was decided
 			continue
 		}
+		if !x.runner.used.Fits(x.runner.Capacity) {
+			s.endRun(x, "runner has shrunk", "") // since the start was decided
+			continue
+		}
 		x.startSentAt, x.runner.lastStartAt = s.now, s.now
 		s.sendStart(x, "not sent before")
 	}
