scheduler, blame: only a loss that is seen as it happens has suspects

Class: evidence that is weaker than the verdict needs.

Change: a loss after silence makes no suspects; a start without an answer counts only if the runner was lost within 200 ms; clearing others makes no only suspect; losses without suspects don't count towards two. TestJudge follows: a start without an answer is no certain loss any more.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -2,7 +2,11 @@
 // given up, and which queues start tasks that crash runners. It performs no I/O, and time is passed in.
 package blame
 
-import "github.com/agateyard/agateyard/internal/job"
+import (
+	"slices"
+
+	"github.com/agateyard/agateyard/internal/job"
+)
 
 // Verdict is what the losses of runners under a task say about it.
 type Verdict int
@@ -26,8 +30,8 @@
 }
 
 const (
-	// culpritCrashes is the number of losses after which a task that was the only suspect of one of them is given up. One
-	// loss may be a coincidence.
+	// culpritCrashes is the number of losses for which a task has to be a suspect, and for one of them the only one, to be given
+	// up. One loss may be a coincidence.
 	culpritCrashes = 2
 	// suspectLosses is the number of losses without a likely culprit after which a task is a suspect as well: it may crash
 	// its runners later than as it starts.
@@ -40,20 +44,20 @@
 // count once: more than one of its members would have to be at fault.
 func Judge(crashes []job.Crash) Verdict {
 	suspected, alone := false, false
-	started := 0 // runs that were lost with runners which had certainly started them
+	started, blamed := 0, 0 // runs that were lost with runners which had certainly started them; those as a suspect
 	for i, c := range crashes {
 		suspected = suspected || c.Suspects > 0
-		alone = alone || c.Suspects == 1
-		counted := c.Started || c.Suspects == 1
-		for _, earlier := range crashes[:i] {
-			counted = counted && earlier.Run != c.Run
+		alone = alone || c.Suspects == 1 && c.Started
+		if !c.Started || slices.ContainsFunc(crashes[:i], func(earlier job.Crash) bool { return earlier.Run == c.Run }) {
+			continue
 		}
-		if counted {
-			started++
+		started++
+		if c.Suspects > 0 {
+			blamed++
 		}
 	}
 	switch {
-	case started >= maxCrashes, started >= culpritCrashes && alone:
+	case started >= maxCrashes, blamed >= culpritCrashes && alone:
 		return Culprit
 	case suspected, started >= suspectLosses:
 		return Suspect
--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -8,6 +8,7 @@
 	// Suspects is the number of tasks and gangs that may have caused the loss, this one included; 0 if the loss has another
 	// likely cause or none of them is more likely than all that ran there.
 	Suspects int `json:"of,omitempty"`
-	// Started says that the runner had confirmed the run. A start without an answer may never have reached it.
+	// Started says that the runner had confirmed the run, or was lost right after the start was sent. Any other start without an
+	// answer may never have reached it.
 	Started bool `json:"ok,omitempty"`
 }
--- a/internal/scheduler/contact.go
+++ b/internal/scheduler/contact.go
@@ -53,7 +53,7 @@
 	s.emit(RunnerChanged{Runner: id, Change: "replaced", Detail: addr})
 	if r.loss == nil {
 		s.reportLoss(r, "replaced", r.aliveAt)
-		s.recordLoss(r, r.aliveAt, true)
+		s.recordLoss(r, r.aliveAt, false) // it has been silent, so that nothing is known of its last moments
 	}
 	s.releaseUnknown(r)
 	for _, x := range r.sortedRuns(matchAnyRun) {
@@ -66,8 +66,6 @@
 // existing reports whether a run may exist on its runner.
 func existing(x *run) bool { return x.state != runReserved }
 
-// startedAfter reports whether a run was started after the given time or may still be starting: a start request without an
-// answer may be executed late. The start of an adopted run is unknown, but before this owner's time.
-func (x *run) startedAfter(at time.Duration) bool {
-	return !x.adopted && (x.startConfirmedAt == 0 || x.startSentAt >= at)
-}
+// startedAfter reports whether a run was started after the given time. The start of an adopted run is unknown, but before
+// this owner's time.
+func (x *run) startedAfter(at time.Duration) bool { return !x.adopted && x.startSentAt >= at }
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -15,6 +15,10 @@
 // the runner is alive, which the next poll shows, and others that are lost for the same reason are known by then.
 const lossNoticeDelay = 250 * time.Millisecond
 
+// certainStart is how long before the loss of its runner a start without an answer may have been sent to count as one that
+// the runner has executed: the time of a start, and until a closed connection is noticed.
+const certainStart = 200 * time.Millisecond
+
 // survivalTime is how long a long-running task has to run to be cleared of the losses of earlier runners.
 const survivalTime = 10 * time.Second
 
@@ -98,7 +102,8 @@
 	}
 	for _, t := range l.suspects {
 		x := lostRuns[t]
-		crash := job.Crash{Runner: r.ID, Incarnation: r.incarnation, Run: x.number, Started: x.startConfirmedAt > 0}
+		crash := job.Crash{Runner: r.ID, Incarnation: r.incarnation, Run: x.number}
+		crash.Started = x.startConfirmedAt > 0 || s.now-x.startSentAt <= certainStart
 		if fresh { // durable at once, for a successor: this owner may end before the loss is certain
 			crash.Suspects = len(l.suspects)
 			s.stateChanged(t.stage.job)
@@ -170,7 +175,7 @@
 	}
 	l.noticed = true
 	if l.common = s.hasCommonCause(l); l.common {
-		s.setSuspects(l, 0)
+		s.blameNone(l)
 		return
 	}
 	if len(l.queues) > 0 || !l.suspected {
@@ -212,11 +217,11 @@
 	}
 }
 
-// setSuspects changes how many tasks may have caused a loss, in the crashes of those that are left.
-func (s *Scheduler) setSuspects(l *runnerLoss, suspects int) {
+// blameNone records that none of the tasks which ran on a lost runner is a likely cause.
+func (s *Scheduler) blameNone(l *runnerLoss) {
 	for _, t := range l.suspects {
-		if c := t.crashOn(l.key()); c != nil && c.Suspects > 0 && c.Suspects != suspects {
-			c.Suspects = suspects
+		if c := t.crashOn(l.key()); c != nil && c.Suspects > 0 {
+			c.Suspects = 0
 			s.stateChanged(t.stage.job)
 		}
 	}
@@ -312,7 +317,6 @@
 	t.crashes = nil
 	for _, l := range s.crashes.byTask[t] {
 		l.suspects = slices.DeleteFunc(l.suspects, func(other *task) bool { return other == t })
-		s.setSuspects(l, len(l.suspects))
 		if len(l.suspects) == 0 && l.proved && !l.common {
 			s.crashes.faulty[l.runner.Addr] = s.now
 			s.emit(RunnerChanged{Runner: l.runner.ID, Change: "crashed by itself", Detail: l.runner.Addr})
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -98,7 +98,7 @@
 	first := r.incarnation == 0
 	if !first && r.loss == nil {
 		s.reportLoss(r, "restarted", r.aliveAt)
-		s.recordLoss(r, r.aliveAt, true)
+		s.recordLoss(r, r.aliveAt, false)
 	}
 	s.runnersChanged()
 	r.incarnation = rep.Incarnation
