scheduler: jobs that have ended are no suspects

Found in the review: the run of a cancelled job that is lost with its runner, without a recent start there, made its task a suspect that was never forgotten, so that each pass went on checking every waiting task. TestFinishedJobsAreNoSuspects failed before; TestTasksThatCrashRunners now also checks that nothing is left once all jobs have ended.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -99,6 +99,10 @@
 func (l *crashLoad) check(t *testing.T) (culprits, crashes int) {
 	t.Helper()
 	l.sim.mustFinish(t, 60*time.Second)
+	if c := &l.sim.sched.crashes; len(c.byTask)+len(c.unproved)+len(c.pending)+len(l.sim.sched.isolations) > 0 {
+		t.Errorf("%d suspects, %d and %d losses and %d isolations are left after all jobs have ended",
+			len(c.byTask), len(c.unproved), len(c.pending), len(l.sim.sched.isolations))
+	}
 	for id, culprit := range l.culprits {
 		finished, ok := l.sim.finished[id]
 		switch {
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -84,11 +84,11 @@
 	l := &runnerLoss{runner: r.ref(), rack: r.Rack, at: s.now}
 	since := aliveUntil - startupTime
 	runs := r.sortedRuns(existing)
-	suspects := slices.DeleteFunc(slices.Clone(runs), func(x *run) bool { return !closed || !x.startedAfter(since) })
-	suspects = slices.DeleteFunc(suspects, func(x *run) bool { return x.task.stage.job.finalState != "" })
+	active := slices.DeleteFunc(slices.Clone(runs), func(x *run) bool { return x.task.stage.job.finalState != "" })
+	suspects := slices.DeleteFunc(slices.Clone(active), func(x *run) bool { return !closed || !x.startedAfter(since) })
 	fresh := len(suspects) > 0
 	if !fresh {
-		suspects = runs
+		suspects = active
 	}
 	lostRuns := map[*task]*run{}
 	for _, x := range suspects {
--- a/internal/scheduler/innocent_test.go
+++ b/internal/scheduler/innocent_test.go
@@ -345,3 +345,19 @@
 		}
 	}
 }
+
+// TestFinishedJobsAreNoSuspects guards against suspects that are never forgotten, because their job had ended when the runner of
+// their last run was lost.
+func TestFinishedJobsAreNoSuspects(t *testing.T) {
+	sim := newMixedSimulation(8, 8)
+	sim.removeAdvice("fill")
+	sim.submitStep("fill", "f000000000000001", job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 9000})
+	sim.run(time.Second)
+	r := sim.runnersAt(func(info RunnerInfo) bool { return len(sim.runners[info.ID].runs) > 0 })[0]
+	sim.sched.Cancel("f000000000000001")
+	r.crash()
+	sim.run(10 * time.Second)
+	if n := len(sim.sched.crashes.byTask); n > 0 {
+		t.Errorf("%d suspects are left after their job has ended", n)
+	}
+}
