scheduler: each waiting suspect gets a runner of its own, up to the limit

Cause: a suspect that found any runner set apart among its candidates asked for no other, however many waited for that one; on a full fleet each takes seconds to become idle.

Change: as many runners are of use as suspects wait and run, up to the limit.

--- a/internal/scheduler/innocent_test.go
+++ b/internal/scheduler/innocent_test.go
@@ -361,3 +361,27 @@
 		t.Errorf("%d suspects are left after their job has ended", n)
 	}
 }
+
+// TestEachSuspectGetsARunner guards against suspects that wait for one runner that is set apart, one after the other, although
+// more may be: on a busy fleet each takes seconds to become idle.
+func TestEachSuspectGetsARunner(t *testing.T) {
+	const runners, suspects = 48, 4 // a twelfth may be set apart
+	sim := newMixedSimulation(9, runners)
+	sim.removeAdvice("urgent", "fill")
+	for i := range runners {
+		sim.submitStep("fill", fmt.Sprintf("f%015x", i), job.Step{Count: 1, Need: model.Resources{CoresMilli: 7000}, Estimate: 10_000})
+	}
+	sim.run(time.Second)
+	for i := range suspects {
+		id := fmt.Sprintf("a%015x", i)
+		sim.submitStep("urgent", id, job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 500})
+		suspect := sim.sched.jobs[id].stages[0].tasks[0]
+		suspect.crashes = []job.Crash{{Runner: "lost", Run: 1, Suspects: 1, Started: true}}
+		sim.sched.crashes.byTask[suspect] = nil
+	}
+	sim.run(500 * time.Millisecond)
+	if n := sim.sched.Stats().IsolatedRunners; n != suspects {
+		t.Errorf("%d runners are set apart for %d suspects", n, suspects)
+	}
+	sim.mustFinish(t, 30*time.Second)
+}
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -201,7 +201,7 @@
 			}
 			meanCores := max(cores[service]/int64(n), 1)
 			is.capacity = meanCores * int64(is.limit)
-			is.wanted = is.limit
+			is.wanted = is.suspectsWaiting(s.openStages)
 			if why == riskByQueue {
 				is.wanted = 1 + int(isolationReserve*float64(s.harmfulDemand(service))/float64(meanCores))
 				if s.isShort(service) {
@@ -226,6 +226,28 @@
 	}
 }
 
+// suspectsWaiting returns how many runners are of use for suspects: one for each that waits, a gang as many as it has members, and
+// those on which suspects run.
+func (is *isolation) suspectsWaiting(stages []*stage) int {
+	n := 0
+	for _, r := range is.runners {
+		if r.riskyRuns > 0 {
+			n++
+		}
+	}
+	for _, st := range stages {
+		if st.job.queue.Service != is.key.service {
+			continue
+		}
+		for _, t := range st.tasks {
+			if t.waiting() && t.verdict() != blame.Unsuspected {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // isShort reports whether the runners that aren't set apart have little free capacity left for other work.
 func (s *Scheduler) isShort(service string) bool {
 	var used, capacity int64
@@ -323,6 +345,7 @@
 	if st.step.Gang {
 		missing = len(st.tasks)
 	}
+	spare := is.room() > 0 // other suspects wait for the runners that are set apart
 	limit := st.maxOnRunner(missing)
 	copies := func(r *runner) int { return st.step.Reserved().Copies(r.Capacity, limit) }
 	var others []*runner
@@ -336,6 +359,9 @@
 			others = append(others, r)
 		}
 	}
+	if spare && !st.step.Gang {
+		missing = 1
+	}
 	slices.SortStableFunc(others, func(a, b *runner) int { return cmp.Compare(a.idleAt, b.idleAt) })
 	for _, r := range others[:min(len(others), is.room())] {
 		if missing <= 0 {
