scheduler: a suspect starts again only once its crash is durable

Class: a bound that doesn't survive a new owner.

Change: a task or gang for which a loss counts waits until the record with that loss is stored; others don't wait.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -71,6 +71,10 @@
 	return t
 }
 
+// crashIsDurable reports whether the losses for which a task or its gang is a suspect are durable. It doesn't start again before:
+// the counts of an owner that can't reach the store would be lost with it.
+func (t *task) crashIsDurable() bool { return t.stage.job.durable >= t.counted().crashVersion }
+
 // verdict returns what the losses of runners say about a task or its gang.
 func (t *task) verdict() blame.Verdict { return blame.Judge(t.counted().crashes) }
 
@@ -107,6 +111,7 @@
 		if fresh { // durable at once, for a successor: this owner may end before the loss is certain
 			crash.Suspects = len(l.suspects)
 			s.stateChanged(t.stage.job)
+			t.crashVersion = t.stage.job.version
 		}
 		t.crashes = append(t.crashes, crash)
 		s.crashes.byTask[t] = append(s.crashes.byTask[t], l)
--- a/internal/scheduler/innocent_test.go
+++ b/internal/scheduler/innocent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -385,3 +386,24 @@
 	}
 	sim.mustFinish(t, 30*time.Second)
 }
+
+// TestSuspectWaitsForItsRecord guards against a task that crashes runner after runner under owners that can't reach the store, each of
+// which counts from zero.
+func TestSuspectWaitsForItsRecord(t *testing.T) {
+	for name, step := range crashLoadSteps {
+		l := newCrashLoad(1, 24)
+		l.submit(name, true)
+		task := job.TaskID{StepID: job.StepID{Job: slices.Collect(maps.Keys(l.culprits))[0]}, Index: 1}
+		l.sim.run(30 * time.Millisecond) // its acceptance is durable
+		l.sim.storeDown = true
+		for range 4 {
+			l.sim.run(12 * time.Second)
+			l.sim.takeover()
+		}
+		if n := l.sim.crashes[task]; n > maxCrashesOfTask {
+			t.Errorf("%s of %d: %d runners have crashed, limit %d", name, step.Count, n, maxCrashesOfTask)
+		}
+		l.sim.storeDown = false
+		l.mustFinishAllBut(t, 1)
+	}
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -186,7 +186,7 @@
 	}
 	costs := s.speedCostsOf(st)
 	for _, t := range st.tasks {
-		if !t.waiting() {
+		if !t.waiting() || !t.crashIsDurable() {
 			continue
 		}
 		if !s.mayCharge(st, 1) || !s.excessMayTake(st, 1) {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -50,6 +50,7 @@
 	inFlight    map[runKey]startInFlight                  // start requests that runners have not handled
 	deadly      func(task job.TaskID) bool                // nil: no task crashes its runner
 	crashes     map[job.TaskID]int                        // of runners under their tasks, by task
+	storeDown   bool                                      // no record is stored
 }
 
 // startInFlight is a start request that its runner may still accept.
@@ -221,6 +222,9 @@
 			sim.apply(sim.sched, e)
 		}
 	}
+	if sim.storeDown {
+		return
+	}
 	sched := sim.sched
 	for _, d := range sim.sched.TakeDirty(15, func(string) bool { return false }) {
 		sim.afterFunc(10*time.Millisecond, func() {
