scheduler: a restarted runner proves the crashes that a predecessor recorded

Cause: a successor keeps recorded crashes of a listed runner as "may be taken back" until that incarnation answers, lapses or is replaced. If the runner had restarted under the same identifier, its first report to the successor is of a later incarnation, and nothing ended the doubt: the verdict was "given-up" with each crash, but the job was never ended, and the task started again. Removing a delisted runner that had never answered this owner left its entry behind for the same reason.

Ruled out: lost counts of owners without the store (the records held them).

Change: the first report of a runner proves its earlier incarnations; so does its removal.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -156,3 +156,21 @@
 		t.Logf("%s: %d culprits, %.2f crashes each", queue, culprits, float64(crashes)/float64(max(culprits, 1)))
 	}
 }
+
+// TestRestartedRunnersProveCrashes guards against a task that a successor never gives up, and starts again without end, because it
+// waits for an incarnation of a runner that has restarted under the same identifier.
+func TestRestartedRunnersProveCrashes(t *testing.T) {
+	for _, queue := range []string{"urgent", "gang", "fill"} {
+		for seed := range 6 {
+			t.Run(fmt.Sprintf("%s/%d", queue, seed), func(t *testing.T) {
+				l := newCrashLoad(int64(seed), 24)
+				l.sim.restartsInPlace = true
+				for range 5 {
+					l.run(time.Duration(400+l.sim.rng.Intn(800))*time.Millisecond, queue, 6)
+					l.sim.takeover()
+				}
+				l.check(t)
+			})
+		}
+	}
+}
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -251,9 +252,11 @@
 // proveLoss records that an incarnation of a runner has ended with all its runs, and gives up the jobs of the tasks that have
 // caused it. The runs have been ended by the caller, so that their tasks could start again.
 func (s *Scheduler) proveLoss(r *runner) {
-	maps.DeleteFunc(s.crashes.unproved, func(key incarnationKey, _ []*task) bool {
-		return key.runner == r.ID && (r.incarnation == 0 || key.incarnation <= r.incarnation)
-	})
+	ended := r.incarnation + 1
+	if r.incarnation == 0 { // it has never answered this owner
+		ended = allIncarnations
+	}
+	s.proveIncarnations(r.ID, ended)
 	l := r.loss
 	if l == nil {
 		return
@@ -275,6 +278,15 @@
 	}
 }
 
+const allIncarnations = math.MaxInt64
+
+// proveIncarnations records that the incarnations of a runner before the given one have ended.
+func (s *Scheduler) proveIncarnations(id string, before int64) {
+	maps.DeleteFunc(s.crashes.unproved, func(key incarnationKey, _ []*task) bool {
+		return key.runner == id && key.incarnation < before
+	})
+}
+
 func (l *runnerLoss) suspectNames() []string {
 	names := make([]string, 0, len(l.suspects))
 	for _, t := range l.suspects {
--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -98,7 +98,7 @@
 	for _, r := range s.sortedRunners() {
 		if s.discoveryRead && !r.listed && len(r.runs) == 0 && r.unknownRuns == 0 && !r.inherited {
 			delete(s.runners, r.ID)
-			delete(s.crashes.unproved, incarnationKey{r.ID, r.incarnation})
+			s.proveIncarnations(r.ID, allIncarnations)
 			s.runnersChanged()
 			continue
 		}
--- a/internal/scheduler/fake_crash_test.go
+++ b/internal/scheduler/fake_crash_test.go
@@ -10,11 +10,14 @@
 const (
 	// crashDowntime is the time until another runner answers at the address of one that has crashed.
 	crashDowntime = 3 * time.Second
+	// restartDowntime is the time until a runner that restarts under its identifier answers again.
+	restartDowntime = 300 * time.Millisecond
 	// crashDelisting is the time until discovery removes a runner that has crashed.
 	crashDelisting = 4200 * time.Millisecond
 )
 
-// crash ends a runner's process and all its runs. Another runner starts at its address some seconds later.
+// crash ends a runner's process and all its runs. Another runner starts at its address some seconds later, or the same one with
+// restartsInPlace.
 func (r *fakeRunner) crash() {
 	if r.ended {
 		return
@@ -29,6 +32,13 @@
 	sim.afterFunc(5*time.Millisecond, func() {
 		sim.sched.RunnerUnreachable(r.info.ID, r.info.Addr, ContactLoss{Reason: "EOF", Closed: true, AliveUntil: alive})
 	})
+	if sim.restartsInPlace {
+		sim.afterFunc(restartDowntime, func() {
+			r.ended = false
+			r.restart()
+		})
+		return
+	}
 	sim.afterFunc(crashDowntime, r.replace)
 	sim.afterFunc(crashDelisting, func() {
 		r.delisted = true
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -111,6 +111,7 @@
 	r.speed = runnerSpeed{}
 	r.sample.restarted()
 	if first {
+		s.proveIncarnations(r.ID, r.incarnation) // a predecessor may have recorded crashes of earlier ones
 		return
 	}
 	s.emit(RunnerChanged{Runner: r.ID, Change: "restarted"})
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -51,6 +51,8 @@
 	deadly      func(task job.TaskID) bool                // nil: no task crashes its runner
 	crashes     map[job.TaskID]int                        // of runners under their tasks, by task
 	storeDown   bool                                      // no record is stored
+
+	restartsInPlace bool // runners that have crashed start again under the same identifier
 }
 
 // startInFlight is a start request that its runner may still accept.
