scheduler: a stage that waits too long for an advice call precedes more urgent ones once

Cause: advice calls go to stages in the order of urgency. A stage that is later than three times its objective comes last, and any number of new stages, or of new runners that the stages before it can ask about, keeps every machine busy.

Change: a stage records since when it finds no machine. After 5 s, or 1 s while most cores are free, the one of the most important queue precedes the others for one request, at most one each 500 ms.

TestLateGangGetsAdvice failed before (not started 3 s after most of the fleet became free) and passes.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -55,7 +55,11 @@
 	if s.isLimitedExcess(st) && !s.dispatcher.MostlyIdle() {
 		return
 	}
-	if !s.fleetReported() || !s.dispatcher.HasCapacity(st.job.queue.Advice.CallDuration(1), s.now) {
+	if !s.fleetReported() {
+		return
+	}
+	if !s.dispatcher.HasCapacity(st.job.queue.Advice.CallDuration(1), s.now) {
+		st.advice.deferral.attempt(s.now)
 		return
 	}
 	var refs []RunnerRef
@@ -65,6 +69,7 @@
 		refs = s.unqueriedWithCapacity(st, waiting)
 	}
 	if len(refs) == 0 {
+		st.advice.deferral = adviceDeferral{}
 		return
 	}
 	refs = s.padRequest(st, refs)
@@ -76,6 +81,9 @@
 	if sent { // a request that no machine takes must not delay the next one
 		st.advice.requestedAt = s.now
 		st.advice.requests++
+		st.advice.deferral = adviceDeferral{}
+	} else {
+		st.advice.deferral.attempt(s.now)
 	}
 }
 
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -46,6 +46,7 @@
 	for _, st := range s.openStages {
 		s.startReserved(st) // reserved capacity is idle until the runs start
 	}
+	s.requestOverdueAdvice()
 	unplaced := 0
 	for entry := range s.inShareOrder(s.rank()) {
 		before := len(s.effects)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -40,6 +40,7 @@
 	mostlyFree     bool            // at least half of the usable cores are free
 	// mostlyFreeSince is when at least half of the usable cores became free; meaningful only while they are.
 	mostlyFreeSince time.Duration
+	overdueAdviceAt time.Duration // when advice was last requested for a deferred stage before more urgent ones
 	fleetSpeed      fleetSpeed
 	failures        fleetFailures
 	runnersByID     []*runner // cached list of the runners, sorted by identifier; nil if outdated
--- a/internal/scheduler/stage_advice.go
+++ b/internal/scheduler/stage_advice.go
@@ -13,7 +13,8 @@
 	retryAt          time.Duration
 	requests         int           // number of requests for further runners
 	requestedAt      time.Duration // time of the last request for further runners
-	exhaustedVersion int           // fleetVersion at which a gang found no further runner to query
+	deferral         adviceDeferral
+	exhaustedVersion int // fleetVersion at which a gang found no further runner to query
 	queried          incarnationSet
 	tickets          map[*runner]ticket
 	restored         bool                  // eligible runners were restored from the record of a predecessor
