control: a record that panics the scheduler is skipped by the owner that loads it

A panic in the restore of a well-formed record ended the ownership; each process in turn loaded the same record and panicked, so that the cell had no owner.

Change: the panic of one record is contained. Its job counts as unreadable, as one whose record can't be decoded: not started, not submitted again. The others are restored in a new scheduler, since a part of the state may have changed. At most 16 records are skipped.

--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -24,6 +24,7 @@
 		return err
 	}
 	active := 0
+	var records []*job.Record
 	for _, item := range items {
 		record, err := job.DecodeRecord(item.Value)
 		if err == nil && jobPrefix+record.ID != item.Key {
@@ -35,12 +36,12 @@
 			continue
 		}
 		o.writer.revs[record.ID] = item.Rev
-		o.sched.Restore(record)
+		records = append(records, record)
 		if record.Final == "" {
 			active++
 		}
 	}
-	o.sched.RestoreDone()
+	o.restoreAll(records)
 	o.publishPending()
 	now := o.n.clock.Now()
 	o.n.dep.Metrics.Takeover.Observe((now - started).Seconds())
@@ -51,6 +52,47 @@
 	return nil
 }
 
+// maxPanickingRecords bounds how many records may be skipped because they panic. A scheduler that panics with more has a
+// fault of another kind.
+const maxPanickingRecords = 16
+
+// restoreAll restores the records in the scheduler. A record that panics there is skipped, as the successors of this owner would end
+// by it one after the other. It may have changed a part of the state, so the others are restored in a new scheduler.
+func (o *ownership) restoreAll(records []*job.Record) {
+	for attempt := 0; ; attempt++ {
+		panicking := o.tryRestore(records, attempt == maxPanickingRecords)
+		if panicking == nil {
+			return
+		}
+		o.n.dep.Log.Log("bad-record", logrus.Fields{"key": jobPrefix + panicking.ID, "error": "it panics in the scheduler"})
+		o.unreadable[panicking.ID] = true
+		records = slices.DeleteFunc(records, func(r *job.Record) bool { return r == panicking })
+		o.sched = o.newScheduler()
+		o.applyConfig()
+		o.usedRunners.inherit()
+	}
+}
+
+// tryRestore restores the records and returns the one that panics; nil if none does, or if the panic isn't that of a record.
+func (o *ownership) tryRestore(records []*job.Record, last bool) (panicking *job.Record) {
+	var current *job.Record
+	defer func() {
+		if current == nil || last {
+			return // a panic continues
+		}
+		if value := recover(); value != nil {
+			o.n.logPanic("restore of job "+current.ID, value)
+			panicking = current
+		}
+	}()
+	for _, current = range records {
+		o.restore(o.sched, current)
+	}
+	current = nil
+	o.sched.RestoreDone()
+	return nil
+}
+
 // readJobs reads the records of all jobs, with one parallel read for each first digit of the identifier. After the claim
 // only this process changes records, so the parts are consistent with each other.
 func (o *ownership) readJobs() ([]Item, error) {
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -10,6 +10,7 @@
 
 	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/ctxtime"
+	"github.com/agateyard/agateyard/internal/job"
 	"github.com/agateyard/agateyard/internal/pacing"
 	"github.com/agateyard/agateyard/internal/relay"
 	"github.com/agateyard/agateyard/internal/scheduler"
@@ -55,7 +56,8 @@
 	loopTime       time.Duration // when the event loop last ran
 	lastPass       time.Duration // start of the last placement pass
 	passInterval   pacing.PassInterval
-	unreadable     map[string]bool          // jobs whose records can't be decoded; they are left as they are
+	unreadable     map[string]bool // jobs whose records can't be decoded or restored; they are left as they are
+	restore        func(*scheduler.Scheduler, *job.Record)
 	paused         bool                     // the claim is being read again
 	checkingClaim  bool                     // a regular read of the claim is in flight
 	nextClaimCheck time.Duration            // when to read the claim next
@@ -97,7 +99,8 @@
 	o.handover = candidacy.NewHandover(now)
 	o.pace = pacing.NewCalls()
 	o.startLimit = pacing.NewStartLimit(candidacy.StartsPerSecond(n.self().candidate().Machine))
-	o.sched = scheduler.New(n.opt.Scheduler, info.Term, now, n.clock.Wall())
+	o.restore = (*scheduler.Scheduler).Restore
+	o.sched = o.newScheduler()
 	o.writer = newRecordWriter(o)
 	o.poller = newRunnerPoller(o)
 	o.calls = newRunnerCalls(o)
@@ -105,6 +108,11 @@
 	return o
 }
 
+// newScheduler returns a scheduler without jobs and runners.
+func (o *ownership) newScheduler() *scheduler.Scheduler {
+	return scheduler.New(o.n.opt.Scheduler, o.info.Term, o.loopTime, o.n.clock.Wall())
+}
+
 // stepDown ends the ownership. A runner that has received a request of the next owner refuses late requests of this one.
 func (o *ownership) stepDown(reason string) {
 	o.mu.Lock()
--- a/internal/control/used_runners.go
+++ b/internal/control/used_runners.go
@@ -56,10 +56,15 @@
 		r.o.n.dep.Log.Log("bad-used-runners", logrus.Fields{"key": runnersKey, "error": err.Error()})
 		r.recorded = map[string]string{unknownRunners: ""}
 	}
+	r.inherit()
+	return nil
+}
+
+// inherit passes the runners that earlier owners used to the scheduler.
+func (r *usedRunners) inherit() {
 	for id, addr := range r.recorded {
 		r.o.sched.RunnerInherited(id, addr)
 	}
-	return nil
 }
 
 // add passes a runner to the scheduler once it is recorded.
