pacing: the first timeouts in a pause of the owner blame no runner

Cause: a late start is blamed on its runner unless most runners called in the last 500 ms were slow. When the first starts of a pause time out, the fast answers from right before it still outnumber the stuck calls. Traced by start-failed lines: 70 starts "unknown" within 20 ms, 30 ms later all others "unsettled".

Change: the process counts as overloaded as well while no call is answered in time and the answers of at least 8 runners, due since the last fast answer, are over 100 ms late. Calls sent only to a rack that is silent don't count while others answer.

TestFirstTimeoutsOfPauseBlameNobody failed before.

--- a/internal/pacing/calls.go
+++ b/internal/pacing/calls.go
@@ -15,6 +15,9 @@
 	// slowAfter is the delay from which on a call counts as slow: far longer than a round trip between availability zones,
 	// and half of the timeout of a start.
 	slowAfter = 250 * time.Millisecond
+	// silentAfter is the delay from which on a call counts as unanswered while no other call is answered: several round trips
+	// between availability zones.
+	silentAfter = 100 * time.Millisecond
 	// maxLag is the delay of the event loop from which on this process counts as late.
 	maxLag = 150 * time.Millisecond
 	// minSlowRunners is the number of different runners that must be slow together. Fewer may share a rack or a fault.
@@ -41,6 +44,7 @@
 type Calls struct {
 	inFlight  map[*Call]struct{}
 	samples   []sample // in the order in which they were answered
+	fastAt    time.Duration // when a call was last answered in time
 	lateUntil time.Duration
 	judgedAt  time.Duration
 	mostSlow  bool
@@ -62,6 +66,9 @@
 func (c *Calls) Done(call *Call, now time.Duration) {
 	delete(c.inFlight, call)
 	delay := now - call.sent - call.wait
+	if delay < slowAfter {
+		c.fastAt = now
+	}
 	if call.wait > 0 && delay < 0 {
 		return
 	}
@@ -89,7 +96,8 @@
 }
 
 // judge counts the recent calls by runner. Calls that are overdue count like slow answers: the first timeouts are known
-// only when all calls have been stuck for long.
+// only when all calls have been stuck for long. Until then, fast answers from right before that may outnumber them, so several
+// runners whose answers are due since the last fast one suffice.
 func (c *Calls) judge(now time.Duration) {
 	if c.judgedAt > 0 && now-c.judgedAt < verdictInterval {
 		return
@@ -101,7 +109,7 @@
 	}
 	c.samples = slices.Delete(c.samples, 0, first)
 	delays := make([]time.Duration, 0, len(c.samples))
-	slow, all := map[string]bool{}, map[string]bool{}
+	slow, all, unanswered := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	count := func(runner string, delay time.Duration) {
 		delays = append(delays, delay)
 		all[runner] = true
@@ -113,8 +121,12 @@
 		count(s.runner, s.delay)
 	}
 	for call := range c.inFlight {
-		if delay := now - call.sent - call.wait; delay >= slowAfter {
-			count(call.runner, delay)
+		due := call.sent + call.wait
+		if now-due >= slowAfter {
+			count(call.runner, now-due)
+		}
+		if now-due >= silentAfter && due >= c.fastAt {
+			unanswered[call.runner] = true
 		}
 	}
 	c.median = 0
@@ -122,5 +134,5 @@
 		slices.Sort(delays)
 		c.median = delays[len(delays)/2]
 	}
-	c.mostSlow = len(slow) >= minSlowRunners && 2*len(slow) > len(all)
+	c.mostSlow = len(slow) >= minSlowRunners && 2*len(slow) > len(all) || len(unanswered) >= minSlowRunners
 }
--- a/internal/pacing/calls_test.go
+++ b/internal/pacing/calls_test.go
@@ -68,6 +68,33 @@
 	}
 }
 
+// TestFirstTimeoutsOfPauseBlameNobody guards against runners blamed for the first starts that time out in a pause of this process,
+// because the answers from right before the pause are more than the calls that are stuck.
+func TestFirstTimeoutsOfPauseBlameNobody(t *testing.T) {
+	const runners, pollTime = 120, 1200 * ms
+	c := NewCalls()
+	at := func(i int) time.Duration { return time.Second + time.Duration(i)*ms }
+	for i := range runners { // polls whose answers are due from 2.2 s on, and fast starts
+		c.Sent(fmt.Sprint("r", i), pollTime, at(10*i))
+		c.Done(c.Sent(fmt.Sprint("r", i), 0, at(10*i)), at(10*i+5))
+	}
+	pause := at(10 * runners)
+	for i := range runners { // a sixth of the last starts before the pause gets no answer
+		if call := c.Sent(fmt.Sprint("r", i), 0, pause-10*ms); i >= runners/6 {
+			c.Done(call, pause)
+		}
+	}
+	if now := pause + 490*ms; !c.Overloaded(now) {
+		t.Error("the runners are blamed")
+	}
+	for i := range 60 {
+		c.Done(c.Sent(fmt.Sprint("r", 50+i), 0, pause+495*ms), pause+500*ms)
+	}
+	if now := pause + 510*ms; c.Overloaded(now) {
+		t.Error("runners that don't answer while others do are not blamed")
+	}
+}
+
 // TestWaitOfPollsIsNoDelay guards against polls that wait at the runner for a run to end and so count as slow.
 func TestWaitOfPollsIsNoDelay(t *testing.T) {
 	c := NewCalls()
