--- a/internal/pacing/calls.go
+++ b/internal/pacing/calls.go
@@ -43,7 +43,7 @@
 // owner's processor or link.
 type Calls struct {
 	inFlight  map[*Call]struct{}
-	samples   []sample // in the order in which they were answered
+	samples   []sample      // in the order in which they were answered
 	fastAt    time.Duration // when a call was last answered in time
 	lateUntil time.Duration
 	judgedAt  time.Duration
--- /dev/null
+++ b/internal/scheduler/loss_proof.go
@@ -0,0 +1,78 @@
+package scheduler
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/agateyard/agateyard/internal/blame"
+	"github.com/agateyard/agateyard/internal/job"
+)
+
+// allIncarnations stands for a point after all incarnations of a runner.
+const allIncarnations = math.MaxInt64
+
+// takeBackLoss drops the loss of an incarnation of a runner that has answered again.
+func (s *Scheduler) takeBackLoss(r *runner) {
+	key := incarnationKey{r.ID, r.incarnation}
+	for _, t := range s.crashes.unproved[key] {
+		recorded := t.crashOn(key)
+		if recorded != nil && recorded.Suspects > 0 && t.stage.job.finalState == "" {
+			s.stateChanged(t.stage.job)
+		}
+		s.dropCrash(t, key)
+	}
+	delete(s.crashes.unproved, key)
+	if l := r.loss; l != nil {
+		l.noticed, l.suspects, r.loss = true, nil, nil
+	}
+}
+
+// proveLoss records that an incarnation of a runner has ended with all its runs, and gives up the jobs of the tasks that have
+// caused it. The runs have been ended by the caller, so that their tasks could start again.
+func (s *Scheduler) proveLoss(r *runner) {
+	ended := r.incarnation + 1
+	if r.incarnation == 0 { // it has never answered this owner
+		ended = allIncarnations
+	}
+	s.proveIncarnations(r.ID, ended)
+	l := r.loss
+	if l == nil {
+		return
+	}
+	r.loss = nil
+	s.noticeLoss(l)
+	l.proved = true
+	for _, t := range slices.Clone(l.suspects) {
+		crash := t.crashOn(l.key())
+		if crash == nil || t.stage.job.finalState != "" {
+			continue
+		}
+		verdict := blame.Judge(t.crashes)
+		s.emit(CrashCounted{
+			Task: t.id(), Run: crash.Run, Runner: l.runner.ID, Suspects: l.suspectNames(), CommonCause: l.common,
+			Crashes: len(t.crashes), Verdict: verdict,
+		})
+		s.giveUpCulprit(t)
+	}
+}
+
+// proveIncarnations records that the incarnations of a runner before the given one have ended.
+func (s *Scheduler) proveIncarnations(id string, before int64) {
+	maps.DeleteFunc(s.crashes.unproved, func(key incarnationKey, _ []*task) bool {
+		return key.runner == id && key.incarnation < before
+	})
+}
+
+func (l *runnerLoss) suspectNames() []string {
+	names := make([]string, 0, len(l.suspects))
+	for _, t := range l.suspects {
+		names = append(names, t.id().String())
+	}
+	return names
+}
+
+// mayBeTakenBack reports whether the runner of a crash may still answer in the same incarnation.
+func (s *Scheduler) mayBeTakenBack(c job.Crash) bool {
+	return len(s.crashes.unproved[incarnationKey{c.Runner, c.Incarnation}]) > 0
+}
