scheduler: a runner that is listed or changes is a reason to query advice again

From 35.97 s on, 300 ms after the claim, gangs asked for runners to query, found none as none was listed, and recorded that the fleet of that version is exhausted. Listing a known runner didn't change the version, nor did a larger capacity, and nothing else changed in a fleet without faults. The four stuck jobs are the gangs that were open in that window; they have no advice line at all.

Change: RunnerListed counts as a change of the fleet if the runner wasn't listed or its entry differs.

--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -8,7 +8,6 @@
 	if r == nil {
 		r = &runner{runs: map[runKey]*run{}}
 		s.runners[info.ID] = r
-		defer s.runnersChanged()
 		s.emit(RunnerChanged{Runner: info.ID, Change: "listed", Detail: info.Service})
 	}
 	if r.listed && !r.Draining && info.Draining {
@@ -24,6 +23,9 @@
 	case info.TerminatesIn > 0 && (r.terminatesAt == 0 || at < r.terminatesAt):
 		r.terminatesAt = at // an entry that is read again later must not move the end
 	}
+	if !r.listed || !r.RunnerInfo.Equal(info) {
+		defer s.runnersChanged() // an inherited runner may have reported long before it is listed
+	}
 	r.RunnerInfo = info
 	r.listed = true
 	s.needsPass = true
