--- a/internal/scheduler/exhausted_test.go
+++ b/internal/scheduler/exhausted_test.go
@@ -61,3 +61,21 @@
 		t.Errorf("%d advice requests after the runner has grown, want 1", n)
 	}
 }
+
+// TestGangQueriesRunnersFreedOfUnknownRuns guards against a gang that never starts because the last runner that it could query was
+// unusable as it looked: a run of a job that has ended was still being stopped there.
+func TestGangQueriesRunnersFreedOfUnknownRuns(t *testing.T) {
+	s := newLateListing(t)
+	unknown := RunningRun{Task: job.TaskID{StepID: job.StepID{Job: "00000000000000ff"}}, Run: 1}
+	s.Report(Report{Runner: "r1", Addr: "a:1", Incarnation: 1, Clock: 2, RequestedAt: s.now, Running: []RunningRun{unknown}})
+	s.RunnerListed(RunnerInfo{ID: "r1", Addr: "a:1", Service: "s", Capacity: model.Resources{CoresMilli: 8000, MemoryMB: 8000}})
+	s.Pass()
+	if n := adviceRequests(s); n > 0 {
+		t.Fatalf("%d advice requests about a runner with an unknown run", n)
+	}
+	s.Report(Report{Runner: "r1", Addr: "a:1", Incarnation: 1, Clock: 3, RequestedAt: s.now})
+	s.Pass()
+	if n := adviceRequests(s); n != 1 {
+		t.Errorf("%d advice requests after the unknown run has ended, want 1", n)
+	}
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -165,6 +165,7 @@
 // know, and ends the confirmed runs that the report should list but doesn't.
 func (s *Scheduler) reconcileRunning(r *runner, rep Report, ended map[runKey]bool) {
 	listed := make(map[runKey]bool, len(rep.Running))
+	hadUnknown := r.unknownRuns > 0
 	s.releaseUnknown(r)
 	for _, row := range rep.Running {
 		key := runKey{row.Task, row.Run}
@@ -180,6 +181,9 @@
 		}
 		s.updateRunning(x, row)
 	}
+	if hadUnknown && r.unknownRuns == 0 {
+		s.runnersChanged() // it is usable again
+	}
 	s.stopMissingUnsettled(r, rep, listed, ended)
 	missing := r.sortedRuns(func(x *run) bool {
 		return x.confirmedAt() > 0 && x.confirmedAt() < rep.RequestedAt && !listed[x.key()] && !ended[x.key()]
