endpoint/standin: a test that isn't about leases uses the default lease

Cause: the lease of the fixture is 300 ms and is not renewed between the first session and the starts; the whole test, usually some milliseconds, took 490 ms. The same cause was found earlier in TestAnswersMatchRequests.

--- a/internal/endpoint/standin/endpoint_test.go
+++ b/internal/endpoint/standin/endpoint_test.go
@@ -224,7 +224,7 @@
 // acknowledged them, and against applying an acknowledgement for an earlier
 // instance.
 func TestEndedAttemptsAreReportedUntilAcknowledged(t *testing.T) {
-	f := newRunnerFixture(t)
+	f := newFixture(t, RunnerConfig("runner-1", "z1", "orders")) // the default lease, as in TestAnswersMatchRequests
 	inst := f.session(1).Instance
 	for n := range 3 {
 		_, err := f.c.Start(f.ctx, f.request(n, 1, 0))
