scheduler: a gang gives up its claim on runners that have become too small

Callers would see a wide job that waits without end while less urgent work takes all other runners.

Cause: the claim of a gang is kept as long as its runners are usable; their capacity is looked at only when the claim is made. Found in the review for places that keep an old capacity.

Change: a claim holds only while the gang fits on its runners. TestGangLeavesShrunkClaim failed before (not started 10 s after the others had become free).

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -62,3 +62,32 @@
 	}
 	sim.reportViolations(t)
 }
+
+// TestGangLeavesShrunkClaim guards against a gang that waits for runners which it has claimed although they have become too small
+// for it, while less urgent work takes all others.
+func TestGangLeavesShrunkClaim(t *testing.T) {
+	sim := newMixedSimulation(6, 4)
+	sim.removeAdvice("gang", "fill")
+	sim.runFor = func(step job.Step) time.Duration { return step.EstimatedRunTime() }
+	for i := range 4 { // the first two runners become idle first
+		sim.submitStep("fill", fmt.Sprintf("f%015x", i), job.Step{Count: 1, Need: model.Resources{CoresMilli: 8000}, Estimate: int64(3000 + 500*i)})
+		sim.run(20 * time.Millisecond)
+	}
+	const gang = "b000000000000001"
+	sim.submitStep("gang", gang, job.Step{Count: 2, Need: model.Resources{CoresMilli: 7000}, Estimate: 1000, Gang: true})
+	sim.run(time.Second)
+	claimed := sim.sched.stages[job.StepID{Job: gang}].claimedRunners
+	if len(claimed) != 2 {
+		t.Fatalf("%d runners are claimed, want 2", len(claimed))
+	}
+	for _, r := range claimed {
+		sim.runners[r.ID].setCapacity(4000)
+	}
+	for i := range 200 { // 10 s
+		sim.submitStep("fill", fmt.Sprintf("e%015x", i), job.Step{Count: 1, Need: model.Resources{CoresMilli: 3000}, Estimate: 2000})
+		sim.run(50 * time.Millisecond)
+	}
+	if _, ok := sim.firstStarts[gang]; !ok {
+		t.Error("the gang has not started")
+	}
+}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -190,14 +190,17 @@
 	return r.claimedBy == nil || r.claimedBy == st || s.now+runtime < r.claimStart
 }
 
-// claimIsValid reports whether the gang has claimed runners and all of them are still usable for it.
+// claimIsValid reports whether the gang has claimed runners, all of them are still usable for it, and it still fits there: they may
+// have shrunk.
 func (st *stage) claimIsValid() bool {
+	need, limit, members := st.step.Reserved(), st.maxOnRunner(len(st.tasks)), 0
 	for _, r := range st.claimedRunners {
 		if !r.claimable {
 			return false
 		}
+		members += need.Copies(r.Capacity, limit)
 	}
-	return len(st.claimedRunners) > 0
+	return members >= len(st.tasks)
 }
 
 // startGang starts all members if each has a reserved run. The caller has checked the tickets.
