scheduler: the test of shrunk claims shows the claim

With an objective of a minute it fails without the change (not started after 10 s) and passes with it.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -68,7 +68,8 @@
 func TestGangLeavesShrunkClaim(t *testing.T) {
 	sim := newMixedSimulation(6, 4)
 	sim.removeAdvice("gang", "fill")
-	sim.runFor = func(step job.Step) time.Duration { return step.EstimatedRunTime() }
+	sim.queues[1].Objective = time.Minute // it stays more urgent than the others
+	sim.sched.SetQueues(sim.queues)
 	for i := range 4 { // the first two runners become idle first
 		sim.submitStep("fill", fmt.Sprintf("f%015x", i), job.Step{Count: 1, Need: model.Resources{CoresMilli: 8000}, Estimate: int64(3000 + 500*i)})
 		sim.run(20 * time.Millisecond)
