blame: a loss with a common cause counts for nothing

A job with a long task was given up after five of its runners had been lost, each with its whole rack ("crashed 5 runners"); a rack that loses power is no evidence.

Cause: a common cause made no task a suspect, but the loss still counted towards the five after which a task is given up whatever else ran there.

Change: the crash is marked, in the job's record too, and Judge skips it. TestTaskSurvivesManyRackLosses failed before (given up at the fifth), TestJudge has a row.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -41,11 +41,14 @@
 )
 
 // Judge returns the verdict on a task, or a gang, by the losses that it may have caused. Several losses under one run of a gang
-// count once: more than one of its members would have to be at fault.
+// count once: more than one of its members would have to be at fault. A loss with a common cause counts for nothing.
 func Judge(crashes []job.Crash) Verdict {
 	suspected, alone := false, false
 	started, blamed := 0, 0 // runs that were lost with runners which had certainly started them; those as a suspect
 	for i, c := range crashes {
+		if c.CommonCause {
+			continue
+		}
 		suspected = suspected || c.Suspects > 0
 		alone = alone || c.Suspects == 1 && c.Started
 		if !c.Started || slices.ContainsFunc(crashes[:i], func(earlier job.Crash) bool { return earlier.Run == c.Run }) {
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -19,11 +19,14 @@
 	amongThree := job.Crash{Suspects: 3, Started: true}
 	amongThreeUnanswered := job.Crash{Suspects: 3}
 	unexplained := job.Crash{Started: true}
+	common := job.Crash{Started: true, CommonCause: true}
 	for _, c := range []struct {
 		crashes []job.Crash
 		want    Verdict
 	}{
 		{nil, Unsuspected},
+		{[]job.Crash{common, common, common, common, common, common}, Unsuspected},
+		{[]job.Crash{common, alone, common, alone}, Culprit},
 		{[]job.Crash{alone}, Suspect},
 		{[]job.Crash{amongThree}, Suspect},
 		{[]job.Crash{unexplained}, Unsuspected},
--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -11,4 +11,6 @@
 	// Started says that the runner had confirmed the run, or was lost right after the start was sent. Any other start without an
 	// answer may never have reached it.
 	Started bool `json:"ok,omitempty"`
+	// CommonCause says that the runner was lost together with many others, as a rack that loses power.
+	CommonCause bool `json:"cc,omitempty"`
 }
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -224,8 +224,8 @@
 // blameNone records that none of the tasks which ran on a lost runner is a likely cause.
 func (s *Scheduler) blameNone(l *runnerLoss) {
 	for _, t := range l.suspects {
-		if c := t.crashOn(l.key()); c != nil && c.Suspects > 0 {
-			c.Suspects = 0
+		if c := t.crashOn(l.key()); c != nil && !c.CommonCause {
+			c.Suspects, c.CommonCause = 0, true
 			s.stateChanged(t.stage.job)
 		}
 	}
--- a/internal/scheduler/innocent_test.go
+++ b/internal/scheduler/innocent_test.go
@@ -51,6 +51,27 @@
 	}
 }
 
+// TestTaskSurvivesManyRackLosses guards against a long task that is given up for the count of its lost runners, although each was lost
+// with its whole rack.
+func TestTaskSurvivesManyRackLosses(t *testing.T) {
+	sim := newMixedSimulation(3, 24)
+	sim.removeAdvice("fill")
+	const id = "f000000000000001"
+	sim.submitStep("fill", id, job.Step{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 20_000})
+	for range 6 {
+		sim.run(6 * time.Second)
+		for _, busy := range sim.runnersAt(func(info RunnerInfo) bool { return len(sim.runners[info.ID].runs) > 0 }) {
+			for _, r := range sim.runnersAt(func(info RunnerInfo) bool { return info.Rack == busy.info.Rack }) {
+				r.crash()
+			}
+		}
+	}
+	sim.mustFinish(t, 60*time.Second)
+	if finished := sim.finished[id]; finished.State != job.Done {
+		t.Errorf("the job is %s: %s", finished.State, finished.Reason)
+	}
+}
+
 // TestCrashingRunnersBlameNoTask guards against a job that is given up because of runners that crash by themselves, again and
 // again, whatever runs there.
 func TestCrashingRunnersBlameNoTask(t *testing.T) {
