scheduler: every loss of a runner under a task is durable, and so is its withdrawal

A task that crashes its runners some time after its start was started without end if the owner changed in between: each counted from zero.

Cause: only losses that make a task a suspect were written to the job's record; those that only count towards five weren't. The reverse too: a loss that was dropped because its culprit was found, or because a long-running task had survived, stayed in the record, so that a successor kept an innocent task apart.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -174,3 +174,16 @@
 		}
 	}
 }
+
+// TestLateCrashesSurviveOwners guards against a task that crashes its runners some time after its start without end, because each new
+// owner counts from zero.
+func TestLateCrashesSurviveOwners(t *testing.T) {
+	l := newCrashLoad(4, 24)
+	l.sim.crashAfter = 400 * time.Millisecond
+	l.submit("fill", true)
+	for range 8 {
+		l.sim.run(crashDelisting + 2*time.Second)
+		l.sim.takeover()
+	}
+	l.check(t)
+}
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -107,9 +107,9 @@
 		x := lostRuns[t]
 		crash := job.Crash{Runner: r.ID, Incarnation: r.incarnation, Run: x.number}
 		crash.Started = x.startConfirmedAt > 0 || s.now-x.startSentAt <= certainStart
-		if fresh { // durable at once, for a successor: this owner may end before the loss is certain
+		s.stateChanged(t.stage.job) // durable at once, for a successor: this owner may end before the loss is certain
+		if fresh {
 			crash.Suspects = len(l.suspects)
-			s.stateChanged(t.stage.job)
 			t.crashVersion = t.stage.job.version
 		}
 		t.crashes = append(t.crashes, crash)
@@ -209,11 +209,14 @@
 	return nil
 }
 
-// dropCrash removes the loss of an incarnation of a runner from a task's crashes.
+// dropCrash removes the loss of an incarnation of a runner from a task's crashes, also for a successor.
 func (s *Scheduler) dropCrash(t *task, key incarnationKey) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c job.Crash) bool {
 		return c.Runner == key.runner && c.Incarnation == key.incarnation
 	})
+	if t.stage.job.finalState == "" {
+		s.stateChanged(t.stage.job)
+	}
 	s.crashes.byTask[t] = slices.DeleteFunc(s.crashes.byTask[t], func(l *runnerLoss) bool { return l.key() == key })
 	if len(t.crashes) == 0 {
 		delete(s.crashes.byTask, t)
@@ -263,6 +266,9 @@
 		return
 	}
 	t.crashes = nil
+	if t.stage.job.finalState == "" {
+		s.stateChanged(t.stage.job)
+	}
 	for _, l := range s.crashes.byTask[t] {
 		l.suspects = slices.DeleteFunc(l.suspects, func(other *task) bool { return other == t })
 		if len(l.suspects) == 0 && l.proved && !l.common {
--- a/internal/scheduler/fake_runner_test.go
+++ b/internal/scheduler/fake_runner_test.go
@@ -66,7 +66,7 @@
 	}
 	if sim.deadly != nil && sim.deadly(e.Task) {
 		sim.crashes[e.Task]++
-		sim.afterFunc(10*time.Millisecond, r.crash)
+		sim.afterFunc(max(sim.crashAfter, 10*time.Millisecond), r.crash)
 	}
 	return StartOK
 }
--- a/internal/scheduler/loss_proof.go
+++ b/internal/scheduler/loss_proof.go
@@ -16,11 +16,9 @@
 func (s *Scheduler) takeBackLoss(r *runner) {
 	key := incarnationKey{r.ID, r.incarnation}
 	for _, t := range s.crashes.unproved[key] {
-		recorded := t.crashOn(key)
-		if recorded != nil && recorded.Suspects > 0 && t.stage.job.finalState == "" {
-			s.stateChanged(t.stage.job)
+		if t.crashOn(key) != nil {
+			s.dropCrash(t, key)
 		}
-		s.dropCrash(t, key)
 	}
 	delete(s.crashes.unproved, key)
 	if l := r.loss; l != nil {
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -52,7 +52,8 @@
 	crashes     map[job.TaskID]int                        // of runners under their tasks, by task
 	storeDown   bool                                      // no record is stored
 
-	restartsInPlace bool // runners that have crashed start again under the same identifier
+	crashAfter      time.Duration // from the start of a deadly task to the crash, if longer than usual
+	restartsInPlace bool          // runners that have crashed start again under the same identifier
 }
 
 // startInFlight is a start request that its runner may still accept.
