scheduler: addresses of runners that crash by themselves are forgotten

An address was dropped only if a suspect asked for it after its minute, so that the map grew with each address whose runner had ever been lost without a suspect left. It is pruned on each entry now. Two comments say what the code does.

--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -56,13 +56,13 @@
 	loopTime       time.Duration // when the event loop last ran
 	lastPass       time.Duration // start of the last placement pass
 	passInterval   pacing.PassInterval
-	unreadable     map[string]bool // jobs whose records can't be decoded or restored; they are left as they are
-	restore        func(*scheduler.Scheduler, *job.Record)
-	paused         bool                     // the claim is being read again
-	checkingClaim  bool                     // a regular read of the claim is in flight
-	nextClaimCheck time.Duration            // when to read the claim next
-	confirmedAt    time.Duration            // start of the last read that found the claim in the store
-	removeAt       map[string]time.Duration // when to remove runners whose entries were deleted, unless these come back
+	unreadable     map[string]bool                         // jobs whose records can't be decoded or restored; they are left as they are
+	restore        func(*scheduler.Scheduler, *job.Record) // Scheduler.Restore; a test replaces it
+	paused         bool                                    // the claim is being read again
+	checkingClaim  bool                                    // a regular read of the claim is in flight
+	nextClaimCheck time.Duration                           // when to read the claim next
+	confirmedAt    time.Duration                           // start of the last read that found the claim in the store
+	removeAt       map[string]time.Duration                // when to remove runners whose entries were deleted, unless these come back
 
 	mu        sync.Mutex              // guards the fields below it, and reason
 	lastPings map[string]receivedPing // by incarnation, of processes that regard this one as the owner
--- a/internal/scheduler/advice_deferral.go
+++ b/internal/scheduler/advice_deferral.go
@@ -15,7 +15,7 @@
 	// deferralMemory is how long after its last attempt a stage still counts as waiting for a machine. Passes over all
 	// stages are more frequent.
 	deferralMemory = 2 * (fullPassInterval + tickSlack)
-	// overdueAdviceInterval bounds the calls that are taken from more urgent stages.
+	// overdueAdviceInterval bounds the requests that precede more urgent stages to two a second.
 	overdueAdviceInterval = 500 * time.Millisecond
 )
 
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -187,3 +187,20 @@
 	}
 	l.check(t)
 }
+
+// TestAddressesOfFaultyRunnersAreForgotten guards against state that grows with each address whose runner has ever crashed by itself.
+func TestAddressesOfFaultyRunnersAreForgotten(t *testing.T) {
+	sim := newMixedSimulation(1, 1)
+	s := sim.sched
+	const interval = 2 * time.Second
+	for i := range 100 {
+		suspect := &task{stage: &stage{step: &job.Step{Count: 1}, job: &jobState{finalState: job.Done}}, crashes: []job.Crash{{Run: 1}}}
+		l := &runnerLoss{runner: RunnerRef{Addr: fmt.Sprintf("10.1.0.%d:1", i)}, proved: true, suspects: []*task{suspect}}
+		s.crashes.byTask[suspect] = []*runnerLoss{l}
+		s.clearSuspect(suspect)
+		sim.run(interval)
+	}
+	if n, most := len(s.crashes.faulty), int(faultyMemory/interval)+1; n > most {
+		t.Errorf("%d addresses are remembered, want at most %d", n, most)
+	}
+}
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -272,6 +273,7 @@
 	for _, l := range s.crashes.byTask[t] {
 		l.suspects = slices.DeleteFunc(l.suspects, func(other *task) bool { return other == t })
 		if len(l.suspects) == 0 && l.proved && !l.common {
+			s.forgetFaulty() // addresses that come and go must not accumulate
 			s.crashes.faulty[l.runner.Addr] = s.now
 			s.emit(RunnerChanged{Runner: l.runner.ID, Change: "crashed by itself", Detail: l.runner.Addr})
 		}
@@ -333,9 +335,10 @@
 // crashesByItself reports whether the runner at an address was lost lately without a task that could have caused it.
 func (s *Scheduler) crashesByItself(addr string) bool {
 	at, known := s.crashes.faulty[addr]
-	if known && s.now-at > faultyMemory {
-		delete(s.crashes.faulty, addr)
-		return false
-	}
-	return known
+	return known && s.now-at <= faultyMemory
+}
+
+// forgetFaulty drops the addresses that are not avoided any more.
+func (s *Scheduler) forgetFaulty() {
+	maps.DeleteFunc(s.crashes.faulty, func(_ string, at time.Duration) bool { return s.now-at > faultyMemory })
 }
