control: the end of a relaying process is no crash of the runners that it called

With more than an eighth of its descriptors in runners the owner calls them through other processes. When one of these ended, its pending starts failed with an unexpected EOF, which counted as closed by the runner: each of these good runners was unusable, and the tasks just started there were suspects in their job's record, until the next poll took the loss back. The polls were told apart before (errRelay); the starts weren't.

Change: an error of the relaying process, or of this process, is never one of the runner. TestClosedConnectionIsNotSilence failed before in the three new rows.

--- a/internal/control/closed_connection.go
+++ b/internal/control/closed_connection.go
@@ -17,8 +17,12 @@
 var closedErrors = []error{errClosedByRunner, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE}
 
 // closedByRunner reports whether a call failed because the runner closed or refused the connection. A runner that is cut off
-// or has lost power says nothing instead.
+// or has lost power says nothing instead. The connection to a relaying process, or a failure of this one, says nothing about the
+// runner.
 func closedByRunner(err error) bool {
+	if errors.Is(err, errRelay) || LocalFailure(err) {
+		return false
+	}
 	for _, closed := range closedErrors {
 		if errors.Is(err, closed) {
 			return true
--- a/internal/control/closed_connection_test.go
+++ b/internal/control/closed_connection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/url"
@@ -11,8 +12,8 @@
 	"github.com/samber/oops"
 )
 
-// TestClosedConnectionIsNotSilence guards against a runner that is cut off, or a failure of this process, which counts as the
-// end of the runner's process.
+// TestClosedConnectionIsNotSilence guards against a runner that is cut off, a failure of this process, or the end of a relaying
+// process, which counts as the end of the runner's process.
 func TestClosedConnectionIsNotSilence(t *testing.T) {
 	for _, c := range []struct {
 		err    error
@@ -26,6 +27,9 @@
 		{syscall.EMFILE, false},
 		{syscall.EHOSTUNREACH, false},
 		{oops.Errorf("status 500"), false},
+		{errors.Join(errRelay, io.ErrUnexpectedEOF), false}, // the relaying process has ended
+		{errors.Join(errRelay, syscall.ECONNRESET), false},
+		{errors.Join(errPaused, syscall.ECONNRESET), false},
 		{nil, false},
 	} {
 		if got := closedByRunner(c.err); got != c.closed {
