pacing: fast answers from before a pause of the owner count no longer once none has followed

Cause, from the calls at the moment of the verdict: 190 starts to 24 runners were stuck, 24 others had answered right before the pause, and nothing had been answered for 454 ms. All 150 polls waited and none was due, so the rule for runners that owe an answer saw one. 24 slow runners of 48 are not most, and the first timeouts were blamed on the runners; 50 ms later the answers from before left the window and the verdict was the other one. Ruled out: requiring that polls ended often before the silence; 1 of 10 and 3 of 14 runs still blamed, in pauses before the first runs end. Change: once no call has been answered fast for slowAfter, fast answers from before no longer outweigh the slow calls. Other runners answer a poll or a call more often than that unless the cell is idle, and there a start without an answer is settled by the runner's next poll.

--- a/internal/pacing/calls.go
+++ b/internal/pacing/calls.go
@@ -96,8 +96,8 @@
 }
 
 // judge counts the recent calls by runner. Calls that are overdue count like slow answers: the first timeouts are known
-// only when all calls have been stuck for long. Until then, fast answers from right before that may outnumber them, so several
-// runners whose answers are due since the last fast one suffice.
+// only when all calls have been stuck for long. Until then, fast answers from right before that may outnumber them. These
+// say nothing once none has followed for slowAfter, or several runners have owed an answer since the last one.
 func (c *Calls) judge(now time.Duration) {
 	if c.judgedAt > 0 && now-c.judgedAt < verdictInterval {
 		return
@@ -134,5 +134,6 @@
 		slices.Sort(delays)
 		c.median = delays[len(delays)/2]
 	}
-	c.mostSlow = len(slow) >= minSlowRunners && 2*len(slow) > len(all) || len(unanswered) >= minSlowRunners
+	noneFast := now-c.fastAt >= slowAfter
+	c.mostSlow = len(slow) >= minSlowRunners && (noneFast || 2*len(slow) > len(all)) || len(unanswered) >= minSlowRunners
 }
