scheduler: a stage that waits long says why

The cause was found by comparing times of other lines only. Change: a stage of which nothing has started for 5 s although tasks wait reports the first condition that keeps it waiting, in the order in which a pass checks them, with the number of its runners, its room on them and what is free now. At most 4 reports a second, those without a report for longest first.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -46,6 +46,12 @@
 		})
 	case scheduler.TenantWait:
 		o.n.dep.Log.Log("tenant-wait", logrus.Fields{"step": e.Step.String(), "tenant": e.Tenant, "reason": e.Reason, "ended": e.Ended})
+	case scheduler.StageWaiting:
+		o.n.dep.Metrics.stageWaits.WithLabelValues(e.Cause).Inc()
+		o.n.dep.Log.Log("stage-wait", logrus.Fields{
+			"step": e.Step.String(), "tasks": e.Tasks, "waited_ms": e.Waited.Milliseconds(), "cause": e.Cause,
+			"eligible": e.Eligible, "room": e.Room, "free": e.Free,
+		})
 	case scheduler.RunnerLost:
 		o.runnerLost(e)
 	case scheduler.CrashCounted:
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -26,12 +26,14 @@
 	// runnerLosses counts runners that were probably lost with their runs, by evidence.
 	runnerLosses *prometheus.CounterVec
 	// suspects counts the tasks that were suspected of the loss of a runner, by what followed.
-	suspects  *prometheus.CounterVec
-	jobs      *prometheus.CounterVec
-	gauges    *prometheus.GaugeVec
-	auth      *prometheus.CounterVec
-	configAge atomic.Pointer[func() float64]
-	tenants   *prometheus.GaugeVec
+	suspects *prometheus.CounterVec
+	// stageWaits counts the reports of stages that have waited long without a start, by cause.
+	stageWaits *prometheus.CounterVec
+	jobs       *prometheus.CounterVec
+	gauges     *prometheus.GaugeVec
+	auth       *prometheus.CounterVec
+	configAge  atomic.Pointer[func() float64]
+	tenants    *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -62,6 +64,7 @@
 		runEnds:      counter("run_ends_total", "Ends of runs by kind.", "how"),
 		runTime:      histogram("run_seconds", "Time from the order to start a run to its end.", slow),
 		runnerLosses: counter("runner_losses_total", "Runners that were probably lost with their runs, by evidence.", "evidence"),
+		stageWaits:   counter("stage_waits_total", "Reports of stages that have waited long without a start, by cause.", "cause"),
 		suspects:     counter("crash_suspects_total", "Tasks under which a runner was lost, by verdict, and those that were cleared.", "verdict"),
 		jobs:         counter("jobs_ended_total", "Jobs by final state.", "state"),
 		auth:         counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -47,6 +47,7 @@
 		s.startReserved(st) // reserved capacity is idle until the runs start
 	}
 	s.requestOverdueAdvice()
+	s.reportLongWaits()
 	unplaced := 0
 	for entry := range s.inShareOrder(s.rank()) {
 		before := len(s.effects)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	// mostlyFreeSince is when at least half of the usable cores became free; meaningful only while they are.
 	mostlyFreeSince time.Duration
 	overdueAdviceAt time.Duration // when advice was last requested for a deferred stage before more urgent ones
+	waitsCheckedAt  time.Duration // when long waits were last looked for
 	fleetSpeed      fleetSpeed
 	failures        fleetFailures
 	runnersByID     []*runner // cached list of the runners, sorted by identifier; nil if outdated
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -16,6 +16,7 @@
 	open               bool // the steps that it depends on are done, and it is not finished
 	reservedCount      int  // number of reserved runs
 	advice             stageAdvice
+	wait               stageWait
 	claimedRunners     []*runner     // runners that a gang has claimed
 	gangRunners        []*runner     // runners on which this owner has started a gang
 	apart              bool          // has waiting tasks that may crash their runner, as of the last pass
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -23,6 +23,7 @@
 	t := x.task
 	x.state = runStarting
 	t.stage.reservedCount--
+	t.stage.wait = stageWait{}
 	x.startSentAt = s.now
 	x.runner.lastStartAt = s.now
 	if x.risk != noRisk {
