--- a/internal/control/small_owner_test.go
+++ b/internal/control/small_owner_test.go
@@ -127,7 +127,7 @@
 // settled, and no task runs twice.
 func TestSlowedOwnerBlamesNobody(t *testing.T) {
 	const phases, step = 2, 200 * time.Millisecond // of the first pause within the length of a run
-	for _, share := range []float64{0.8, 0.4} {   // with 0.4, polls last so long that some meet two pauses
+	for _, share := range []float64{0.8, 0.4} {    // with 0.4, polls last so long that some meet two pauses
 		for i := range phases {
 			delay := time.Duration(i) * step
 			t.Run(fmt.Sprintf("%g/%s", share, delay), func(t *testing.T) { inBubble(t, func(t *testing.T) { testSlowedOwner(t, share, delay) }) })
