--- a/internal/pacing/calls_test.go
+++ b/internal/pacing/calls_test.go
@@ -118,6 +118,25 @@
 	}
 }
 
+// TestOverloadDuringPollIsKnown guards against a runner called silent for a poll that met a pause of this process and timed out
+// when the process was sound again.
+func TestOverloadDuringPollIsKnown(t *testing.T) {
+	c := NewCalls()
+	c.Lagged(maxLag, 2*time.Second)
+	for _, step := range []struct {
+		sent, ended time.Duration
+		want        bool
+	}{
+		{1 * time.Second, 2100 * ms, true}, // ends in the overload
+		{1 * time.Second, 4 * time.Second, true},
+		{3 * time.Second, 5 * time.Second, false},
+	} {
+		if got := c.OverloadedSince(step.sent, step.ended); got != step.want {
+			t.Errorf("poll from %s to %s: overloaded %t", step.sent, step.ended, got)
+		}
+	}
+}
+
 // TestCutOffThirdIsBlamed guards against an owner that takes itself for overloaded while a third of the runners is cut off and
 // the others answer.
 func TestCutOffThirdIsBlamed(t *testing.T) {
