--- a/internal/ctxtime/ctxtime.go
+++ b/internal/ctxtime/ctxtime.go
@@ -8,6 +8,9 @@
 
 // Sleep waits for d. It returns false if ctx is done first.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
