blame: a start without an answer is no certain crash

Change: only a confirmed start is certain. A task that crashes its runners before they answer is given up after four losses, two of them with it as the only suspect; the limit of the rule is five.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -36,6 +36,9 @@
 	// suspectLosses is the number of losses without a likely culprit after which a task is a suspect as well: it may crash
 	// its runners later than as it starts.
 	suspectLosses = 3
+	// unconfirmedCrashes is the number of losses for which a task is a suspect, culpritCrashes times the only one, after which it is
+	// given up although these runners had perhaps not started it: it may crash them before they answer the start.
+	unconfirmedCrashes = 4
 	// maxCrashes is the number of losses after which a task is given up, whatever else ran there.
 	maxCrashes = 5
 )
@@ -45,13 +48,23 @@
 func Judge(crashes []job.Crash) Verdict {
 	suspected, alone := false, false
 	started, blamed := 0, 0 // runs that were lost with runners which had certainly started them; those as a suspect
+	possible, only := 0, 0  // runs that were lost as a suspect, whether the runner had started them or not; those as the only one
 	for i, c := range crashes {
 		if c.CommonCause {
 			continue
 		}
 		suspected = suspected || c.Suspects > 0
 		alone = alone || c.Suspects == 1 && c.Started
-		if !c.Started || slices.ContainsFunc(crashes[:i], func(earlier job.Crash) bool { return earlier.Run == c.Run }) {
+		if slices.ContainsFunc(crashes[:i], func(earlier job.Crash) bool { return earlier.Run == c.Run }) {
+			continue
+		}
+		if c.Suspects > 0 {
+			possible++
+		}
+		if c.Suspects == 1 {
+			only++
+		}
+		if !c.Started {
 			continue
 		}
 		started++
@@ -60,7 +73,7 @@
 		}
 	}
 	switch {
-	case started >= maxCrashes, blamed >= culpritCrashes && alone:
+	case started >= maxCrashes, blamed >= culpritCrashes && alone, possible >= unconfirmedCrashes && only >= culpritCrashes:
 		return Culprit
 	case suspected, started >= suspectLosses:
 		return Suspect
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -15,10 +15,6 @@
 // the runner is alive, which the next poll shows, and others that are lost for the same reason are known by then.
 const lossNoticeDelay = 250 * time.Millisecond
 
-// certainStart is how long before the loss of its runner a start without an answer may have been sent to count as one that
-// the runner has executed: the time of a start, and until a closed connection is noticed.
-const certainStart = 200 * time.Millisecond
-
 // survivalTime is how long a long-running task has to run to be cleared of the losses of earlier runners.
 const survivalTime = 10 * time.Second
 
@@ -107,7 +103,7 @@
 	for _, t := range l.suspects {
 		x := lostRuns[t]
 		crash := job.Crash{Runner: r.ID, Incarnation: r.incarnation, Run: x.number}
-		crash.Started = x.startConfirmedAt > 0 || s.now-x.startSentAt <= certainStart
+		crash.Started = x.startConfirmedAt > 0
 		s.stateChanged(t.stage.job) // durable at once, for a successor: this owner may end before the loss is certain
 		if fresh {
 			crash.Suspects = len(l.suspects)
