scheduler: a suspect leaves the runner that is set apart for it while that stays busy

Cause: the runner that is set apart for a suspect is the one that is expected to be idle first. Runs of others there may take far longer than expected, and while a runner that is set apart was large enough, no other one was used. Change: an idle runner of the stage replaces a busy one, one at a time, and none while the stage has an idle one.

--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -272,7 +272,8 @@
 }
 
 // prepareIsolation sets runners apart for a suspect of the stage, or its gang, that finds none: those that are expected to be
-// idle first. The suspect starts there once the runs of others have ended, so that they aren't lost with the runner.
+// idle first. The suspect starts there once the runs of others have ended, so that they aren't lost with the runner. As these may take
+// longer than expected, an idle runner replaces one that is waited for.
 func (s *Scheduler) prepareIsolation(st *stage, candidates []*runner) {
 	is := s.isolationFor(st.job.queue.Service, riskByTask)
 	missing := 1
@@ -282,12 +283,17 @@
 	spare := is.room() > 0 // other suspects wait for the runners that are set apart
 	limit := st.maxOnRunner(missing)
 	copies := func(r *runner) int { return st.step.Reserved().Copies(r.Capacity, limit) }
-	var others []*runner
+	var others, busy []*runner
+	idle := false // an idle runner is set apart that the stage may use
 	for _, r := range candidates {
 		switch {
 		case r.isolation == is && copies(r) > 0:
 			r.riskyAt = max(r.riskyAt, s.now-isolationTime) // it is waited for
 			missing -= copies(r)
+			idle = idle || len(r.runs) == 0
+			if r.riskyRuns == 0 && len(r.runs) > 0 {
+				busy = append(busy, r)
+			}
 		case r.isolation == nil && copies(r) > 0 && !s.crashesByItself(r.Addr):
 			s.estimateIdleAt(r)
 			others = append(others, r)
@@ -296,7 +302,15 @@
 	if spare && !st.step.Gang {
 		missing = 1
 	}
-	slices.SortStableFunc(others, func(a, b *runner) int { return cmp.Compare(a.idleAt, b.idleAt) })
+	slices.SortStableFunc(others, func(a, b *runner) int {
+		return cmp.Or(cmp.Compare(min(len(a.runs), 1), min(len(b.runs), 1)), cmp.Compare(a.idleAt, b.idleAt))
+	})
+	// One at a time, and none while the stage has an idle one: stages with different eligible runners would otherwise exchange them in
+	// each pass.
+	if !idle && len(busy) > 0 && len(others) > 0 && len(others[0].runs) == 0 {
+		s.endIsolation(busy[0])
+		missing = max(missing, 0) + copies(busy[0])
+	}
 	for _, r := range others[:min(len(others), is.room())] {
 		if missing <= 0 {
 			return
