control: lines and metrics that tell how old a configuration is, and by which one a request was decided

The landed logs could not tell how late a version is at a process, how it came there, by which version a 404 was answered, and which version the owner had.

config-in-force carries the version before, the way (watch, read or peer) and an upper bound of the delay; config-late, config-behind (at the owner), no-route and stale-decision are new, and answer has the age of the configuration and the owner's version. Metrics: config_version, config_updates_total, config_unconfirmed_seconds, config_behind, stale_decisions_total. config-apply-ms is read from the settings.

--- a/internal/control/auth_result.go
+++ b/internal/control/auth_result.go
@@ -39,6 +39,7 @@
 	found       AuthResult    // by the configuration in force
 	behind      bool          // the configuration is older than the version that the owner has reported
 	age         time.Duration // of the configuration at the request's arrival; maxAge if it was never confirmed
+	source      string        // of the configuration
 	refreshed   bool          // the configuration was read again after the arrival, or the attempt failed
 	rechecked   bool          // a check of known keys has failed within recheckPause
 	strict      bool
--- a/internal/control/authenticate.go
+++ b/internal/control/authenticate.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/agateyard/agateyard/internal/tenant"
 )
 
@@ -20,6 +22,10 @@
 	Route  *Route      // nil if no route matches
 	Rest   string      // of the path, after the prefix of the route
 	Caller Caller      // if the request is admitted
+	// ConfigAge is the age of the configuration at the arrival of the request; negative if it was never confirmed.
+	ConfigAge time.Duration
+	// ConfigFrom says how the process came by the configuration: "store" or "peer".
+	ConfigFrom string
 }
 
 // Admitted reports whether the request may be served.
@@ -60,7 +66,7 @@
 	arrived := n.clock.Now()
 	refreshed := false
 	for {
-		a := n.view.currentConfig().authenticate(cr, n.opt.KeysRequired)
+		a := n.config.load().authenticate(cr, n.opt.KeysRequired)
 		in := n.authInput(a, arrived)
 		in.behind = refusedBy != nil && a.Config.Version <= refusedBy.Config.Version
 		in.refreshed = refreshed
@@ -70,6 +76,11 @@
 			if !a.Admitted() {
 				a.Caller = Caller{}
 			}
+			a.ConfigAge, a.ConfigFrom = in.age, in.source
+			if in.age == maxAge {
+				a.ConfigAge = -1
+			}
+			n.recordDecision(cr, a)
 			return a
 		}
 		n.refreshConfig(ctx, arrived)
@@ -79,13 +90,35 @@
 }
 
 func (n *Node) authInput(a Access, arrived time.Duration) authInput {
-	age, known := n.confirmation.age(arrived)
+	age, known := n.config.age(arrived)
 	if !known {
 		age = maxAge
 	}
+	source, _ := n.config.origin()
 	failedAt := time.Duration(n.recheckFailedAt.Load())
 	return authInput{
-		found: a.Result, age: age, strict: n.opt.StrictRevoke, revokeLimit: n.opt.RevokeLimit,
+		found: a.Result, age: age, source: source.from, strict: n.opt.StrictRevoke, revokeLimit: n.opt.RevokeLimit,
 		rechecked: failedAt > 0 && n.clock.Now()-failedAt < recheckPause,
 	}
 }
+
+// maxLoggedPath bounds the path of a request in a log line.
+const maxLoggedPath = 100
+
+// recordDecision logs and counts decisions by a configuration that was not confirmed in time, and logs those that find no
+// route: for the caller they are final.
+func (n *Node) recordDecision(cr Credentials, a Access) {
+	stale := a.ConfigAge < 0 || a.ConfigAge > n.opt.ConfigApply
+	if !stale && a.Result != AuthNoRoute {
+		return
+	}
+	event := "no-route"
+	if stale {
+		event = "stale-decision"
+		n.dep.Metrics.staleDecisions.WithLabelValues(string(a.Result)).Inc()
+	}
+	n.dep.Log.Log(event, logrus.Fields{
+		"host": cr.Host, "path": cr.Path[:min(len(cr.Path), maxLoggedPath)], "result": string(a.Result),
+		"version": a.Config.Version, "age_ms": a.ConfigAge.Milliseconds(), "from": a.ConfigFrom,
+	})
+}
--- a/internal/control/cell_test.go
+++ b/internal/control/cell_test.go
@@ -235,7 +235,7 @@
 		return true
 	})
 	for _, n := range nodes {
-		n.learnConfig([]byte{3}, "test")
+		n.learnConfig([]byte{3}, fromRead)
 		if got := n.configVersion(); got != 5 {
 			t.Errorf("version %d after an older one arrived", got)
 		}
--- a/internal/control/config_refresh.go
+++ b/internal/control/config_refresh.go
@@ -39,9 +39,9 @@
 		return
 	}
 	if found {
-		n.learnConfig(item.Value, "store")
+		n.learnConfig(item.Value, fromRead)
 	}
-	n.confirmation.confirm(begun)
+	n.config.confirm(begun)
 }
 
 // askPeersForConfig pings the owner, which reads the store before it replies, and other members if the owner doesn't
@@ -52,7 +52,7 @@
 	if o.Address != "" && o.Address != n.opt.Address {
 		n.askForConfig(o.Address)
 	}
-	if n.confirmation.confirmedWithin(unknownKeyAge, begun) {
+	if n.config.confirmedWithin(unknownKeyAge, begun) {
 		return
 	}
 	members := n.view.memberList()
@@ -87,7 +87,7 @@
 	case <-ctx.Done():
 		return
 	}
-	if n.confirmation.confirmedWithin(0, since) {
+	if n.config.confirmedWithin(0, since) {
 		return
 	}
 	asked := n.peersConfig.begin()
@@ -101,7 +101,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if n.confirmation.confirmedWithin(tolerance, since) {
+		if n.config.confirmedWithin(tolerance, since) {
 			return
 		}
 	}
@@ -112,8 +112,8 @@
 func (n *Node) keepConfirmed(ctx context.Context) {
 	for ctx.Err() == nil {
 		ctxtime.Sleep(ctx, storeRetry)
-		c, now := n.view.currentConfig(), n.clock.Now()
-		if c == nil || !c.requiresKeys(n.opt.KeysRequired) || n.confirmation.confirmedWithin(unwatchedAge, now) {
+		c, now := n.config.load(), n.clock.Now()
+		if c == nil || !c.requiresKeys(n.opt.KeysRequired) || n.config.confirmedWithin(unwatchedAge, now) {
 			continue
 		}
 		n.refreshConfig(ctx, now)
@@ -123,7 +123,7 @@
 
 // recordRecheck records that a configuration could not be confirmed in time.
 func (n *Node) recordRecheck() {
-	if now := n.clock.Now(); !n.confirmation.confirmedWithin(knownKeyAge, now) {
+	if now := n.clock.Now(); !n.config.confirmedWithin(knownKeyAge, now) {
 		n.recheckFailedAt.Store(int64(now))
 	}
 }
--- a/internal/control/decision_lines_test.go
+++ b/internal/control/decision_lines_test.go
@@ -51,6 +51,19 @@
 	return "", false
 }
 
+// linesOf returns the number of lines of an event.
+func (r *recordingLog) linesOf(event string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, line := range r.lines {
+		if line.event == event {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *recordingLog) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -350,6 +351,9 @@
 // testStatusRetention is the retention of final job states in these tests.
 var testStatusRetention = time.Minute
 
+// testConfigApply is the time in which a change of the configuration has to be in force in these tests.
+const testConfigApply = 3 * time.Second
+
 // testWeight is the weight of the machines in most test cells.
 const testWeight = 400
 
@@ -382,6 +386,7 @@
 	tn := &testNode{store: &partitionableStore{memoryStore: store}, ended: make(chan struct{})}
 	deps.Store = tn.store
 	opt.Name = opt.Address
+	opt.ConfigApply = cmp.Or(opt.ConfigApply, testConfigApply)
 	opt.Scheduler = scheduler.Config{RunLease: 4 * time.Second, OwnerLease: OwnerLease, StatusRetention: testStatusRetention}
 	tn.Node = New(opt, deps)
 	return tn
--- a/internal/control/keys_test.go
+++ b/internal/control/keys_test.go
@@ -209,8 +209,8 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	n.learnConfig(item.Value, "test")
-	n.confirmation.confirm(n.clock.Now() - confirmedBefore)
+	n.learnConfig(item.Value, fromRead)
+	n.config.confirm(n.clock.Now() - confirmedBefore)
 	return n
 }
 
@@ -320,7 +320,7 @@
 	n.peers.get(owner.Address).disconnect(nil)
 	c.configure(keyConfig{Version: 3, Tenants: map[string][]string{"ant": {"ant-4"}}})
 	eventually(t, 2500*time.Millisecond, "the withdrawn key is out of use without the owner", func() bool {
-		return n.view.currentConfig().Version == 3 && authenticate(n, "ant-3").Result == AuthUnknownKey
+		return n.config.load().Version == 3 && authenticate(n, "ant-3").Result == AuthUnknownKey
 	})
 }
 
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -70,7 +70,9 @@
 	ConfigVersion   int64
 	ConfigAge       time.Duration
 
-	sentAt time.Duration // when the ping was sent, set by its sender
+	// Set by the sender of the ping, and not encoded.
+	sentAt time.Duration
+	sentTo string // address
 }
 
 // OwnerLostArgs asks whether the owner of a term can't be reached.
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -33,7 +33,13 @@
 	gauges     *prometheus.GaugeVec
 	auth       *prometheus.CounterVec
 	configAge  atomic.Pointer[func() float64]
-	tenants    *prometheus.GaugeVec
+	// ConfigBehind is the number of processes whose configuration is older than the owner's.
+	ConfigBehind      prometheus.Gauge
+	configVersion     prometheus.Gauge
+	configUpdates     *prometheus.CounterVec
+	configUnconfirmed prometheus.Histogram
+	staleDecisions    *prometheus.CounterVec
+	tenants           *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -67,7 +73,16 @@
 		stageWaits:   counter("stage_waits_total", "Reports of stages that have waited long without a start, by cause.", "cause"),
 		suspects:     counter("crash_suspects_total", "Tasks under which a runner was lost, by verdict, and those that were cleared.", "verdict"),
 		jobs:         counter("jobs_ended_total", "Jobs by final state.", "state"),
-		auth:         counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
+		ConfigBehind: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "agateyard", Name: "config_behind", Help: "Processes with an older configuration than this owner for more than a second.",
+		}),
+		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "agateyard", Name: "config_version", Help: "Version of the configuration in force.",
+		}),
+		configUpdates:     counter("config_updates_total", "Versions of the configuration that came into force, by source.", "from"),
+		configUnconfirmed: histogram("config_unconfirmed_seconds", "Upper bound of the delay with which a version came into force.", fast),
+		staleDecisions:    counter("stale_decisions_total", "Requests decided by a configuration that was not confirmed in time, by result.", "result"),
+		auth:              counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "owned", Help: "State of the owner by kind.",
 		}, []string{"kind"}),
@@ -78,7 +93,7 @@
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "agateyard", Name: "config_age_seconds", Help: "Time since the configuration in force was confirmed as the newest.",
 	}, m.readConfigAge)
-	r.MustRegister(m.Owner, m.gauges, m.tenants, age)
+	r.MustRegister(m.Owner, m.gauges, m.tenants, age, m.ConfigBehind, m.configVersion)
 	return m
 }
 
@@ -92,6 +107,14 @@
 	}
 }
 
+func (m *Metrics) configChanged(version int64, source configSource, change configChange) {
+	m.configVersion.Set(float64(version))
+	m.configUpdates.WithLabelValues(source.from).Inc()
+	if change.previous > 0 {
+		m.configUnconfirmed.Observe(change.unconfirmed.Seconds())
+	}
+}
+
 // setConfigAge sets the function that returns the age of the configuration in force.
 func (m *Metrics) setConfigAge(age func() float64) { m.configAge.Store(&age) }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -53,7 +53,7 @@
 	loopPanickedAt atomic.Int64 // when the event loop of an ownership of this process last panicked, on the clock; 0: never
 
 	createdAt       time.Duration
-	confirmation    configConfirmation
+	config          configInForce
 	configRead      sharedCall   // reads the configuration from the store
 	peersConfig     sharedCall   // asks peers for the configuration
 	recheckFailedAt atomic.Int64 // when the last attempt to confirm the configuration failed
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -26,7 +26,9 @@
 	// RevokeLimit is how long a configuration that nobody confirms stays good for keys if StrictRevoke is set.
 	RevokeLimit  time.Duration
 	StrictRevoke bool
-	Scheduler    scheduler.Config
+	// ConfigApply is the time after which a change of the configuration has to be in force everywhere.
+	ConfigApply time.Duration
+	Scheduler   scheduler.Config
 }
 
 // Validate returns all errors of the options, joined into one.
@@ -35,6 +37,9 @@
 	if o.Address == "" {
 		findings = append(findings, oops.Errorf("peer address is missing"))
 	}
+	if o.ConfigApply <= 0 {
+		findings = append(findings, oops.Errorf("time until a configuration is in force is %s, must be positive", o.ConfigApply))
+	}
 	if o.Scheduler.RunLease < time.Second {
 		findings = append(findings, oops.Errorf("run lease is %s, must be at least 1s", o.Scheduler.RunLease))
 	}
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/agateyard/agateyard/internal/ctxtime"
 	"github.com/agateyard/agateyard/internal/job"
 	"github.com/agateyard/agateyard/internal/pacing"
-	"github.com/agateyard/agateyard/internal/relay"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
@@ -232,6 +230,7 @@
 	o.yieldToFitter()
 	if o.loopTime-o.lastStats >= statsInterval {
 		o.lastStats = o.loopTime
+		o.reportBehind()
 		stats := o.sched.Stats()
 		o.n.dep.Metrics.setStats(stats)
 		o.n.dep.Log.Log("load", logrus.Fields{
@@ -301,36 +300,6 @@
 	}()
 }
 
-// receivedPing is the last ping received from a process.
-type receivedPing struct {
-	at         time.Duration
-	since      time.Duration // first ping of the process to this owner
-	address    string
-	leaving    bool
-	configured bool // it has loaded the configuration
-	interval   time.Duration
-}
-
-// recent reports whether the process is not overdue with its next ping.
-func (p receivedPing) recent(now time.Duration) bool { return now-p.at < pingSilenceLimit(p.interval) }
-
-// recordPing records a ping of a process that knows of this term.
-func (o *ownership) recordPing(ping PingArgs, now time.Duration) {
-	if ping.Owner.Term != o.info.Term {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	since := now
-	if earlier, ok := o.lastPings[ping.From]; ok && earlier.recent(now) {
-		since = earlier.since
-	}
-	o.lastPings[ping.From] = receivedPing{
-		at: now, since: since, address: ping.Address, leaving: ping.Leaving, configured: ping.ConfigVersion > 0,
-		interval: min(max(ping.Interval, 0), maxPingInterval),
-	}
-}
-
 // checkConfirmed steps down when neither the store nor a majority of the members has confirmed the ownership within
 // unconfirmedLimit: another process may have replaced it.
 func (o *ownership) checkConfirmed() {
@@ -356,6 +325,7 @@
 	o.n.view.recordOwnerReply(o.n.clock.Now()) // it was the owner until now, which counts as contact with the owner
 	o.n.ownership.CompareAndSwap(o, nil)
 	o.n.dep.Metrics.Owner.Set(0)
+	o.n.dep.Metrics.ConfigBehind.Set(0)
 	o.n.dep.Metrics.setTenants(nil) // the next owner reports them
 	o.mu.Lock()
 	reason := o.reason
@@ -363,33 +333,3 @@
 	o.n.dep.Log.Log("ownership-ended", logrus.Fields{"term": o.info.Term, "reason": reason})
 	close(o.ended)
 }
-
-// relayCandidates returns the other processes that have pinged this owner recently.
-func (o *ownership) relayCandidates() []relay.Process {
-	zones := o.n.view.zones()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	var out []relay.Process
-	for incarnation, ping := range o.lastPings {
-		zone, member := zones[incarnation]
-		if member && !ping.leaving && ping.recent(o.loopTime) && ping.address != o.n.opt.Address {
-			out = append(out, relay.Process{Address: ping.address, Zone: zone})
-		}
-	}
-	return out
-}
-
-// adviceMachines returns the sorted addresses of the machines that may call the advice service: this one and those whose
-// process has pinged it recently, whether or not the store lists them as members.
-func (o *ownership) adviceMachines() []string {
-	out := []string{o.n.opt.Address}
-	o.mu.Lock()
-	for _, ping := range o.lastPings {
-		if !ping.leaving && ping.recent(o.loopTime) && ping.address != o.n.opt.Address {
-			out = append(out, ping.address)
-		}
-	}
-	o.mu.Unlock()
-	sort.Strings(out)
-	return out
-}
--- a/internal/control/ownership_test.go
+++ b/internal/control/ownership_test.go
@@ -355,7 +355,7 @@
 // be dead or unreachable.
 func TestOwnerFromStoreIsNotContact(t *testing.T) {
 	n := newTestNode(newMemoryStore(), "10.0.0.1:1", testWeight)
-	n.learnConfig([]byte{1}, "test")
+	n.learnConfig([]byte{1}, fromRead)
 	n.learnOwner(OwnerInfo{Term: 3, Rev: 30, Incarnation: "dead", Address: "10.0.0.2:1"}, "test")
 	if n.Ready() {
 		t.Error("ready without ever having received a reply of the owner")
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -67,9 +67,9 @@
 		reply.Pending = local.pendingJobs()
 		reply.Loaded = reply.Pending != nil
 	}
-	reply.ConfigAge, reply.ConfigConfirmed = n.confirmation.age(now)
+	reply.ConfigAge, reply.ConfigConfirmed = n.config.age(now)
 	reply.ConfigVersion = n.configVersion()
-	if c := n.view.currentConfig(); c != nil && c.Version > args.ConfigVersion {
+	if c := n.config.load(); c != nil && c.Version > args.ConfigVersion {
 		reply.Config = c.Raw
 	} else if args.ConfigVersion > n.configVersion() {
 		n.requestConfigRead()
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -66,7 +66,7 @@
 // checkAccess returns OutcomeKeyUnknown if the owner's configuration doesn't admit the caller any more, OutcomeNotYours if
 // the job belongs to another tenant, and OutcomeUnknown otherwise.
 func (o *ownership) checkAccess(id string, caller Caller) Outcome {
-	if caller.revoked(o.n.view.currentConfig(), o.n.opt.KeysRequired) {
+	if caller.revoked(o.n.config.load(), o.n.opt.KeysRequired) {
 		return OutcomeKeyUnknown
 	}
 	if tenant, queue, known := o.sched.JobOwner(id); known && !caller.mayAccess(tenant, queue) {
@@ -184,26 +184,28 @@
 type Answer struct {
 	Outcome    Outcome
 	RetryAfter time.Duration // of OutcomeOverLimit and OutcomeRefused; 0 from owners of earlier builds
+	// OwnerConfig is the version of the configuration in force at the owner that answered; 0 if none did.
+	OwnerConfig int64
 }
 
 // Submit stores a job at the owner, locally or in another process. The job becomes the caller's. OutcomeRefused means that
 // it was certainly not stored, by this submission or an earlier one; OutcomeUnknown that it may have been.
 func (n *Node) Submit(ctx context.Context, caller Caller, spec job.Spec) Answer {
-	var retryAfter time.Duration
+	var last SubmitReply
 	outcome := n.callOwner(ctx, func(ctx context.Context, o OwnerInfo, within time.Duration) (Outcome, error) {
 		args := SubmitArgs{Spec: spec, Caller: caller, Within: within}
 		if local := n.ownership.Load(); local != nil {
-			reply := local.submit(args)
-			retryAfter = reply.RetryAfter
-			return reply.Outcome, nil
+			last = local.submit(args)
+			last.ConfigVersion = n.configVersion()
+			return last.Outcome, nil
 		}
 		var reply SubmitReply
 		err := call(ctx, n.peers.get(o.Address), "Submit", args, &reply)
 		n.noticeVersion(reply.ConfigVersion)
-		retryAfter = reply.RetryAfter
+		last = reply
 		return reply.Outcome, err
 	})
-	return Answer{Outcome: outcome, RetryAfter: retryAfter}
+	return Answer{Outcome: outcome, RetryAfter: last.RetryAfter, OwnerConfig: last.ConfigVersion}
 }
 
 // Cancel cancels a job at the owner, locally or in another process.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -14,7 +14,6 @@
 	ownerRead      bool // the store has been read or a peer has named an owner, so that an empty owner means that there is none
 	changed        chan struct{}
 	members        map[string]Member
-	config         *CellConfig
 	pending        map[string]int
 	lastOwnerReply time.Duration  // last reply of an owner to a ping
 	claimSeenAt    time.Duration  // when the current owner's claim became known
@@ -64,23 +63,6 @@
 	return v.ownerRead
 }
 
-// setConfig stores the configuration if it is newer and reports whether it was.
-func (v *view) setConfig(c *CellConfig) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.config != nil && c.Version <= v.config.Version {
-		return false
-	}
-	v.config = c
-	return true
-}
-
-func (v *view) currentConfig() *CellConfig {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.config
-}
-
 func (v *view) setMembers(members []Member) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/control/watch_config.go
+++ b/internal/control/watch_config.go
@@ -33,10 +33,10 @@
 	}
 	for _, item := range items {
 		if item.Key == key {
-			n.learnConfig(item.Value, "store")
+			n.learnConfig(item.Value, fromRead)
 		}
 	}
-	n.confirmation.confirm(begun)
+	n.config.confirm(begun)
 	return rev, nil
 }
 
@@ -61,11 +61,11 @@
 		rev = next
 		for _, item := range changes {
 			if item.Key == key && !item.Deleted {
-				n.learnConfig(item.Value, "store")
+				n.learnConfig(item.Value, fromWatch)
 			}
 		}
 		if len(changes) == 0 { // an answer with changes may be incomplete
-			n.confirmation.confirm(begun)
+			n.config.confirm(begun)
 		}
 	}
 }
@@ -74,23 +74,30 @@
 const keyWatchWait = 700 * time.Millisecond
 
 func (n *Node) configWatchWait() time.Duration {
-	if c := n.view.currentConfig(); c != nil && c.requiresKeys(n.opt.KeysRequired) {
+	if c := n.config.load(); c != nil && c.requiresKeys(n.opt.KeysRequired) {
 		return keyWatchWait
 	}
 	return watchWait
 }
 
 // learnConfig applies a configuration if it is newer than the one in force.
-func (n *Node) learnConfig(value []byte, from string) {
+func (n *Node) learnConfig(value []byte, source configSource) {
 	c, err := n.dep.Directory.DecodeConfig(value)
 	if err != nil {
-		n.dep.Log.Log("bad-config", logrus.Fields{"from": from, "error": err.Error()})
+		n.dep.Log.Log("bad-config", logrus.Fields{"from": source.from, "by": source.by, "error": err.Error()})
 		return
 	}
-	if !n.view.setConfig(c) {
+	change, newer := n.config.replace(c, source, n.clock.Now())
+	if !newer {
 		return
 	}
-	n.dep.Log.Log("config-in-force", configFields(c, from))
+	n.dep.Log.Log("config-in-force", configFields(c, source, change))
+	n.dep.Metrics.configChanged(c.Version, source, change)
+	if change.unconfirmed > n.opt.ConfigApply {
+		n.dep.Log.Log("config-late", logrus.Fields{
+			"version": c.Version, "previous": change.previous, "unconfirmed_ms": change.unconfirmed.Milliseconds(),
+		})
+	}
 	if o := n.ownership.Load(); o != nil {
 		o.post(o.applyConfig)
 	}
@@ -99,8 +106,11 @@
 // maxLoggedFindings bounds the line of a configuration with many findings; the check command lists all.
 const maxLoggedFindings = 10
 
-func configFields(c *CellConfig, from string) logrus.Fields {
-	fields := logrus.Fields{"version": c.Version, "routes": len(c.Routes), "from": from}
+func configFields(c *CellConfig, source configSource, change configChange) logrus.Fields {
+	fields := logrus.Fields{
+		"version": c.Version, "routes": len(c.Routes), "from": source.from, "by": source.by, "previous": change.previous,
+		"unconfirmed_ms": change.unconfirmed.Milliseconds(),
+	}
 	if tenants := c.Tenants.Tenants(); len(tenants) > 0 {
 		fields["tenants"] = len(tenants)
 	}
@@ -113,7 +123,7 @@
 // applyConfig passes the configuration in force to the scheduler. It reads the newest one, as the events of two versions
 // may be queued in either order.
 func (o *ownership) applyConfig() {
-	if c := o.n.view.currentConfig(); c != nil {
+	if c := o.n.config.load(); c != nil {
 		o.sched.SetQueues(c.queues())
 		o.sched.SetTenants(c.Version, c.Tenants.Tenants())
 	}
@@ -135,18 +145,18 @@
 
 // configVersion returns the version in force; 0 if there is none.
 func (n *Node) configVersion() int64 {
-	if c := n.view.currentConfig(); c != nil {
+	if c := n.config.load(); c != nil {
 		return c.Version
 	}
 	return 0
 }
 
 // Config returns the configuration in force; nil if none is known yet.
-func (n *Node) Config() *CellConfig { return n.view.currentConfig() }
+func (n *Node) Config() *CellConfig { return n.config.load() }
 
 // Ready reports whether this process can serve callers' requests.
 func (n *Node) Ready() bool {
-	if n.leaving.Load() || n.view.currentConfig() == nil {
+	if n.leaving.Load() || n.config.load() == nil {
 		return false
 	}
 	if n.ownership.Load() != nil {
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -155,7 +155,7 @@
 	var reply PingReply
 	sentAt := n.clock.Now()
 	err := call(ctx, n.peers.get(address), "Ping", args, &reply)
-	reply.sentAt = sentAt
+	reply.sentAt, reply.sentTo = sentAt, address
 	return reply, err
 }
 
--- a/internal/control/yield.go
+++ b/internal/control/yield.go
@@ -23,7 +23,7 @@
 		}
 		members[m.Incarnation] = m
 		successors = append(successors, candidacy.Successor{
-			Candidate: m.candidate(), Present: o.loopTime - ping.since, Configured: ping.configured,
+			Candidate: m.candidate(), Present: o.loopTime - ping.since, Configured: ping.config > 0,
 		})
 	}
 	o.mu.Unlock()
