--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -409,6 +409,12 @@
 }
 
 func startNodeOf(t *testing.T, deps Deps, store *memoryStore, opt Options) *testNode {
+	t.Helper()
+	return startNodeWithStore(t, deps, store, opt, func(s Store) Store { return s })
+}
+
+// startNodeWithStore starts a node with a replaced link to the store.
+func startNodeWithStore(t *testing.T, deps Deps, store *memoryStore, opt Options, link func(Store) Store) *testNode {
 	t.Helper()
 	network := networkOf(t)
 	var l net.Listener
@@ -419,6 +425,7 @@
 	}
 	opt.Address = l.Addr().String()
 	tn := newTestNodeOf(deps, store, opt)
+	tn.dep.Store = protectedStore{link(tn.store), tn.Node}
 	if network != nil {
 		network.useBubble(tn)
 	}
