--- a/internal/control/authenticate.go
+++ b/internal/control/authenticate.go
@@ -60,7 +60,7 @@
 }
 
 // Authenticate identifies the caller of a request by the configuration in force, and reads the newest one first where the
-// key may be newer or withdrawn. There must be a configuration. If the owner has refused the caller, refusedBy is the
+// route or key may be newer or withdrawn. There must be a configuration. If the owner has refused the caller, refusedBy is the
 // access by which it was admitted, otherwise nil.
 func (n *Node) Authenticate(ctx context.Context, cr Credentials, refusedBy *Access) Access {
 	arrived := n.clock.Now()
@@ -97,7 +97,8 @@
 	source, _ := n.config.origin()
 	failedAt := time.Duration(n.recheckFailedAt.Load())
 	return authInput{
-		found: a.Result, age: age, source: source.from, strict: n.opt.StrictRevoke, revokeLimit: n.opt.RevokeLimit,
+		found: a.Result, age: age, limits: n.limits, source: source.from, ownerKnown: n.reachesOwner(),
+		strict: n.opt.StrictRevoke, revokeLimit: n.opt.RevokeLimit,
 		rechecked: failedAt > 0 && n.clock.Now()-failedAt < recheckPause,
 	}
 }
--- a/internal/control/cell_test.go
+++ b/internal/control/cell_test.go
@@ -255,10 +255,10 @@
 		}
 	}
 	store.compact()
-	before := store.readCount("op/config")
+	before := store.listCount("op/config") // each start of the watch lists it
 	time.Sleep(2 * time.Second)
-	if read := store.readCount("op/config") - before; read > 3 {
-		t.Errorf("the configuration was read %d times in 2 s", read)
+	if read := store.listCount("op/config") - before; read > 3 {
+		t.Errorf("the watch was started %d times in 2 s", read)
 	}
 }
 
--- a/internal/control/config_age.go
+++ b/internal/control/config_age.go
@@ -1,5 +1,7 @@
 package control
 
+import "time"
+
 // configAgeSeconds returns the age of the configuration for the metric: the time since its last confirmation or, before
 // the first one, since the start of this process.
 func (n *Node) configAgeSeconds() float64 {
@@ -11,6 +13,13 @@
 	return age.Seconds()
 }
 
+// configOverdue reports whether the configuration has not been confirmed for so long that requests wait for it. An owner in
+// that state is replaced: the others would follow it with its old configuration.
+func (n *Node) configOverdue(now time.Duration) bool {
+	age, known := n.config.age(now)
+	return known && age > n.limits.serve
+}
+
 // confirmByPeer records that a peer has confirmed its configuration. The peer computed the age after the ping was sent. A
 // version that is newer than the peer's is confirmed as well, as it was written after the peer's confirmation.
 func (n *Node) confirmByPeer(reply PingReply) {
--- a/internal/control/config_bound_test.go
+++ b/internal/control/config_bound_test.go
@@ -102,7 +102,8 @@
 	p.disconnect(nil)
 }
 
-// violation returns how a process decides by a configuration older than version 2; empty if it doesn't.
+// violation returns how a process decides by a configuration older than version 2, or that it turns a caller away although
+// it reaches the store or a peer; empty if it does neither.
 func (c *boundCell) violation(n *testNode) string {
 	if n.Config() == nil {
 		return "" // it answers 503
@@ -116,6 +117,9 @@
 		defer cancel()
 		return n.Authenticate(ctx, cr, nil).Result
 	}
+	if got := ask("/kept/1", "kept"); !got.admits() {
+		return fmt.Sprintf("a caller is turned away (%s)", got)
+	}
 	if got := ask("/dropped/1", "kept"); got.admits() {
 		return fmt.Sprintf("a dropped route is served (%s)", got)
 	}
--- a/internal/control/config_in_force.go
+++ b/internal/control/config_in_force.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"sync"
 	"time"
 )
@@ -26,8 +27,12 @@
 	since       time.Duration // when it came into force in this process
 	confirmedAt time.Duration // it was the newest then: no newer version had been written
 	confirmed   bool          // false: it was never confirmed
+	changed     chan struct{} // closed at the next confirmation
+	bad         []byte        // the last value that could not be decoded
 }
 
+func newConfigInForce() configInForce { return configInForce{changed: make(chan struct{})} }
+
 // configChange describes how a configuration replaced another.
 type configChange struct {
 	previous int64 // version; 0: there was none
@@ -51,6 +56,17 @@
 	return change, true
 }
 
+// recordBad records a value that can't be decoded and reports whether it differs from the last one.
+func (f *configInForce) recordBad(value []byte) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.bad != nil && bytes.Equal(f.bad, value) {
+		return false
+	}
+	f.bad = append([]byte{}, value...)
+	return true
+}
+
 // load returns the configuration in force; nil if none is known yet.
 func (f *configInForce) load() *CellConfig {
 	f.mu.Lock()
@@ -71,9 +87,18 @@
 	defer f.mu.Unlock()
 	if !f.confirmed || at > f.confirmedAt {
 		f.confirmedAt, f.confirmed = at, true
+		close(f.changed)
+		f.changed = make(chan struct{})
 	}
 }
 
+// confirmations returns a channel that is closed at the next confirmation.
+func (f *configInForce) confirmations() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
 // age returns the time since the last confirmation; known is false if there was none.
 func (f *configInForce) age(now time.Duration) (age time.Duration, known bool) {
 	f.mu.Lock()
--- a/internal/control/config_lines_test.go
+++ b/internal/control/config_lines_test.go
@@ -24,6 +24,8 @@
 	}
 	n.config.confirm(now)
 	now += testConfigApply + time.Second
+	n.store.setPartitioned(true)
+	n.view.recordOwnerReply(now)
 	n.Authenticate(context.Background(), Credentials{Host: "h", Path: "/"}, nil)
 	n.learnConfig([]byte{3}, fromPeer("10.0.0.2:1"))
 	o := newTestOwnership(n.Node)
--- a/internal/control/config_refresh.go
+++ b/internal/control/config_refresh.go
@@ -9,20 +9,34 @@
 	"github.com/agateyard/agateyard/internal/ctxtime"
 )
 
+// A process knows of its configuration how old it is at most, whether or not its watch works: a watch that is quiet can't
+// be told from one that is dead. Only a read of the store confirms a configuration. The owner reads it often and passes its
+// age on with the reply to each ping, so that the others rarely have to read. A process whose configuration is not
+// confirmed in time reads it itself and asks other members.
 const (
-	// configReadInterval limits the reads of the configuration that unknown keys cause to 5 a second for each process, as
-	// anyone can send unknown keys.
+	// configCheckInterval is how often a process checks the age of its configuration.
+	configCheckInterval = 100 * time.Millisecond
+	// ownerReadInterval is the age at which an owner reads the configuration again. Together with the pause between pings it
+	// stays below the age at which the others read it too.
+	ownerReadInterval = 300 * time.Millisecond
+	// configReadTimeout bounds one read of the configuration, so long that a process short of processor time gets an answer.
+	// Further reads begin meanwhile.
+	configReadTimeout = storeTimeout
+	// configRetryInterval is the pause between two attempts to confirm the configuration.
+	configRetryInterval = 500 * time.Millisecond
+	// configReadInterval limits the reads of the configuration that unknown keys and paths cause to 5 a second for each
+	// process, as anyone can send them.
 	configReadInterval = 200 * time.Millisecond
 	// peersAskInterval limits how often peers are asked for the configuration, as each call makes a peer read the store.
 	peersAskInterval = 500 * time.Millisecond
 	// peersAskedAfter is how long a read of the configuration may take before peers are asked as well. A store that works
 	// answers earlier, except when it is slow.
 	peersAskedAfter = 250 * time.Millisecond
+	// refreshTimeout is how long a request waits for another read of the configuration: for the store, then for the owner
+	// and other members.
+	refreshTimeout = peersAskedAfter + 2*pingTimeout
 	// maxAskedMembers bounds the members that are asked if the owner can't confirm its configuration.
 	maxAskedMembers = 3
-	// unwatchedAge is the age of the configuration beyond which it is read again. The watch confirms it earlier while the
-	// store answers within 50 ms.
-	unwatchedAge = 1500 * time.Millisecond
 	// freshConfigTimeout bounds the read that a peer's ping requests. It leaves time for the reply within
 	// pingTimeout.
 	freshConfigTimeout = 250 * time.Millisecond
@@ -30,18 +44,15 @@
 
 // readStoreConfig reads the configuration from the store once.
 func (n *Node) readStoreConfig() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), configReadTimeout)
 	defer cancel()
 	begun := n.clock.Now()
 	item, found, err := n.dep.Store.Get(ctx, n.dep.Directory.ConfigKey())
 	n.recordStoreCall("get", err)
-	if err != nil {
-		return
-	}
-	if found {
+	if err == nil && found {
 		n.learnConfig(item.Value, fromRead)
+		n.config.confirm(begun)
 	}
-	n.config.confirm(begun)
 }
 
 // askPeersForConfig pings the owner, which reads the store before it replies, and other members if the owner doesn't
@@ -78,52 +89,66 @@
 }
 
 // refreshConfig reads the configuration from the store and, if that fails or takes long, asks peers. It returns when the
-// configuration has been confirmed since the given time, when both have ended, or when ctx is done.
+// configuration has been confirmed since the given time, when neither has an answer, or when ctx is done. A confirmation by
+// a peer may be unknownKeyAge older.
 func (n *Node) refreshConfig(ctx context.Context, since time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
 	read := n.configRead.begin()
-	select {
-	case <-read:
-	case <-time.After(peersAskedAfter):
-	case <-ctx.Done():
-		return
-	}
-	if n.config.confirmedWithin(0, since) {
-		return
-	}
-	asked := n.peersConfig.begin()
-	for read != nil || asked != nil {
-		tolerance := time.Duration(0)
+	askPeers := time.NewTimer(peersAskedAfter)
+	defer askPeers.Stop()
+	var asked <-chan struct{}
+	tolerance := time.Duration(0)
+	for {
+		confirmed := n.config.confirmations()
+		if n.config.confirmedWithin(tolerance, since) {
+			return
+		}
+		if read == nil && asked == nil && tolerance > 0 {
+			return // both have failed
+		}
 		select {
+		case <-confirmed:
 		case <-read:
 			read = nil
+			askPeers.Reset(0)
+		case <-askPeers.C:
+			if tolerance == 0 {
+				asked, tolerance = n.peersConfig.begin(), unknownKeyAge
+			}
 		case <-asked:
-			asked, tolerance = nil, unknownKeyAge
+			asked = nil
 		case <-ctx.Done():
 			return
 		}
-		if n.config.confirmedWithin(tolerance, since) {
-			return
-		}
 	}
 }
 
-// keepConfirmed reads the configuration again when its watch has not confirmed it for a while. So a process that the store
-// doesn't answer learns of withdrawn keys from its peers, and callers rarely wait for a read.
+// keepConfirmed reads the configuration again when it has not been confirmed for a while, and asks peers if the store
+// doesn't answer. So no process depends on its watch, and callers rarely wait for a read.
 func (n *Node) keepConfirmed(ctx context.Context) {
+	tried := n.clock.Now() - configRetryInterval
 	for ctx.Err() == nil {
-		ctxtime.Sleep(ctx, storeRetry)
-		c, now := n.config.load(), n.clock.Now()
-		if c == nil || !c.requiresKeys(n.opt.KeysRequired) || n.config.confirmedWithin(unwatchedAge, now) {
+		ctxtime.Sleep(ctx, configCheckInterval)
+		now := n.clock.Now()
+		limit, pause := n.limits.reread, configRetryInterval
+		if n.ownership.Load() != nil {
+			limit, pause = ownerReadInterval, ownerReadInterval
+		}
+		if n.config.load() == nil || n.config.confirmedWithin(limit, now) || now-tried < pause {
 			continue
 		}
-		n.refreshConfig(ctx, now)
-		n.recordRecheck()
+		tried = now
+		n.goProtected("confirmation of the configuration", func() {
+			n.refreshConfig(ctx, now)
+			n.recordRecheck()
+		})
 	}
 }
 
 // recordRecheck records that a configuration could not be confirmed in time.
 func (n *Node) recordRecheck() {
-	if now := n.clock.Now(); !n.config.confirmedWithin(knownKeyAge, now) {
+	if now := n.clock.Now(); !n.config.confirmedWithin(n.limits.serve, now) {
 		n.recheckFailedAt.Store(int64(now))
 	}
 }
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -33,10 +33,11 @@
 	commits       int
 	compactedRev  int64 // changes up to this revision have been compacted
 	reads         map[string]int
-	delayPerItem  time.Duration // duration of a range read for each item
-	ranges        int           // range reads in flight
-	maxRanges     int           // largest number of range reads of jobs in flight at the same time
-	maxChanges    int           // largest number of changes in an answer to a watch; 0: no limit
+	lists         map[string]int // range reads alone
+	delayPerItem  time.Duration  // duration of a range read for each item
+	ranges        int            // range reads in flight
+	maxRanges     int            // largest number of range reads of jobs in flight at the same time
+	maxChanges    int            // largest number of changes in an answer to a watch; 0: no limit
 }
 
 func newMemoryStore() *memoryStore {
@@ -97,6 +98,13 @@
 	return m.reads[prefix]
 }
 
+// listCount returns how often a prefix was listed.
+func (m *memoryStore) listCount(prefix string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lists[prefix]
+}
+
 func (m *memoryStore) refused() error {
 	if m.refuse {
 		return ErrNotApplied
@@ -115,6 +123,10 @@
 func (m *memoryStore) Range(_ context.Context, prefix string) ([]Item, int64, error) {
 	m.mu.Lock()
 	m.countRead(prefix)
+	if m.lists == nil {
+		m.lists = map[string]int{}
+	}
+	m.lists[prefix]++
 	var out []Item
 	for key, item := range m.items {
 		if strings.HasPrefix(key, prefix) {
--- a/internal/control/faulty_link_test.go
+++ b/internal/control/faulty_link_test.go
@@ -14,16 +14,15 @@
 type linkFault string
 
 const (
-	quietWatch       linkFault = "quiet watch"       // watches answer that nothing has changed
-	silentWatch      linkFault = "silent watch"      // watches get no answer
-	silentReads      linkFault = "silent reads"      // reads and watches get no answer; writes succeed
-	refusedReads     linkFault = "refused reads"     // reads and watches are refused; writes succeed
-	lateReads        linkFault = "late reads"        // reads and watches are answered late, as on a process short of processor time
-	silentStoreLink  linkFault = "silent store"      // no call gets an answer
-	refusingStore    linkFault = "refusing store"    // all calls are refused
-	lostHistory      linkFault = "lost history"      // watches fail, as the history has been compacted
-	silentIdle       linkFault = "silent idle"       // the idle connections have gone silent; new ones work
-	undecodableReads linkFault = "undecodable reads" // reads return other bytes than were written
+	quietWatch      linkFault = "quiet watch"    // watches answer that nothing has changed
+	silentWatch     linkFault = "silent watch"   // watches get no answer
+	silentReads     linkFault = "silent reads"   // reads and watches get no answer; writes succeed
+	refusedReads    linkFault = "refused reads"  // reads and watches are refused; writes succeed
+	lateReads       linkFault = "late reads"     // reads and watches are answered late, as on a process short of processor time
+	silentStoreLink linkFault = "silent store"   // no call gets an answer
+	refusingStore   linkFault = "refusing store" // all calls are refused
+	lostHistory     linkFault = "lost history"   // watches fail, as the history has been compacted
+	silentIdle      linkFault = "silent idle"    // the idle connections have gone silent; new ones work
 )
 
 // idleConnections is the number of connections that go silent with silentIdle.
@@ -93,31 +92,19 @@
 }
 
 func (l *faultyLink) Get(ctx context.Context, key string) (Item, bool, error) {
-	f, err := l.apply(ctx)
-	if err != nil {
+	if _, err := l.apply(ctx); err != nil {
 		return Item{}, false, err
 	}
-	item, found, err := l.Store.Get(ctx, key)
-	if f == undecodableReads {
-		item.Value = []byte("?")
-	}
-	return item, found, err
+	return l.Store.Get(ctx, key)
 }
 
 func (l *faultyLink) Range(ctx context.Context, prefix string) ([]Item, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageLimit)
 	defer cancel()
-	f, err := l.apply(ctx)
-	if err != nil {
+	if _, err := l.apply(ctx); err != nil {
 		return nil, 0, err
 	}
-	items, rev, err := l.Store.Range(ctx, prefix)
-	if f == undecodableReads && prefix == "op/config" {
-		for i := range items {
-			items[i].Value = []byte("?")
-		}
-	}
-	return items, rev, err
+	return l.Store.Range(ctx, prefix)
 }
 
 // Watch waits in steps, as a fault also stops the watches that are waiting.
@@ -135,7 +122,7 @@
 		case lostHistory:
 			time.Sleep(step)
 			return nil, 0, ErrCompacted
-		case quietWatch, undecodableReads:
+		case quietWatch:
 			time.Sleep(max(0, time.Until(end)))
 			_, rev, err := l.Store.Range(ctx, "none")
 			return nil, rev, err
--- a/internal/control/keys_test.go
+++ b/internal/control/keys_test.go
@@ -270,8 +270,8 @@
 	}
 }
 
-// TestIsolatedProcess guards against a process without the store and peers that turns callers with known keys away
-// although the settings don't ask for it, that serves them although they do, or that refuses unknown keys for certain.
+// TestIsolatedProcess guards against a process without the store and peers that lets callers wait for an owner which it
+// doesn't reach, that serves known keys by a configuration which may be out of force, or that refuses unknown keys for certain.
 func TestIsolatedProcess(t *testing.T) { inBubble(t, testIsolatedProcess) }
 
 func testIsolatedProcess(t *testing.T) {
@@ -281,7 +281,8 @@
 		age            time.Duration
 		known, unknown AuthResult
 	}{
-		"serves":             {Options{}, 20 * time.Second, AuthKnownKey, AuthUndetermined},
+		"not yet":            {Options{}, 2 * time.Second, AuthKnownKey, AuthUndetermined},
+		"for longer":         {Options{}, 20 * time.Second, AuthUndetermined, AuthUndetermined},
 		"strict, not yet":    {Options{StrictRevoke: true, RevokeLimit: 5 * time.Second}, time.Second, AuthKnownKey, AuthUndetermined},
 		"strict, for longer": {Options{StrictRevoke: true, RevokeLimit: 5 * time.Second}, 5100 * time.Millisecond, AuthUnconfirmed, AuthUnconfirmed},
 	} {
@@ -298,6 +299,12 @@
 			t.Errorf("%s: unknown key: %s, want %s", name, got, tc.unknown)
 		}
 	}
+	n := c.idleNode(Options{}, 20*time.Second)
+	n.store.setPartitioned(true)
+	n.view.recordOwnerReply(n.clock.Now()) // the store is away, and the owner answers
+	if got := authenticate(n, "ant-1").Result; got != AuthKnownKey {
+		t.Errorf("known key while the owner answers: %s", got)
+	}
 }
 
 // TestWithdrawnKeyWithoutStore guards against a withdrawn key that is still served, and a new one that isn't, by a process
@@ -380,8 +387,9 @@
 		n.keepConfirmed(ctx)
 	}()
 	defer func() { cancel(); <-ended }()
-	time.Sleep(2*knownKeyAge + time.Second)
+	time.Sleep(2*n.limits.serve + time.Second)
 	for started := time.Now(); time.Since(started) < recheckPause+500*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+		n.view.recordOwnerReply(n.clock.Now())
 		asked := time.Now()
 		if got := authenticate(n, "ant-1").Result; got != AuthKnownKey || time.Since(asked) > 100*time.Millisecond {
 			t.Fatalf("%s after %s", got, time.Since(asked))
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -36,6 +36,7 @@
 	// ConfigBehind is the number of processes whose configuration is older than the owner's.
 	ConfigBehind      prometheus.Gauge
 	configVersion     prometheus.Gauge
+	configBad         prometheus.Gauge
 	configUpdates     *prometheus.CounterVec
 	configUnconfirmed prometheus.Histogram
 	staleDecisions    *prometheus.CounterVec
@@ -79,6 +80,9 @@
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "config_version", Help: "Version of the configuration in force.",
 		}),
+		configBad: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "agateyard", Name: "config_undecodable", Help: "1 while the newest configuration can't be decoded.",
+		}),
 		configUpdates:     counter("config_updates_total", "Versions of the configuration that came into force, by source.", "from"),
 		configUnconfirmed: histogram("config_unconfirmed_seconds", "Upper bound of the delay with which a version came into force.", fast),
 		staleDecisions:    counter("stale_decisions_total", "Requests decided by a configuration that was not confirmed in time, by result.", "result"),
@@ -93,7 +97,7 @@
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "agateyard", Name: "config_age_seconds", Help: "Time since the configuration in force was confirmed as the newest.",
 	}, m.readConfigAge)
-	r.MustRegister(m.Owner, m.gauges, m.tenants, age, m.ConfigBehind, m.configVersion)
+	r.MustRegister(m.Owner, m.gauges, m.tenants, age, m.ConfigBehind, m.configVersion, m.configBad)
 	return m
 }
 
@@ -107,6 +111,14 @@
 	}
 }
 
+func (m *Metrics) configDecoded(ok bool) {
+	if ok {
+		m.configBad.Set(0)
+		return
+	}
+	m.configBad.Set(1)
+}
+
 func (m *Metrics) configChanged(version int64, source configSource, change configChange) {
 	m.configVersion.Set(float64(version))
 	m.configUpdates.WithLabelValues(source.from).Inc()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -53,6 +53,7 @@
 	loopPanickedAt atomic.Int64 // when the event loop of an ownership of this process last panicked, on the clock; 0: never
 
 	createdAt       time.Duration
+	limits          configLimits
 	config          configInForce
 	configRead      sharedCall   // reads the configuration from the store
 	peersConfig     sharedCall   // asks peers for the configuration
@@ -67,6 +68,8 @@
 		view:         newView(),
 		adviceCalls:  make(chan adviceCall, adviceQueueSize),
 		rereadConfig: make(chan struct{}, 1),
+		limits:       newConfigLimits(opt.ConfigApply),
+		config:       newConfigInForce(),
 	}
 	n.dep = n.protected(dep)
 	n.peers.n = n
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -55,7 +55,7 @@
 	now := n.clock.Now()
 	*reply = PingReply{
 		Incarnation: n.incarnation, Owner: o,
-		StoreOK: n.health.failingFor(now) < ownerStoreFailureLimit, BegunTerm: n.begunTerm.Load(),
+		StoreOK: n.health.failingFor(now) < ownerStoreFailureLimit && !n.configOverdue(now), BegunTerm: n.begunTerm.Load(),
 		Leaving: n.leaving.Load(), Load: n.view.ownerLoad(),
 	}
 	if args.WantMembers {
--- a/internal/control/watch_config.go
+++ b/internal/control/watch_config.go
@@ -34,9 +34,9 @@
 	for _, item := range items {
 		if item.Key == key {
 			n.learnConfig(item.Value, fromRead)
+			n.config.confirm(begun)
 		}
 	}
-	n.config.confirm(begun)
 	return rev, nil
 }
 
@@ -52,8 +52,7 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		begun := n.clock.Now()
-		changes, next, err := n.watch(ctx, key, rev, n.configWatchWait())
+		changes, next, err := n.watch(ctx, key, rev, watchWait)
 		if err != nil {
 			ctxtime.Sleep(ctx, storeRetry)
 			return
@@ -64,27 +63,18 @@
 				n.learnConfig(item.Value, fromWatch)
 			}
 		}
-		if len(changes) == 0 { // an answer with changes may be incomplete
-			n.config.confirm(begun)
-		}
 	}
 }
 
-// keyWatchWait replaces watchWait where keys are required, so that the configuration is confirmed well within knownKeyAge.
-const keyWatchWait = 700 * time.Millisecond
-
-func (n *Node) configWatchWait() time.Duration {
-	if c := n.config.load(); c != nil && c.requiresKeys(n.opt.KeysRequired) {
-		return keyWatchWait
-	}
-	return watchWait
-}
-
-// learnConfig applies a configuration if it is newer than the one in force.
+// learnConfig applies a configuration if it is newer than the one in force. One that can't be decoded changes nothing: the
+// last one that could be stays in force, so that a faulty change doesn't turn all callers away.
 func (n *Node) learnConfig(value []byte, source configSource) {
 	c, err := n.dep.Directory.DecodeConfig(value)
+	n.dep.Metrics.configDecoded(err == nil)
 	if err != nil {
-		n.dep.Log.Log("bad-config", logrus.Fields{"from": source.from, "by": source.by, "error": err.Error()})
+		if n.config.recordBad(value) {
+			n.dep.Log.Log("bad-config", logrus.Fields{"from": source.from, "by": source.by, "error": err.Error()})
+		}
 		return
 	}
 	change, newer := n.config.replace(c, source, n.clock.Now())
@@ -159,10 +149,12 @@
 	if n.leaving.Load() || n.config.load() == nil {
 		return false
 	}
-	if n.ownership.Load() != nil {
-		return true
-	}
-	return n.clock.Now()-n.view.ownerRepliedAt() < readyTimeout
+	return n.reachesOwner()
+}
+
+// reachesOwner reports whether this process is the owner or has had a reply of the owner within readyTimeout.
+func (n *Node) reachesOwner() bool {
+	return n.ownership.Load() != nil || n.clock.Now()-n.view.ownerRepliedAt() < readyTimeout
 }
 
 // readyTimeout is how long a process without contact to the owner still accepts requests. It is longer than a usual
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -121,7 +121,7 @@
 	if reply.Loaded {
 		n.view.setPending(reply.Pending)
 	}
-	if !reply.StoreOK && n.health.answeredWithin(storeAnswerMaxAge, now) && n.health.stableFor(storeStableTime, now) {
+	if !reply.StoreOK && n.health.answeredWithin(storeAnswerMaxAge, now) && n.health.stableFor(storeStableTime, now) && !n.configOverdue(now) {
 		return ownerNoStore
 	}
 	return ownerHealthy
