--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -123,7 +123,7 @@
 // withoutBlame returns the outcome of a start that timed out while this process or its link was overloaded, or was paused:
 // the runner isn't quarantined for it, and the run isn't stopped before a poll has looked for it.
 func (o *ownership) withoutBlame(outcome scheduler.StartOutcome, err error) scheduler.StartOutcome {
-	late := timedOut(err) && (o.pace.Overloaded(o.loopTime) || o.pace.Quiet(o.loopTime))
+	late := TimedOut(err) && (o.pace.Overloaded(o.loopTime) || o.pace.Quiet(o.loopTime))
 	if !late && !errors.Is(err, errPaused) {
 		return outcome
 	}
--- a/internal/control/config_refresh.go
+++ b/internal/control/config_refresh.go
@@ -20,8 +20,9 @@
 	// stays below the age at which the others read it too.
 	ownerReadInterval = 300 * time.Millisecond
 	// configReadTimeout bounds one read of the configuration, so long that a process short of processor time gets an answer.
-	// Further reads begin meanwhile.
-	configReadTimeout = storeTimeout
+	configReadTimeout = 3 * time.Second
+	// maxConfigReads bounds the reads in flight. Further ones serve those that ask while the first one takes long.
+	maxConfigReads = 3
 	// configRetryInterval is the pause between two attempts to confirm the configuration.
 	configRetryInterval = 500 * time.Millisecond
 	// configReadInterval limits the reads of the configuration that unknown keys and paths cause to 5 a second for each
--- a/internal/control/local_failure.go
+++ b/internal/control/local_failure.go
@@ -16,8 +16,8 @@
 	errPaused, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
 }
 
-// timedOut reports whether a call ended because of its timeout.
-func timedOut(err error) bool {
+// TimedOut reports whether a call ended because of its timeout.
+func TimedOut(err error) bool {
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -74,8 +74,8 @@
 	n.dep = n.protected(dep)
 	n.peers.n = n
 	n.createdAt = n.clock.Now()
-	n.configRead = sharedCall{interval: configReadInterval, run: n.readStoreConfig}
-	n.peersConfig = sharedCall{interval: peersAskInterval, run: n.askPeersForConfig}
+	n.configRead = sharedCall{interval: configReadInterval, limit: maxConfigReads, run: n.readStoreConfig}
+	n.peersConfig = sharedCall{interval: peersAskInterval, limit: 1, run: n.askPeersForConfig}
 	dep.Metrics.setConfigAge(n.configAgeSeconds)
 	return n
 }
--- a/internal/control/relay_server.go
+++ b/internal/control/relay_server.go
@@ -27,7 +27,7 @@
 	result, err := sendToRunner(ctx, p.n.dep.Runners, args)
 	if err != nil {
 		result.Error, result.Fenced, result.Local = err.Error(), errors.Is(err, ErrFenced), LocalFailure(err)
-		result.TimedOut, result.Closed = timedOut(err), closedByRunner(err)
+		result.TimedOut, result.Closed = TimedOut(err), closedByRunner(err)
 		result.Replaced = errors.Is(err, ErrReplaced)
 	}
 	*reply = result
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -160,11 +160,11 @@
 		p.poll(st) // by another route
 		return
 	}
-	if LocalFailure(err) || timedOut(err) && p.maySucceed(st) {
+	if LocalFailure(err) || TimedOut(err) && p.maySucceed(st) {
 		st.nextAt = p.o.loopTime + failedPollRetry
 		return
 	}
-	if timedOut(err) && p.states[ref.ID] == st && p.recentlyAnswered(st) && p.o.pace.OverloadedSince(sent, p.o.loopTime) {
+	if TimedOut(err) && p.states[ref.ID] == st && p.recentlyAnswered(st) && p.o.pace.OverloadedSince(sent, p.o.loopTime) {
 		st.recheck = true // without renewing leases, so that those of a lost runner expire in time
 		p.poll(st)
 		return
--- a/internal/control/watch_cell.go
+++ b/internal/control/watch_cell.go
@@ -16,8 +16,9 @@
 const (
 	// watchWait is how long a watch call waits for a change.
 	watchWait = 1500 * time.Millisecond
-	// watchTimeoutMargin is how much longer than its wait a watch call may take before it times out.
-	watchTimeoutMargin = 400 * time.Millisecond
+	// watchTimeoutMargin is how much longer than its wait a watch call may take before it times out. The store's client
+	// repeats it earlier, so the margin only has to be long enough for a process that is short of processor time.
+	watchTimeoutMargin = 1500 * time.Millisecond
 )
 
 // watchCell keeps the owner's claim and the members up to date.
