--- a/internal/control/auth_result.go
+++ b/internal/control/auth_result.go
@@ -53,6 +53,9 @@
 // decide returns the result of the authentication, or that the configuration has to be read again first.
 func (in authInput) decide() (result AuthResult, refresh bool) {
 	if in.behind && in.found.admits() {
+		if in.found == AuthOpen {
+			return AuthUndetermined, !in.refreshed // the route has gone or leads to another queue
+		}
 		return AuthRevoked, !in.refreshed
 	}
 	if !in.refreshed && in.needsRefresh() {
--- a/internal/control/auth_result_test.go
+++ b/internal/control/auth_result_test.go
@@ -52,6 +52,7 @@
 		"unknown, strict":                   {in: authInput{found: AuthUnknownKey, age: isolated, refreshed: true, strict: true}, want: AuthUnconfirmed},
 		"refused by the owner":              {in: authInput{found: AuthKnownKey, age: fresh, behind: true}, want: AuthRevoked, refresh: true},
 		"refused by the owner, no newer":    {in: authInput{found: AuthKnownKey, age: fresh, behind: true, refreshed: true}, want: AuthRevoked},
+		"refused, no keys, no newer":        {in: authInput{found: AuthOpen, age: fresh, behind: true, refreshed: true}, want: AuthUndetermined},
 		"refused, public, no newer":         {in: authInput{found: AuthPublic, age: fresh, behind: true, refreshed: true}, want: AuthRevoked},
 		"refused, then known in a newer":    {in: authInput{found: AuthKnownKey, age: fresh, refreshed: true}, want: AuthKnownKey},
 		"refused, unknown in an old one":    {in: authInput{found: AuthUnknownKey, age: old, behind: true, refreshed: true}, want: AuthUndetermined},
--- a/internal/control/authenticate.go
+++ b/internal/control/authenticate.go
@@ -41,7 +41,7 @@
 		return a
 	}
 	a.Route, a.Rest = route, rest
-	a.Caller = Caller{ConfigVersion: c.Version, Queue: route.Queue.Name, Public: true}
+	a.Caller = Caller{ConfigVersion: c.Version, Queue: route.Queue.Name, Host: route.Host, Prefix: route.Prefix, Public: true}
 	switch {
 	case !c.requiresKeys(keysRequired):
 		a.Result = AuthOpen
@@ -50,11 +50,13 @@
 	case cr.Key.IsZero():
 		a.Result, a.Caller = AuthNoKey, Caller{}
 	default:
-		a.Result, a.Caller = AuthUnknownKey, Caller{}
-		if name, known := c.Tenants.Lookup(cr.Key); known {
-			a.Result = AuthKnownKey
-			a.Caller = Caller{Tenant: name, Key: cr.Key, ConfigVersion: c.Version, Queue: route.Queue.Name}
+		name, known := c.Tenants.Lookup(cr.Key)
+		if !known {
+			a.Result, a.Caller = AuthUnknownKey, Caller{}
+			break
 		}
+		a.Result = AuthKnownKey
+		a.Caller.Tenant, a.Caller.Key, a.Caller.Public = name, cr.Key, false
 	}
 	return a
 }
--- a/internal/control/caller.go
+++ b/internal/control/caller.go
@@ -13,6 +13,7 @@
 	ConfigVersion int64         // configuration by which the caller was authenticated
 	Public        bool          // the route needs no key
 	Queue         string        // of the route
+	Host, Prefix  string        // of the route; empty from processes of earlier builds
 }
 
 // mayAccess reports whether the caller may query, cancel or submit again a job of a tenant in a queue.
@@ -32,11 +33,14 @@
 }
 
 // revoked reports whether a configuration that is newer than the one by which the caller was authenticated doesn't admit
-// it any more.
+// it any more: it has dropped the route, sends it to another queue or has withdrawn the key.
 func (c Caller) revoked(newest *CellConfig, keysRequired bool) bool {
 	if newest == nil || c.ConfigVersion >= newest.Version {
 		return false
 	}
+	if c.Prefix != "" && !newest.hasRoute(c.Host, c.Prefix, c.Queue) {
+		return true
+	}
 	if c.Public {
 		return newest.needsKey(c.Queue, keysRequired)
 	}
--- a/internal/control/cell_config.go
+++ b/internal/control/cell_config.go
@@ -41,6 +41,16 @@
 	return route, path[len(route.Prefix):], true
 }
 
+// hasRoute reports whether the requests of a host and path prefix go to a queue.
+func (c *CellConfig) hasRoute(host, prefix, queue string) bool {
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Host == host && r.Prefix == prefix && r.Queue.Name == queue {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *CellConfig) queues() []scheduler.Queue {
 	out := make([]scheduler.Queue, 0, len(c.Routes))
 	for i := range c.Routes {
--- a/internal/control/config_bound_test.go
+++ b/internal/control/config_bound_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -269,3 +270,50 @@
 // TestLateAnswersOfTheStore guards against a process that is short of processor time and throws away every answer of the
 // store and of its peers, as all come after the time limits of the calls.
 func TestLateAnswersOfTheStore(t *testing.T) { testBlindProcesses(t, casesOf(lateReads)) }
+
+// TestDroppedRouteBetweenTwoProcesses guards against a request that a process with an old configuration receives and the
+// owner, which has a newer one, executes although it has dropped the route or sends it to another queue.
+func TestDroppedRouteBetweenTwoProcesses(t *testing.T) {
+	inBubble(t, testDroppedRouteBetweenTwoProcesses)
+}
+
+func testDroppedRouteBetweenTwoProcesses(t *testing.T) {
+	for _, keys := range []bool{false, true} {
+		c := startBoundCell(t, 3, keys, testConfigApply)
+		cr := Credentials{Host: "h", Path: "/dropped/1"}
+		if keys {
+			cr.Key = tenant.DigestOf("kept")
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		before := c.nodes[0].Authenticate(ctx, cr, nil)
+		if !before.Admitted() {
+			t.Fatal(before.Result)
+		}
+		spec := testSpec(1)
+		if got := submitAs(c.nodes[0], before.Caller, spec); got != OutcomeStored {
+			t.Fatal(got)
+		}
+		c.configure(routesConfig{Version: 2, Routes: []string{"/kept/"}, Keys: []string{"kept"}})
+		eventually(t, time.Second, "the new version at the owner", func() bool { return ownersOf(c.nodes)[0].configVersion() == 2 })
+		for i, n := range c.nodes {
+			if got := submitAs(n, before.Caller, testSpec(2)); got != OutcomeKeyUnknown {
+				t.Errorf("keys %t, process %d: submission to a dropped route: %s", keys, i, got)
+			}
+			if got := n.Cancel(ctx, before.Caller, spec.ID); got != OutcomeKeyUnknown {
+				t.Errorf("keys %t, process %d: cancellation through a dropped route: %s", keys, i, got)
+			}
+			if _, _, err := n.State(ctx, before.Caller, spec.ID); !errors.Is(err, ErrKeyUnknown) {
+				t.Errorf("keys %t, process %d: query through a dropped route: %v", keys, i, err)
+			}
+			if got := n.Authenticate(ctx, cr, &before).Result; got != AuthNoRoute {
+				t.Errorf("keys %t, process %d: after the owner's refusal: %s", keys, i, got)
+			}
+		}
+		old := before.Caller
+		old.Host, old.Prefix = "", "" // from a process of an earlier build
+		if got := submitAs(c.nodes[0], old, testSpec(3)); got != OutcomeStored {
+			t.Errorf("keys %t: submission through a process of an earlier build: %s", keys, got)
+		}
+		cancel()
+	}
+}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -260,7 +260,7 @@
 	return OutcomeUnknown
 }
 
-// ErrKeyUnknown means that the owner's configuration doesn't admit the caller of a query.
+// ErrKeyUnknown means that the owner's configuration doesn't admit the caller of a query: it has no such key or route.
 var ErrKeyUnknown = errors.New("the key is unknown to the owner")
 
 // State returns a job's state. found is false if there is no such job or the caller may not access it; err is
