control: the count of pending jobs is at most 2 s old

TestPendingCountIsRecent failed before (0 jobs before any contact, 4 jobs 3 s after the end of the owner).

--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -333,12 +333,15 @@
 	return job.Queued, true, nil
 }
 
-// Pending returns how many accepted jobs of a queue have not started. The count may be one ping interval old.
-func (n *Node) Pending(queue string) int {
+// maxPendingAge is the largest age of the counts of pending jobs that callers get.
+const maxPendingAge = 2 * time.Second
+
+// Pending returns how many accepted jobs of a queue have not started; known is false if no owner has said so lately.
+func (n *Node) Pending(queue string) (count int, known bool) {
 	if local := n.ownership.Load(); local != nil {
 		if pending := local.pendingJobs(); pending != nil {
-			return pending[queue]
+			return pending[queue], true
 		}
 	}
-	return n.view.pendingOf(queue)
+	return n.view.pendingOf(queue, maxPendingAge, n.clock.Now())
 }
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -15,6 +15,7 @@
 	changed        chan struct{}
 	members        map[string]Member
 	pending        map[string]int
+	pendingAt      time.Duration // when the owner sent the counts
 	lastOwnerReply time.Duration  // last reply of an owner to a ping
 	claimSeenAt    time.Duration  // when the current owner's claim became known
 	suspect        bool           // the last ping of the owner failed
@@ -118,16 +119,20 @@
 	return v.load
 }
 
-func (v *view) setPending(p map[string]int) {
+func (v *view) setPending(p map[string]int, now time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.pending = p
+	v.pending, v.pendingAt = p, now
 }
 
-func (v *view) pendingOf(queue string) int {
+// pendingOf returns the last count of a queue; known is false if it is older than maxAge.
+func (v *view) pendingOf(queue string, maxAge, now time.Duration) (count int, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.pending[queue]
+	if v.pending == nil || now-v.pendingAt > maxAge {
+		return 0, false
+	}
+	return v.pending[queue], true
 }
 
 func (v *view) recordOwnerReply(now time.Duration) {
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -119,7 +119,7 @@
 	}
 	n.view.recordOwnerReply(now)
 	if reply.Loaded {
-		n.view.setPending(reply.Pending)
+		n.view.setPending(reply.Pending, reply.sentAt)
 	}
 	if !reply.StoreOK && n.health.answeredWithin(storeAnswerMaxAge, now) && n.health.stableFor(storeStableTime, now) && !n.configOverdue(now) {
 		return ownerNoStore
