scheduler: jobs of a queue that the configuration has dropped run after a change of owner

An owner kept the settings of a removed queue for the jobs that it had, but only in memory. A job that reached an owner before the configuration with its queue counted as urgent and late for good. The objective is computed again when the queue becomes known. Records of earlier builds have no settings.

--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -15,7 +15,7 @@
 	changed        chan struct{}
 	members        map[string]Member
 	pending        map[string]int
-	pendingAt      time.Duration // when the owner sent the counts
+	pendingAt      time.Duration  // when the owner sent the counts
 	lastOwnerReply time.Duration  // last reply of an owner to a ping
 	claimSeenAt    time.Duration  // when the current owner's claim became known
 	suspect        bool           // the last ping of the owner failed
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -16,6 +16,8 @@
 	Final    State      `json:"final,omitempty"`
 	Finished int64      `json:"finished,omitempty"` // Unix milliseconds
 	Progress []Progress `json:"progress,omitempty"`
+	// Settings are those of the job's queue; nil in records of finished jobs, of earlier builds and of unknown queues.
+	Settings *QueueSettings `json:"queue-settings,omitempty"`
 	// Excess says that the job was submitted beyond the rate that its tenant is owed.
 	Excess bool `json:"excess,omitempty"`
 	// Largest is the largest task of a finished job of a tenant, and Runs how many of its runs may have existed when the
--- a/internal/job/record_check.go
+++ b/internal/job/record_check.go
@@ -16,6 +16,9 @@
 	if findings := r.violations(); len(findings) > 0 {
 		return oops.Join(findings...)
 	}
+	if err := r.Settings.check(); err != nil {
+		return err
+	}
 	type place struct{ occurrence, step int }
 	seen := map[place]bool{}
 	for i := range r.Progress {
--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -25,9 +25,10 @@
 	durable           int64 // last durable version
 	objective         time.Duration
 	queue             Queue
-	tenant            *tenantState  // nil without a tenant
-	runs, gangRuns    int32         // runs that may exist, by whether they are members of a gang
-	recorded          *recordedSize // of a job that a predecessor has finished; nil otherwise
+	settings          *job.QueueSettings // of the queue, as stored
+	tenant            *tenantState       // nil without a tenant
+	runs, gangRuns    int32              // runs that may exist, by whether they are members of a gang
+	recorded          *recordedSize      // of a job that a predecessor has finished; nil otherwise
 }
 
 func (j *jobState) state() job.State {
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -87,7 +87,7 @@
 		}
 		return r
 	}
-	r := &job.Record{Spec: j.spec, Accepted: j.acceptedAt, Excess: j.excess}
+	r := &job.Record{Spec: j.spec, Accepted: j.acceptedAt, Excess: j.excess, Settings: j.settings}
 	for _, st := range j.stages {
 		if p, nonEmpty := st.progress(); nonEmpty {
 			r.Progress = append(r.Progress, p)
--- a/internal/scheduler/records_test.go
+++ b/internal/scheduler/records_test.go
@@ -38,3 +38,57 @@
 		t.Errorf("last: %s", got[39].ID)
 	}
 }
+
+// TestJobsOfRemovedQueueAfterTakeover guards against accepted jobs that never start because the configuration has dropped
+// their queue and a successor doesn't know which runners run them.
+func TestJobsOfRemovedQueueAfterTakeover(t *testing.T) {
+	for _, when := range []string{"before the takeover", "while there was no owner"} {
+		sim := newSimulation(1, 4)
+		for i := range 5 {
+			sim.submit(fmt.Sprintf("f%015x", i))
+		}
+		sim.run(50 * time.Millisecond) // accepted
+		if when == "before the takeover" {
+			sim.queues = nil
+			sim.sched.SetQueues(nil)
+			sim.run(50 * time.Millisecond)
+		}
+		sim.queues = nil
+		for id, r := range sim.records {
+			stored, err := job.DecodeRecord(r.Encode())
+			if err != nil {
+				t.Fatal(err)
+			}
+			sim.records[id] = stored
+		}
+		sim.takeover()
+		sim.run(30 * time.Second)
+		for id := range sim.specs {
+			if state, ok := sim.sched.State(id); !ok || state != job.Done {
+				t.Errorf("queue removed %s: job %s is %q", when, id, state)
+			}
+		}
+	}
+}
+
+// TestJobBeforeItsQueueIsKnown guards against a job that reaches an owner before the configuration with its queue and then
+// counts as urgent, or as late from its arrival on.
+func TestJobBeforeItsQueueIsKnown(t *testing.T) {
+	sim := newSimulation(1, 4)
+	queues := sim.queues
+	sim.sched.SetQueues(nil)
+	sim.submit("f000000000000001")
+	sim.run(500 * time.Millisecond)
+	sim.sched.SetQueues(queues)
+	for _, j := range sim.sched.jobs {
+		if j.queue.Service != "orders" || j.objective < queues[0].Objective {
+			t.Errorf("service %q, objective %s", j.queue.Service, j.objective)
+		}
+	}
+	sim.run(20 * time.Second)
+	for id := range sim.specs {
+		if state, _ := sim.sched.State(id); state != job.Done {
+			t.Errorf("job %s is %q", id, state)
+		}
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 	wall           time.Time
 	runNumberBase  int // the run numbers of this owner are higher than those of its predecessors
 	queues         map[string]Queue
+	queueSettings  map[string]*job.QueueSettings // stored form of queues
 	jobs           map[string]*jobState
 	runners        map[string]*runner
 	stages         map[job.StepID]*stage
@@ -107,17 +108,32 @@
 // SetQueues replaces the queue settings. Jobs of a removed queue keep the last settings of their queue.
 func (s *Scheduler) SetQueues(queues []Queue) {
 	s.queues = make(map[string]Queue, len(queues))
+	s.queueSettings = make(map[string]*job.QueueSettings, len(queues))
 	for _, q := range queues {
 		s.queues[q.Name] = q
+		s.queueSettings[q.Name] = q.settings()
 	}
 	for _, j := range s.jobs {
-		if q, ok := s.queues[j.spec.Queue]; ok {
-			j.queue = q
+		unknown := j.settings == nil
+		s.setQueue(j, nil)
+		if unknown {
+			j.objective = s.objectiveOf(&j.spec, &j.queue)
 		}
 	}
 	s.needsPass = true
 }
 
+// setQueue gives a job the settings of its queue or, if the configuration has no such queue, those that its record holds.
+func (s *Scheduler) setQueue(j *jobState, stored *job.QueueSettings) {
+	q, ok := s.queues[j.spec.Queue]
+	switch {
+	case ok:
+		j.queue, j.settings = q, s.queueSettings[q.Name]
+	case j.settings == nil:
+		j.queue, j.settings = storedQueue(j.spec.Queue, stored), stored
+	}
+}
+
 // Tick runs the periodic, time-driven work.
 func (s *Scheduler) Tick() {
 	s.openDueOccurrences()
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -15,7 +15,8 @@
 	if s.jobs[spec.ID] != nil {
 		return
 	}
-	j := &jobState{spec: spec, acceptedAt: s.wall.UnixMilli(), arrivedAt: s.now, queue: s.queues[spec.Queue], tenant: s.tenantOf(spec.Tenant)}
+	j := &jobState{spec: spec, acceptedAt: s.wall.UnixMilli(), arrivedAt: s.now, tenant: s.tenantOf(spec.Tenant)}
+	s.setQueue(j, nil)
 	j.objective = s.objectiveOf(&j.spec, &j.queue)
 	s.jobs[spec.ID] = j
 	j.countActive(1)
@@ -30,9 +31,9 @@
 func (s *Scheduler) Restore(r *job.Record) {
 	j := &jobState{
 		spec: r.Spec, acceptedAt: r.Accepted, finalState: r.Final, finishedAt: r.Finished,
-		stored: true, inherited: true, queue: s.queues[r.Queue],
-		tenant: s.tenantOf(r.Tenant),
+		stored: true, inherited: true, tenant: s.tenantOf(r.Tenant),
 	}
+	s.setQueue(j, r.Settings)
 	if r.Runs > 0 || !r.Largest.IsZero() {
 		j.recorded = &recordedSize{largest: r.Largest, runs: r.Runs}
 	}
