--- a/internal/control/watch_runners.go
+++ b/internal/control/watch_runners.go
@@ -64,18 +64,22 @@
 type runnerEntries struct {
 	o     *ownership
 	known map[string]scheduler.RunnerInfo
-	revs  map[string]int64 // revision of the last change, by key
+	revs  map[string]int64  // revision of the last change, by key
+	bad   map[string]string // errors of the entries that can't be decoded, by key, as last logged
 }
 
 func newRunnerEntries(o *ownership) *runnerEntries {
-	return &runnerEntries{o: o, known: map[string]scheduler.RunnerInfo{}}
+	return &runnerEntries{o: o, known: map[string]scheduler.RunnerInfo{}, bad: map[string]string{}}
 }
 
 // reset applies a full read.
 func (e *runnerEntries) reset(items []Item, grace time.Duration) {
 	e.revs = make(map[string]int64, len(items))
 	present := map[string]bool{}
+	bad := e.bad
+	e.bad = map[string]string{}
 	for _, item := range items {
+		e.bad[item.Key] = bad[item.Key] // entries that are gone are forgotten
 		e.apply(item, grace)
 		present[e.o.n.dep.Directory.RunnerID(item.Key)] = true
 	}
@@ -94,6 +98,7 @@
 	}
 	e.revs[item.Key] = item.Rev
 	if item.Deleted {
+		delete(e.bad, item.Key)
 		e.remove(e.o.n.dep.Directory.RunnerID(item.Key), grace)
 		return
 	}
@@ -106,9 +111,13 @@
 	o := e.o
 	info, err := o.n.dep.Directory.DecodeRunner(item)
 	if err != nil {
-		o.n.dep.Log.Log("bad-runner-entry", logrus.Fields{"key": item.Key, "error": err.Error()})
+		if e.bad[item.Key] != err.Error() {
+			e.bad[item.Key] = err.Error()
+			o.n.dep.Log.Log("bad-runner-entry", logrus.Fields{"key": item.Key, "error": err.Error()})
+		}
 		return
 	}
+	delete(e.bad, item.Key)
 	if last, ok := e.known[info.ID]; ok && last.Equal(info) {
 		return
 	}
