control: a runner is recorded once it has answered, so that odd entries delay no successor

Each was recorded among the used runners, at a write of the whole list, and polled 5 times a second as long as it was listed; a successor waited for it as for a runner on which runs may exist, 8 s with every job of its predecessor that was not running. Change: a runner is polled (without leases) as soon as it is listed, recorded when it has answered, and its answers count from then on. A runner that has not answered for a lease is polled once a second; a change of its entry ends the pause. TestEntriesWithoutRunnerDelayNoSuccessor failed before: 50 polls in 10 s, 20 odd entries recorded, the job of the predecessor not done within 2 s.

--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -19,6 +19,11 @@
 	maxPollTimeoutMargin = 1500 * time.Millisecond
 	// failedPollRetry is the pause before a poll is repeated that has failed.
 	failedPollRetry = 200 * time.Millisecond
+	// silentPollRetry is the same for a runner that has not answered for a lease: it has no runs any more, and if it comes back
+	// its entry changes.
+	silentPollRetry = time.Second
+	// recordingPause is how often a runner is polled that has answered and is being recorded.
+	recordingPause = 100 * time.Millisecond
 	// replacedPollRetry is the pause before a runner is polled again at whose address another one answers.
 	replacedPollRetry = time.Second
 	// acknowledgeWindow is how long after an answered poll the ends of runs may be acknowledged. Their numbers restart with
@@ -127,6 +132,13 @@
 	})
 }
 
+// pollSoon ends the pause before the next poll of a runner.
+func (p *runnerPoller) pollSoon(id string) {
+	if st := p.states[id]; st != nil {
+		st.nextAt = min(st.nextAt, p.o.loopTime)
+	}
+}
+
 // pollNow sends an additional poll that doesn't wait for a run to end, if the runner answered its last regular poll.
 func (p *runnerPoller) pollNow(ref scheduler.RunnerRef) {
 	if st := p.states[ref.ID]; st != nil && st.answered {
@@ -178,9 +190,16 @@
 	if err != nil {
 		st.answered = false
 		st.nextAt = p.o.loopTime + failedPollRetry
+		if !p.recentlyAnswered(st) {
+			st.nextAt = p.o.loopTime + silentPollRetry
+		}
 		p.o.sched.RunnerUnreachable(ref.ID, ref.Addr, p.contactLoss(st, sent, reply.endedAt, err))
 		return
 	}
+	if !p.o.usedRunners.record(ref) {
+		st.nextAt = p.o.loopTime + recordingPause
+		return
+	}
 	st.answered = true
 	st.answeredAt = p.o.loopTime
 	report := reply.Report
--- a/internal/control/used_runners.go
+++ b/internal/control/used_runners.go
@@ -21,20 +21,21 @@
 const unknownRunners = "unknown"
 
 // usedRunners keeps, in the store, the list of the runners that owners have used. A runner is used only after it has been
-// recorded there, so that a successor knows every runner on which a run may exist.
+// recorded there, so that a successor knows every runner on which a run may exist. It is recorded when it has answered for the
+// first time: a successor waits for each recorded runner, and an entry of another writer may lead to none.
 type usedRunners struct {
 	o          *ownership
 	rev        int64
 	recorded   map[string]string // address by identifier; the store may hold more
 	outdated   bool              // the store still lists runners that prune has dropped
 	pruneAt    time.Duration
-	unrecorded map[string]scheduler.RunnerInfo
+	unrecorded map[string]string // address of the runners to be recorded, by identifier
 	writing    bool
 	retryAt    time.Duration
 }
 
 func newUsedRunners(o *ownership) *usedRunners {
-	return &usedRunners{o: o, recorded: map[string]string{}, unrecorded: map[string]scheduler.RunnerInfo{}}
+	return &usedRunners{o: o, recorded: map[string]string{}, unrecorded: map[string]string{}}
 }
 
 // load reads the runners that earlier owners used.
@@ -67,14 +68,17 @@
 	}
 }
 
-// add passes a runner to the scheduler once it is recorded.
-func (r *usedRunners) add(info scheduler.RunnerInfo) {
-	if r.recorded[info.ID] == info.Addr {
-		r.o.sched.RunnerListed(info)
-		return
+// record reports whether a runner that has answered is recorded at its address. If it isn't, it is recorded; until then its
+// answers don't count.
+func (r *usedRunners) record(ref scheduler.RunnerRef) bool {
+	if r.recorded[ref.ID] == ref.Addr {
+		return true
+	}
+	if r.unrecorded[ref.ID] != ref.Addr {
+		r.unrecorded[ref.ID] = ref.Addr
+		r.write()
 	}
-	r.unrecorded[info.ID] = info
-	r.write()
+	return false
 }
 
 func (r *usedRunners) remove(id string) {
@@ -85,18 +89,18 @@
 // prune drops the runners on which no run can exist any more and returns the others. A runner that comes back, even while
 // the list is being written, is recorded again before it is used.
 func (r *usedRunners) prune() map[string]string {
-	toPoll := map[string]string{}
+	toPoll := map[string]bool{}
 	for _, ref := range r.o.sched.RunnersToPoll() {
-		toPoll[ref.ID] = ref.Addr
+		toPoll[ref.ID] = true
 	}
 	for id := range r.recorded {
-		if _, ok := toPoll[id]; !ok {
+		if !toPoll[id] {
 			delete(r.recorded, id)
 			r.outdated = true
 		}
 	}
 	r.pruneAt = r.o.loopTime + pruneInterval
-	return toPoll
+	return maps.Clone(r.recorded)
 }
 
 // write records the new runners and deletes those on which no run can exist any more.
@@ -112,9 +116,7 @@
 		return
 	}
 	added := maps.Clone(r.unrecorded)
-	for id, info := range added {
-		next[id] = info.Addr
-	}
+	maps.Copy(next, added)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return // a map of strings can always be encoded
@@ -132,7 +134,7 @@
 	}()
 }
 
-func (r *usedRunners) writeFinished(next map[string]string, added map[string]scheduler.RunnerInfo, rev int64, err error) {
+func (r *usedRunners) writeFinished(next map[string]string, added map[string]string, rev int64, err error) {
 	r.writing = false
 	var conflict *Conflict
 	if errors.As(err, &conflict) {
@@ -151,10 +153,10 @@
 		return
 	}
 	r.rev, r.recorded, r.outdated = rev, next, false
-	for id, info := range added {
-		if latest, ok := r.unrecorded[id]; ok && latest.Addr == info.Addr {
+	for id, addr := range added {
+		if r.unrecorded[id] == addr {
 			delete(r.unrecorded, id)
-			r.o.sched.RunnerListed(latest)
+			r.o.poller.pollSoon(id)
 		}
 	}
 	r.o.poller.pollDue()
--- a/internal/control/used_runners_test.go
+++ b/internal/control/used_runners_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/agateyard/agateyard/internal/job"
+	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
 // TestSuccessorDoesNotWaitForRemovedRunners guards against a takeover that stalls earlier jobs for the run lease plus the
@@ -55,3 +59,71 @@
 		return state == job.Done
 	})
 }
+
+// TestEntriesWithoutRunnerDelayNoSuccessor guards against entries of another writer that lead to no runner, and for which a
+// successor waits as long as runs could exist there; against polls of them that go on at the rate of runners just lost, and
+// against a write of the list for each of them.
+func TestEntriesWithoutRunnerDelayNoSuccessor(t *testing.T) {
+	inBubble(t, testEntriesWithoutRunnerDelayNoSuccessor)
+}
+
+func testEntriesWithoutRunnerDelayNoSuccessor(t *testing.T) {
+	runners := &polledRunners{fakeRunners: newFakeRunners(), polls: map[string]int{}}
+	deps := testDeps()
+	deps.Runners, deps.Advisor, deps.Directory = runners, allEligibleAdvisor{}, fakeDirectory{}
+	store := newMemoryStore()
+	putValue(t, store, "op/config", "\x01")
+	putValue(t, store, "servers/a", "ready")
+	var nodes []*testNode
+	for range 3 {
+		nodes = append(nodes, startNodeWith(t, deps, store, testWeight))
+	}
+	runners.set(true, false) // no start succeeds until the takeover
+	eventually(t, 5*time.Second, "an owner that accepts jobs", func() bool {
+		return len(ownersOf(nodes)) == 1 && submit(nodes[0], testSpec(1)) == OutcomeStored
+	})
+	const odd = 20
+	for i := range odd {
+		id := fmt.Sprint("odd", i)
+		runners.remove(id)
+		putValue(t, store, "servers/"+id, "ready")
+	}
+	time.Sleep(10 * time.Second)
+	before := runners.pollsOf("odd0")
+	time.Sleep(10 * time.Second)
+	if polls := runners.pollsOf("odd0") - before; polls > 11 {
+		t.Errorf("%d polls of an entry without a runner in 10 s", polls)
+	}
+	item, _, err := store.Get(context.Background(), runnersKey)
+	if err != nil || strings.Contains(string(item.Value), "odd") {
+		t.Errorf("recorded runners %s, error %v", item.Value, err)
+	}
+	owner := ownersOf(nodes)[0]
+	rest := others(nodes, owner)
+	owner.kill()
+	runners.set(false, false)
+	eventually(t, 2*time.Second, "the successor finishes a job that was submitted before the takeover", func() bool {
+		state, _ := stateOf(t, rest[0], testSpec(1).ID)
+		return state == job.Done
+	})
+}
+
+// polledRunners counts the polls of each runner.
+type polledRunners struct {
+	*fakeRunners
+	mu    sync.Mutex
+	polls map[string]int
+}
+
+func (c *polledRunners) Poll(ctx context.Context, r scheduler.RunnerRef, req PollRequest) (scheduler.Report, error) {
+	c.mu.Lock()
+	c.polls[r.ID]++
+	c.mu.Unlock()
+	return c.fakeRunners.Poll(ctx, r, req)
+}
+
+func (c *polledRunners) pollsOf(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.polls[id]
+}
--- a/internal/control/watch_runners.go
+++ b/internal/control/watch_runners.go
@@ -124,7 +124,8 @@
 	e.known[info.ID] = info
 	o.post(func() {
 		delete(o.removeAt, info.ID)
-		o.usedRunners.add(info)
+		o.sched.RunnerListed(info)
+		o.poller.pollSoon(info.ID)
 	})
 }
 
