platform, control: which configurations are taken, and how often an owner reads a large one

One of the same version with another content, or a stored one that is older than the one in force, changes nothing as before, and bad-config says so once. The regular reads of the owner cost a decode and the transfer of the whole value: an unchanged value is not decoded, and one over 30 kB is read less often (at most 100 kB/s, at least every quarter of config-apply-ms).

--- a/internal/control/config_lines_test.go
+++ b/internal/control/config_lines_test.go
@@ -6,6 +6,33 @@
 	"time"
 )
 
+// TestOddVersionsAreLogged guards against a configuration that replaces a newer one or one of the same version, and against one
+// that is ignored without a line.
+func TestOddVersionsAreLogged(t *testing.T) {
+	log := &recordingLog{}
+	deps := testDeps()
+	deps.Log, deps.Directory = log, routesDirectory{}
+	n := newTestNodeWith(deps, newMemoryStore(), "10.0.0.1:1", testWeight)
+	n.learnConfig([]byte(`{"Version":5,"Routes":["/a/"]}`), fromRead)
+	now := n.clock.Now()
+	for i, odd := range []string{`{"Version":5,"Routes":["/b/"]}`, `{"Version":4,"Routes":["/c/"]}`, `{"Version":"6"}`, `[`} {
+		for range 3 {
+			n.learnStoredConfig([]byte(odd), now+time.Second)
+		}
+		if lines := log.linesOf("bad-config"); lines != i+1 {
+			t.Errorf("%s: %d lines in all, want %d", odd, lines, i+1)
+		}
+		if c := n.Config(); c.Version != 5 || c.Routes[0].Prefix != "/a/" {
+			t.Errorf("%s: version %d, routes %+v", odd, c.Version, c.Routes)
+		}
+	}
+	n.learnStoredConfig([]byte(`{"Version":4,"Routes":["/c/"]}`), now-time.Second)
+	n.learnStoredConfig([]byte(`{"Version":5,"Routes":["/a/"]}`), now+time.Second)
+	if lines := log.linesOf("bad-config"); lines != 4 {
+		t.Errorf("a read from before the version in force, or that version, is reported: %d lines", lines)
+	}
+}
+
 // TestLateConfigurationIsLogged guards against a version that comes into force late, a decision by an old configuration and
 // a process that stays behind, of which neither the log nor the metrics say anything.
 func TestLateConfigurationIsLogged(t *testing.T) {
--- a/internal/control/config_refresh.go
+++ b/internal/control/config_refresh.go
@@ -16,9 +16,10 @@
 const (
 	// configCheckInterval is how often a process checks the age of its configuration.
 	configCheckInterval = 100 * time.Millisecond
-	// ownerReadInterval is the age at which an owner reads the configuration again. Together with the pause between pings it
-	// stays below the age at which the others read it too.
-	ownerReadInterval = 300 * time.Millisecond
+	// minOwnerReadInterval is the age at which an owner reads a small configuration again.
+	minOwnerReadInterval = 300 * time.Millisecond
+	// configReadRate bounds what an owner reads of a large configuration, in bytes a second: its link may be narrow.
+	configReadRate = 100_000
 	// configReadTimeout bounds one read of the configuration, so long that a process short of processor time gets an answer.
 	configReadTimeout = 3 * time.Second
 	// maxConfigReads bounds the reads in flight. Further ones serve those that ask while the first one takes long.
@@ -51,8 +52,7 @@
 	item, found, err := n.dep.Store.Get(ctx, n.dep.Directory.ConfigKey())
 	n.recordStoreCall("get", err)
 	if err == nil && found {
-		n.learnConfig(item.Value, fromRead)
-		n.config.confirm(begun)
+		n.learnStoredConfig(item.Value, begun)
 	}
 }
 
@@ -134,7 +134,8 @@
 		now := n.clock.Now()
 		limit, pause := n.limits.reread, configRetryInterval
 		if n.ownership.Load() != nil {
-			limit, pause = ownerReadInterval, ownerReadInterval
+			limit = n.ownerReadInterval()
+			pause = limit
 		}
 		if n.config.load() == nil || n.config.confirmedWithin(limit, now) || now-tried < pause {
 			continue
@@ -147,6 +148,17 @@
 	}
 }
 
+// ownerReadInterval returns the age at which an owner reads the configuration again. Together with the pause between pings it
+// stays below the age at which the others read it too.
+func (n *Node) ownerReadInterval() time.Duration {
+	size := 0
+	if c := n.config.load(); c != nil {
+		size = len(c.Raw)
+	}
+	interval := time.Duration(size) * time.Second / configReadRate
+	return min(max(interval, minOwnerReadInterval), max(n.limits.reread/2, minOwnerReadInterval))
+}
+
 // recordRecheck records that a configuration could not be confirmed in time.
 func (n *Node) recordRecheck() {
 	if now := n.clock.Now(); !n.config.confirmedWithin(n.limits.serve, now) {
--- a/internal/control/watch_config.go
+++ b/internal/control/watch_config.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"time"
 
+	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateyard/agateyard/internal/ctxtime"
@@ -33,8 +35,7 @@
 	}
 	for _, item := range items {
 		if item.Key == key {
-			n.learnConfig(item.Value, fromRead)
-			n.config.confirm(begun)
+			n.learnStoredConfig(item.Value, begun)
 		}
 	}
 	return rev, nil
@@ -66,20 +67,46 @@
 	}
 }
 
-// learnConfig applies a configuration if it is newer than the one in force. One that can't be decoded changes nothing: the
-// last one that could be stays in force, so that a faulty change doesn't turn all callers away.
-func (n *Node) learnConfig(value []byte, source configSource) {
+// learnStoredConfig applies the configuration that a read of the store, begun at the given time, has returned.
+func (n *Node) learnStoredConfig(value []byte, begun time.Duration) {
+	current, since := n.config.load(), time.Duration(0)
+	if current != nil {
+		_, since = n.config.origin()
+	}
+	stored := n.learnConfig(value, fromRead)
+	if current != nil && stored != nil && stored.Version < current.Version && begun > since {
+		n.reportBadConfig(value, fromRead, oops.Errorf("the store holds version %d, older than version %d in force", stored.Version, current.Version))
+	}
+	n.config.confirm(begun)
+}
+
+// reportBadConfig logs why a configuration is not applied, once for each.
+func (n *Node) reportBadConfig(value []byte, source configSource, reason error) {
+	if n.config.recordBad(value) {
+		n.dep.Log.Log("bad-config", logrus.Fields{"from": source.from, "by": source.by, "error": reason.Error()})
+	}
+}
+
+// learnConfig applies a configuration if it is newer than the one in force, and returns it decoded. One that can't be
+// decoded (nil) changes nothing: the last one that could be stays in force, so that a faulty change doesn't turn all callers
+// away.
+func (n *Node) learnConfig(value []byte, source configSource) *CellConfig {
+	if current := n.config.load(); current != nil && bytes.Equal(current.Raw, value) {
+		n.dep.Metrics.configDecoded(true)
+		return current
+	}
 	c, err := n.dep.Directory.DecodeConfig(value)
 	n.dep.Metrics.configDecoded(err == nil)
 	if err != nil {
-		if n.config.recordBad(value) {
-			n.dep.Log.Log("bad-config", logrus.Fields{"from": source.from, "by": source.by, "error": err.Error()})
-		}
-		return
+		n.reportBadConfig(value, source, err)
+		return nil
 	}
 	change, newer := n.config.replace(c, source, n.clock.Now())
 	if !newer {
-		return
+		if current := n.config.load(); current.Version == c.Version && !bytes.Equal(current.Raw, c.Raw) {
+			n.reportBadConfig(value, source, oops.Errorf("it differs from the version %d in force", c.Version))
+		}
+		return c
 	}
 	n.dep.Log.Log("config-in-force", configFields(c, source, change))
 	n.dep.Metrics.configChanged(c.Version, source, change)
@@ -91,6 +118,7 @@
 	if o := n.ownership.Load(); o != nil {
 		o.post(o.applyConfig)
 	}
+	return c
 }
 
 // maxLoggedFindings bounds the line of a configuration with many findings; the check command lists all.
