control: a fresh confirmation is one that was asked for; no timers without a duration

The answer of a peer now counts once the peers that were asked have answered, and other members are asked unless the owner itself has confirmed.

--- a/internal/control/config_refresh.go
+++ b/internal/control/config_refresh.go
@@ -59,12 +59,8 @@
 // askPeersForConfig pings the owner, which reads the store before it replies, and other members if the owner doesn't
 // confirm its configuration.
 func (n *Node) askPeersForConfig() {
-	begun := n.clock.Now()
 	o, _ := n.view.currentOwner()
-	if o.Address != "" && o.Address != n.opt.Address {
-		n.askForConfig(o.Address)
-	}
-	if n.config.confirmedWithin(unknownKeyAge, begun) {
+	if o.Address != "" && o.Address != n.opt.Address && n.askForConfig(o.Address) {
 		return
 	}
 	members := n.view.memberList()
@@ -80,48 +76,51 @@
 	wg.Wait()
 }
 
-// askForConfig pings a process, which reads the store before it replies.
-func (n *Node) askForConfig(address string) {
+// askForConfig pings a process, which reads the store before it replies, and reports whether it has confirmed its
+// configuration.
+func (n *Node) askForConfig(address string) bool {
 	args := n.pingArgs()
 	args.FreshConfig = true
-	if reply, err := n.sendPing(context.Background(), address, args, pingTimeout); err == nil {
-		n.applyPingReply(reply)
+	reply, err := n.sendPing(context.Background(), address, args, pingTimeout)
+	if err != nil {
+		return false
 	}
+	n.applyPingReply(reply)
+	return reply.ConfigConfirmed && reply.ConfigAge <= unknownKeyAge
 }
 
 // refreshConfig reads the configuration from the store and, if that fails or takes long, asks peers. It returns when the
 // configuration has been confirmed since the given time, when neither has an answer, or when ctx is done. A confirmation by
-// a peer may be unknownKeyAge older.
+// a peer that was asked may be unknownKeyAge older, as the peer doesn't know when it was asked.
 func (n *Node) refreshConfig(ctx context.Context, since time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	read := n.configRead.begin()
-	askPeers := time.NewTimer(peersAskedAfter)
-	defer askPeers.Stop()
+	late := time.NewTimer(peersAskedAfter)
+	defer late.Stop()
 	var asked <-chan struct{}
 	tolerance := time.Duration(0)
 	for {
 		confirmed := n.config.confirmations()
-		if n.config.confirmedWithin(tolerance, since) {
-			return
-		}
-		if read == nil && asked == nil && tolerance > 0 {
-			return // both have failed
+		if n.config.confirmedWithin(tolerance, since) || read == nil && tolerance > 0 {
+			return // confirmed, or both have failed
 		}
+		askPeers := false
 		select {
 		case <-confirmed:
 		case <-read:
 			read = nil
-			askPeers.Reset(0)
-		case <-askPeers.C:
-			if tolerance == 0 {
-				asked, tolerance = n.peersConfig.begin(), unknownKeyAge
-			}
+			askPeers = !n.config.confirmedWithin(0, since)
+		case <-late.C:
+			askPeers = true
 		case <-asked:
-			asked = nil
+			asked, tolerance = nil, unknownKeyAge
 		case <-ctx.Done():
 			return
 		}
+		if askPeers && asked == nil && tolerance == 0 {
+			asked = n.peersConfig.begin()
+		}
 	}
 }
 
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -144,7 +144,9 @@
 		}()
 	}
 	m.mu.Unlock()
-	time.Sleep(pause)
+	if pause > 0 {
+		time.Sleep(pause)
+	}
 	return out, rev, err
 }
 
--- a/internal/control/shared_call.go
+++ b/internal/control/shared_call.go
@@ -35,7 +35,12 @@
 		return
 	}
 	s.planned = true
-	time.AfterFunc(max(0, s.interval-time.Since(s.begun)), s.runNext)
+	wait := s.interval - time.Since(s.begun)
+	if wait <= 0 {
+		go s.runNext()
+		return
+	}
+	time.AfterFunc(wait, s.runNext)
 }
 
 func (s *sharedCall) runNext() {
