control: the list of runners is read again after a watch without any change

Runners write their entries about as often as a watch call waits, so an answer without any change, with three runners or more, says that the watch is blind; a drain was then not seen at all.

--- a/internal/control/watch_runners.go
+++ b/internal/control/watch_runners.go
@@ -15,6 +15,9 @@
 	// busyWatchChanges is the number of changes in an answer from which on the next call follows at once: an answer holds
 	// at most some hundred changes, so with a pause the watch would fall behind.
 	busyWatchChanges = 200
+	// quietWatchRunners is the number of known runners from which on an answer without any change is suspicious: each writes
+	// its entry about as often as a watch call waits.
+	quietWatchRunners = 3
 	// reregisterGrace is how long runners have to register again after a store outage.
 	reregisterGrace = 2500 * time.Millisecond
 )
@@ -53,6 +56,9 @@
 			for _, item := range changes {
 				entries.apply(item, grace)
 			}
+			if len(changes) == 0 && len(entries.known) >= quietWatchRunners {
+				break // the watch may have gone blind: read the list again
+			}
 			if len(changes) < busyWatchChanges {
 				ctxtime.Sleep(o.ctx, runnersWatchPause)
 			}
--- a/internal/control/watch_runners_test.go
+++ b/internal/control/watch_runners_test.go
@@ -58,6 +58,37 @@
 	}
 }
 
+// TestDrainBehindQuietWatch guards against a runner that gets work seconds after it has said that it drains, because the watch
+// of the owner answers that nothing has changed.
+func TestDrainBehindQuietWatch(t *testing.T) { inBubble(t, testDrainBehindQuietWatch) }
+
+func testDrainBehindQuietWatch(t *testing.T) {
+	const drainLimit = 2 * time.Second // drain-ms of the platform's smallest deployments
+	log, link := &recordingLog{}, &faultyLink{}
+	deps := testDeps()
+	deps.Log, deps.Runners, deps.Advisor, deps.Directory = log, newFakeRunners(), allEligibleAdvisor{}, fakeDirectory{}
+	store := newMemoryStore()
+	putValue(t, store, "op/config", "\x01")
+	for _, id := range []string{"a", "b", "c"} {
+		putValue(t, store, "servers/"+id, "ready")
+	}
+	node := startNodeWithStore(t, deps, store, Options{Weight: testWeight}, func(s Store) Store { link.Store = s; return link })
+	eventually(t, 5*time.Second, "an owner that accepts jobs", func() bool { return submit(node, testSpec(1)) == OutcomeStored })
+	link.set(quietWatch)
+	time.Sleep(200 * time.Millisecond)
+	putValue(t, store, "servers/a", "draining")
+	eventually(t, drainLimit, "the owner sees the drain", func() bool {
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		for _, line := range log.lines {
+			if line.event == "runner" && line.fields["change"] == "draining" {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // TestOlderEntriesAreNotReplayed guards against a drained runner that gets work again because a watch delivers changes from
 // before the read of its entry (a read of several pages is watched from the revision of its first page).
 func TestOlderEntriesAreNotReplayed(t *testing.T) { inBubble(t, testOlderEntriesAreNotReplayed) }
