--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -40,7 +40,9 @@
 	configUpdates     *prometheus.CounterVec
 	configUnconfirmed prometheus.Histogram
 	staleDecisions    *prometheus.CounterVec
-	tenants           *prometheus.GaugeVec
+	// loopBusy is the longest time that the event loop has worked without a break, each second.
+	loopBusy prometheus.Histogram
+	tenants  *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -85,6 +87,7 @@
 		}),
 		configUpdates:     counter("config_updates_total", "Versions of the configuration that came into force, by source.", "from"),
 		configUnconfirmed: histogram("config_unconfirmed_seconds", "Upper bound of the delay with which a version came into force.", fast),
+		loopBusy:          histogram("loop_longest_seconds", "Longest time for which the owner's event loop worked at a stretch, each second.", fast),
 		staleDecisions:    counter("stale_decisions_total", "Requests decided by a configuration that was not confirmed in time, by result.", "result"),
 		auth:              counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -54,6 +54,7 @@
 	loopTime       time.Duration // when the event loop last ran
 	lastPass       time.Duration // start of the last placement pass
 	passInterval   pacing.PassInterval
+	loopLoad       loopLoad
 	unreadable     map[string]bool                         // jobs whose records can't be decoded or restored; they are left as they are
 	restore        func(*scheduler.Scheduler, *job.Record) // Scheduler.Restore; a test replaces it
 	paused         bool                                    // the claim is being read again
@@ -178,6 +179,7 @@
 	if now-o.loopTime > maxLoopPause && !o.paused {
 		o.recheckClaim(now - o.loopTime)
 	}
+	defer func() { o.loopLoad.ran(o.n.clock.Now() - now) }()
 	o.pace.Lagged(now-o.loopTime-tickInterval, now)
 	o.loopTime = now
 	o.sched.Advance(now, o.n.clock.Wall())
@@ -203,6 +205,7 @@
 		o.sched.Pass()
 		took := o.n.clock.Now() - now
 		o.passInterval.Passed(took)
+		o.loopLoad.passes += took
 		if took > maxLoopPause {
 			o.recheckClaim(took)
 			return
@@ -237,7 +240,11 @@
 			"jobs": stats.ActiveJobs, "open_stages": stats.OpenStages, "waiting_tasks": stats.WaitingTasks,
 			"runs": stats.Runs, "runners": stats.Runners, "usable": stats.UsableRunners, "set_apart": stats.IsolatedRunners,
 			"used_cpu_milli": stats.UsedCPU, "cpu_milli": stats.CapacityCPU, "advice_backlog_ms": o.sched.Dispatcher().Backlog().Milliseconds(),
+			"loop_ms": o.loopLoad.busy.Milliseconds(), "longest_ms": o.loopLoad.longest.Milliseconds(), "pass_ms": o.loopLoad.passes.Milliseconds(),
+			"start_limit": o.startLimit.Limit(),
 		})
+		o.n.dep.Metrics.loopBusy.Observe(o.loopLoad.longest.Seconds())
+		o.loopLoad = loopLoad{}
 	}
 }
 
