control: the limit of starts in flight follows the calls, not the placement passes

Cause, from the load lines: the limit fell from 98 to 4 while the event loop worked half of the time. A start counted as sent at the beginning of the loop's round, before the pass that decided it, and as answered when the loop came to its answer, so two passes of 50 ms made the median delay 100 ms, above which the limit falls. Fewer starts in flight don't make passes shorter; the queue grew, and with it the passes. Change: the delay is that of the call, from its sending to its answer. TestSmallOwnerAtItsLimit and TestSlowedOwnerBlamesNobody hold.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -95,13 +95,17 @@
 	})
 	o.startRate.Started()
 	o.startLimit.Sent()
-	sent := o.loopTime
+	sent, began := o.loopTime, o.n.clock.Now()
 	args := RelayArgs{Runner: e.Runner, Fence: o.info.Rev, Within: runnerCallTimeout, Start: &request}
-	o.calls.send(args, func(reply RelayReply, err error) { o.startAnswered(e, reply.Outcome, err, sent) })
+	o.calls.send(args, func(reply RelayReply, err error) {
+		// The delay of the call alone: the placement pass before it and the events before its answer would take as long with
+		// fewer starts in flight.
+		o.startLimit.Answered(reply.endedAt-began, o.loopTime)
+		o.startAnswered(e, reply.Outcome, err, sent)
+	})
 }
 
 func (o *ownership) startAnswered(e scheduler.StartRun, outcome scheduler.StartOutcome, err error, sent time.Duration) {
-	o.startLimit.Answered(o.loopTime-sent, o.loopTime)
 	outcome = o.withoutBlame(outcome, err)
 	o.n.dep.Metrics.startAnswered(outcome, o.loopTime-sent)
 	if errors.Is(err, ErrFenced) {
--- a/internal/control/small_owner_test.go
+++ b/internal/control/small_owner_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/job"
 	"github.com/agateyard/agateyard/internal/model"
+	"github.com/agateyard/agateyard/internal/pacing"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
 
@@ -122,6 +124,30 @@
 	}
 }
 
+// TestSlowPassesKeepStartLimit guards against an owner that starts ever less while most of its runners are idle: the time of its
+// placement passes counted as a delay of the starts, so that their limit fell to its minimum, the queue grew and the passes
+// took longer (Kalnins large, trouble-1: 6,000 jobs waited for 540 idle runners).
+func TestSlowPassesKeepStartLimit(t *testing.T) { inBubble(t, testSlowPassesKeepStartLimit) }
+
+func testSlowPassesKeepStartLimit(t *testing.T) {
+	const work, gap = 120 * time.Millisecond, 30 * time.Millisecond // of the event loop, beside its usual events
+	_, _, owner := startNarrowCell(t, largeMachine, 0.8, 100, 100, 50, time.Second)
+	o := owner.ownership.Load()
+	lowest := o.startLimit.Limit()
+	for started := time.Now(); time.Since(started) < 6*time.Second; {
+		limit := make(chan int)
+		o.post(func() {
+			time.Sleep(work)
+			limit <- o.startLimit.Limit()
+		})
+		lowest = min(lowest, <-limit)
+		time.Sleep(gap)
+	}
+	if first := pacing.NewStartLimit(candidacy.StartsPerSecond(owner.self().candidate().Machine)).Limit(); lowest < first {
+		t.Errorf("the limit of starts in flight has fallen from %d to %d", first, lowest)
+	}
+}
+
 // TestSlowedOwnerBlamesNobody guards against an owner that is slowed for a while and takes its late answers for failures of
 // its runners: it quarantined them, stopped their runs and let their leases expire. Starts without an answer are
 // settled, and no task runs twice.
