--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -39,7 +39,8 @@
 	// unconfirmedCrashes is the number of losses for which a task is a suspect, culpritCrashes times the only one, after which it is
 	// given up although these runners had perhaps not started it: it may crash them before they answer the start.
 	unconfirmedCrashes = 4
-	// maxCrashes is the number of losses after which a task is given up, whatever else ran there.
+	// maxCrashes is the number of losses after which a task is given up, whatever else ran there: those of runners which had
+	// certainly started it, or those for which it is a suspect.
 	maxCrashes = 5
 )
 
@@ -73,7 +74,9 @@
 		}
 	}
 	switch {
-	case started >= maxCrashes, blamed >= culpritCrashes && alone, possible >= unconfirmedCrashes && only >= culpritCrashes:
+	case started >= maxCrashes, possible >= maxCrashes,
+		blamed >= culpritCrashes && alone,
+		possible >= unconfirmedCrashes && only >= culpritCrashes:
 		return Culprit
 	case suspected, started >= suspectLosses:
 		return Suspect
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -40,6 +40,8 @@
 		{[]job.Crash{aloneUnanswered, aloneUnanswered, aloneUnanswered, aloneUnanswered}, Culprit},
 		{[]job.Crash{amongThreeUnanswered, amongThreeUnanswered, aloneUnanswered, aloneUnanswered}, Culprit},
 		{[]job.Crash{amongThreeUnanswered, amongThreeUnanswered, amongThreeUnanswered, alone}, Suspect},
+		{[]job.Crash{amongThreeUnanswered, amongThreeUnanswered, amongThreeUnanswered, amongThreeUnanswered}, Suspect},
+		{[]job.Crash{amongThreeUnanswered, amongThreeUnanswered, amongThreeUnanswered, amongThreeUnanswered, amongThreeUnanswered}, Culprit},
 		{[]job.Crash{alone, unexplained}, Suspect},
 		{[]job.Crash{alone, unexplained, alone}, Culprit},
 		{[]job.Crash{alone, amongThreeUnanswered}, Suspect},
