--- a/internal/control/pings.go
+++ b/internal/control/pings.go
@@ -43,14 +43,15 @@
 
 // relayCandidates returns the other processes that have pinged this owner recently.
 func (o *ownership) relayCandidates() []relay.Process {
-	zones := o.n.view.zones()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var out []relay.Process
 	for incarnation, ping := range o.lastPings {
-		zone, member := zones[incarnation]
-		if member && !ping.leaving && ping.recent(o.loopTime) && ping.address != o.n.opt.Address {
-			out = append(out, relay.Process{Address: ping.address, Zone: zone})
+		if ping.leaving || !ping.recent(o.loopTime) || ping.address == o.n.opt.Address {
+			continue
+		}
+		if m, ok := o.n.view.memberOf(incarnation); ok {
+			out = append(out, relay.Process{Address: ping.address, Zone: m.Zone, Weight: m.Weight})
 		}
 	}
 	return out
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/agateyard/agateyard/internal/candidacy"
 	"github.com/agateyard/agateyard/internal/relay"
 	"github.com/agateyard/agateyard/internal/scheduler"
 )
@@ -15,8 +16,6 @@
 	// directRunnerShare: up to 1/directRunnerShare of the descriptor limit in runners, the owner calls all of them itself.
 	// Each takes a connection for its poll and a few for other calls.
 	directRunnerShare = 8
-	// directMaxHysteresis: calls are direct again once the runners are 1/directMaxHysteresis below that number.
-	directMaxHysteresis = 10
 	// relayMargin is how much longer than the call to the runner the call to the relaying process may take.
 	relayMargin = 250 * time.Millisecond
 	// pauseTolerance is how much later than its timeout a call may end before this process counts as paused.
@@ -32,7 +31,8 @@
 	o         *ownership
 	table     *relay.Table
 	relays    map[string]*relayState // by address
-	directMax int                    // number of runners up to which all calls are direct
+	directMax int                    // number of runners up to which the descriptors allow direct calls; 0: no limit
+	mode      relay.Mode
 	relaying  bool
 }
 
@@ -55,15 +55,17 @@
 	}
 }
 
-// update takes the processes that ping this owner as relays if there are too many runners for direct calls.
+// update takes the processes that ping this owner as relays if direct calls would take too much of its descriptors, processor
+// or link.
 func (c *runnerCalls) update(runners int) {
-	limit := c.directMax
-	if c.relaying {
-		limit -= limit / directMaxHysteresis
+	share := 0.0
+	if runners > 0 { // otherwise a fleet of a usual size would be assumed
+		load := candidacy.Load{Runners: runners, StartsPerSecond: c.o.n.view.ownerLoad().StartsPerSecond}
+		share = candidacy.DirectCallShare(c.o.n.self().candidate().Machine, load)
 	}
-	if relaying := c.directMax > 0 && runners > limit; relaying != c.relaying {
+	if relaying := c.mode.Update(share, runners, c.directMax); relaying != c.relaying {
 		c.relaying = relaying
-		c.o.n.dep.Log.Log("relaying", map[string]any{"on": relaying, "runners": runners, "direct_max": c.directMax})
+		c.o.n.dep.Log.Log("relaying", map[string]any{"on": relaying, "runners": runners, "direct_max": c.directMax, "direct_share": share})
 	}
 	var processes []relay.Process
 	if c.relaying {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -95,15 +95,12 @@
 	return out
 }
 
-// zones returns the availability zones of the members by incarnation.
-func (v *view) zones() map[string]string {
+// memberOf returns a member by its incarnation.
+func (v *view) memberOf(incarnation string) (Member, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := make(map[string]string, len(v.members))
-	for _, m := range v.members {
-		out[m.Incarnation] = m.Zone
-	}
-	return out
+	m, ok := v.members[incarnation]
+	return m, ok
 }
 
 func (v *view) setOwnerLoad(l candidacy.Load) {
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,7 @@
 type Process struct {
 	Address string
 	Zone    string
+	Weight  int // its share of the calls, in proportion to its processor; 0 counts as 1
 }
 
 // Table assigns runners to processes. An assignment lasts until its process is gone or has failed, so that a change of
@@ -30,6 +32,7 @@
 	processes  map[string]Process // by address
 	byZone     map[string][]Process
 	all        []Process
+	strong     int               // weight from which on a process is preferred
 	assigned   map[string]string // address by runner
 	runners    map[string]int    // number of assigned runners by address
 	backoffEnd map[string]time.Duration
@@ -65,8 +68,10 @@
 	t.processes = next
 	t.all = slices.SortedFunc(valuesOf(next), func(a, b Process) int { return cmp.Compare(a.Address, b.Address) })
 	clear(t.byZone)
+	t.strong = 0
 	for _, p := range t.all {
 		t.byZone[p.Zone] = append(t.byZone[p.Zone], p)
+		t.strong = max(t.strong, p.Weight/strongRatio)
 	}
 	slices.Sort(gone)
 	return gone
@@ -82,16 +87,23 @@
 	}
 }
 
-// Assign returns the process that relays the calls to a runner: one in the runner's zone if possible. ok is false if no
-// process can take the runner.
+// strongRatio: processes with at least 1/strongRatio of the processor of the largest one are preferred. A call that takes 1 ms of
+// a large one holds up a small one for many.
+const strongRatio = 2
+
+// Assign returns the process that relays the calls to a runner: one in the runner's zone if possible, and a strong one if the zone
+// has any. ok is false if no process can take the runner.
 func (t *Table) Assign(runner, zone string, now time.Duration) (address string, ok bool) {
 	if address, ok = t.assigned[runner]; ok && t.available(address, now) {
 		return address, true
 	}
 	t.Release(runner)
-	best, ok := t.best(runner, t.byZone[zone], now)
+	best, ok := t.best(runner, t.byZone[zone], t.strong, now)
+	if !ok {
+		best, ok = t.best(runner, t.byZone[zone], 0, now)
+	}
 	if !ok {
-		best, ok = t.best(runner, t.all, now)
+		best, ok = t.best(runner, t.all, 0, now)
 	}
 	if !ok {
 		return "", false
@@ -101,20 +113,29 @@
 	return best.Address, true
 }
 
-// best returns the process with the highest hash for the runner (rendezvous hashing) among those with room.
-func (t *Table) best(runner string, among []Process, now time.Duration) (best Process, ok bool) {
-	var highest uint64
+// best returns the process with the highest score for the runner (weighted rendezvous hashing) among those with room and at least
+// the given weight.
+func (t *Table) best(runner string, among []Process, least int, now time.Duration) (best Process, ok bool) {
+	highest := 0.0
 	for _, p := range among {
-		if !t.available(p.Address, now) || t.runners[p.Address] >= maxRunners {
+		if p.Weight < least || !t.available(p.Address, now) || t.runners[p.Address] >= maxRunners {
 			continue
 		}
-		if h := xxhash.Sum64String(p.Address + "/" + runner); !ok || h > highest {
-			best, highest, ok = p, h, true
+		if score := p.score(runner); !ok || score > highest {
+			best, highest, ok = p, score, true
 		}
 	}
 	return best, ok
 }
 
+// score is the weight divided by an exponentially distributed hash, so that the process with the highest score is each one with
+// a probability in proportion to its weight.
+func (p Process) score(runner string) float64 {
+	const hashes = 1 << 64
+	uniform := (float64(xxhash.Sum64String(p.Address+"/"+runner)) + 0.5) / hashes
+	return float64(max(p.Weight, 1)) / -math.Log(uniform)
+}
+
 func (t *Table) available(address string, now time.Duration) bool {
 	_, present := t.processes[address]
 	return present && now >= t.backoffEnd[address]
