control: an owner forgets processes that have not pinged for a minute

Each restart is another process, and an owner went through all that had ever pinged it, 20 times a second. TestLateConfigurationIsLogged asks for it.

--- a/internal/control/config_lines_test.go
+++ b/internal/control/config_lines_test.go
@@ -61,8 +61,13 @@
 	o.recordPing(PingArgs{From: "behind", Owner: o.info, ConfigVersion: 2}, now)
 	o.recordPing(PingArgs{From: "up to date", Owner: o.info, ConfigVersion: 3}, now)
 	o.loopTime = now
-	o.reportBehind()
-	o.reportBehind()
+	o.reviewPings()
+	o.reviewPings()
+	o.loopTime += forgetPingAfter + time.Second
+	o.reviewPings()
+	if len(o.lastPings) > 0 {
+		t.Errorf("%d processes are remembered a minute after their last ping", len(o.lastPings))
+	}
 	for event, want := range map[string]string{
 		"config-late":    "previous unconfirmed_ms version",
 		"stale-decision": "age_ms from host path result version",
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -233,7 +233,7 @@
 	o.yieldToFitter()
 	if o.loopTime-o.lastStats >= statsInterval {
 		o.lastStats = o.loopTime
-		o.reportBehind()
+		o.reviewPings()
 		stats := o.sched.Stats()
 		o.n.dep.Metrics.setStats(stats)
 		o.n.dep.Log.Log("load", logrus.Fields{
--- a/internal/control/pings.go
+++ b/internal/control/pings.go
@@ -72,13 +72,17 @@
 	return out
 }
 
+// forgetPingAfter is how long after its last ping a process is remembered, far longer than its silence counts for anything.
+// Each restart is another process.
+const forgetPingAfter = time.Minute
+
 // behindAfter is the age of a version at the owner from which on a ping with an older one is reported. The reply to a ping
 // brings a new version, so even a process that pings rarely has it earlier.
 const behindAfter = maxPingInterval + pingTimeout
 
-// reportBehind counts the processes that have pinged with an older configuration although the owner's has been in force
-// for behindAfter, and logs each of them once for a version.
-func (o *ownership) reportBehind() {
+// reviewPings forgets processes that have been silent for long. It counts those that have pinged with an older configuration
+// although the owner's has been in force for behindAfter, and logs each of them once for a version.
+func (o *ownership) reviewPings() {
 	newest := o.n.config.load()
 	if newest == nil {
 		return
@@ -88,6 +92,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for incarnation, ping := range o.lastPings {
+		if o.loopTime-ping.at > forgetPingAfter {
+			delete(o.lastPings, incarnation)
+			continue
+		}
 		if ping.config >= newest.Version || ping.at-since < behindAfter || !ping.recent(o.loopTime) {
 			continue
 		}
