cmd: a process that stops asks members to take over for the drain time only

A leaving owner asked one member after the other without a limit; with 40 that don't answer that took 28 s of a grace period of 6 s, and requests in flight were lost with the process. Connections are told to close at once. TestLeavingEndsInTime asks that the time given is kept.

--- a/cmd/agateyard-scheduler/serve.go
+++ b/cmd/agateyard-scheduler/serve.go
@@ -149,10 +149,11 @@
 // process, and finishes the requests in flight.
 func (p *process) shutdown() {
 	grace := p.settings.GracePeriod()
-	drainEnd := time.After(time.Duration(float64(grace) * drainShare))
-	p.node.Leave(context.Background())
+	drain, endDrain := context.WithTimeout(context.Background(), time.Duration(float64(grace)*drainShare))
+	defer endDrain()
 	p.front.SetKeepAlivesEnabled(false)
-	<-drainEnd
+	p.node.Leave(drain)
+	<-drain.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(grace)*shutdownShare))
 	defer cancel()
 	err := p.front.Shutdown(ctx)
--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -103,3 +105,27 @@
 		}
 	}
 }
+
+// TestLeavingEndsInTime guards against a process that is to stop and uses up its grace period by asking one member after the other
+// to take over, of which none answers, so that it is killed with requests in flight.
+func TestLeavingEndsInTime(t *testing.T) { inBubble(t, testLeavingEndsInTime) }
+
+func testLeavingEndsInTime(t *testing.T) {
+	const limit = 3600 * time.Millisecond
+	_, nodes := startCell(t, 1)
+	for i := range 40 {
+		address := fmt.Sprintf("10.9.0.%d:1", i)
+		nodes[0].view.setMember(Member{Incarnation: address, Address: address, Weight: testWeight})
+		nodes[0].peers.get(address).dial = func(ctx context.Context) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	started := time.Now()
+	nodes[0].Leave(ctx)
+	if took := time.Since(started); took > limit {
+		t.Errorf("leaving took %s", took)
+	}
+}
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -18,8 +18,8 @@
 	handoverDelay = 20 * time.Millisecond
 )
 
-// Leave tries to hand ownership over and keeps this process from claiming it again. The process goes on serving callers,
-// and stays the owner if no member takes over.
+// Leave tries to hand ownership over until ctx is done, and keeps this process from claiming it again. The process goes on
+// serving callers, and stays the owner if no member takes over.
 func (n *Node) Leave(ctx context.Context) {
 	n.leaving.Store(true)
 	local := n.ownership.Load()
@@ -36,7 +36,7 @@
 	sort.Slice(members, func(i, k int) bool { return n.betterOwner(members[i], members[k], local.info.Term) })
 	for _, m := range members {
 		if ctx.Err() != nil {
-			return // the ownership has ended meanwhile
+			return // the ownership has ended meanwhile, or the time for it
 		}
 		if m.Incarnation == n.incarnation || m.Leaving {
 			continue
