--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"slices"
 	"strings"
 
@@ -15,14 +16,21 @@
 // load restores the durable state that earlier owners have stored.
 func (o *ownership) load() error {
 	started := o.n.clock.Now()
+	reportCtx, stopReports := context.WithCancel(o.ctx)
+	defer stopReports()
+	o.n.goProtected("load progress", func() { o.reportProgress(reportCtx) })
 	o.applyConfig()
 	if err := o.usedRunners.load(); err != nil {
 		return err
 	}
 	items, err := o.readJobs()
+	if err == nil {
+		err = o.ctx.Err() // the ownership has ended meanwhile
+	}
 	if err != nil {
 		return err
 	}
+	read := o.n.clock.Now()
 	active := 0
 	var records []*job.Record
 	for _, item := range items {
@@ -43,11 +51,12 @@
 	}
 	o.restoreAll(records)
 	o.publishPending()
+	o.progress.done.Store(true)
 	now := o.n.clock.Now()
 	o.n.dep.Metrics.Takeover.Observe((now - started).Seconds())
 	o.n.dep.Log.Log("owner", logrus.Fields{
 		"term": o.info.Term, "fence": o.info.Rev, "jobs": len(items), "active": active,
-		"took_ms": (now - started).Milliseconds(),
+		"took_ms": (now - started).Milliseconds(), "read_ms": (read - started).Milliseconds(), "bytes": o.progress.bytes.Load(),
 	})
 	return nil
 }
@@ -103,6 +112,9 @@
 		g.Go(func() error {
 			return o.retryRead(prefix, func() (err error) {
 				parts[i], _, err = o.n.readRange(o.ctx, prefix)
+				if err == nil {
+					o.progress.read(parts[i])
+				}
 				return err
 			})
 		})
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -42,7 +42,10 @@
 	staleDecisions    *prometheus.CounterVec
 	// loopBusy is the longest time that the event loop has worked without a break, each second.
 	loopBusy prometheus.Histogram
-	tenants  *prometheus.GaugeVec
+	// terms counts the ownerships of this process that have ended, by whether the durable state had been loaded.
+	terms        *prometheus.CounterVec
+	ownerlessFor atomic.Pointer[func() float64]
+	tenants      *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -88,6 +91,7 @@
 		configUpdates:     counter("config_updates_total", "Versions of the configuration that came into force, by source.", "from"),
 		configUnconfirmed: histogram("config_unconfirmed_seconds", "Upper bound of the delay with which a version came into force.", fast),
 		loopBusy:          histogram("loop_longest_seconds", "Longest time for which the owner's event loop worked at a stretch, each second.", fast),
+		terms:             counter("terms_total", "Ownerships of this process that have ended, by whether the durable state had been loaded.", "end"),
 		staleDecisions:    counter("stale_decisions_total", "Requests decided by a configuration that was not confirmed in time, by result.", "result"),
 		auth:              counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -100,7 +104,10 @@
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "agateyard", Name: "config_age_seconds", Help: "Time since the configuration in force was confirmed as the newest.",
 	}, m.readConfigAge)
-	r.MustRegister(m.Owner, m.gauges, m.tenants, age, m.ConfigBehind, m.configVersion, m.configBad)
+	ownerless := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "agateyard", Name: "no_owner_seconds", Help: "Time since this process last knew of an owner that had loaded the durable state.",
+	}, m.readOwnerless)
+	r.MustRegister(ownerless, m.Owner, m.gauges, m.tenants, age, m.ConfigBehind, m.configVersion, m.configBad)
 	return m
 }
 
@@ -140,6 +147,24 @@
 	return 0
 }
 
+// setOwnerless sets the function that returns for how long no owner has been known that had loaded the durable state.
+func (m *Metrics) setOwnerless(seconds func() float64) { m.ownerlessFor.Store(&seconds) }
+
+func (m *Metrics) readOwnerless() float64 {
+	if seconds := m.ownerlessFor.Load(); seconds != nil {
+		return (*seconds)()
+	}
+	return 0
+}
+
+func (m *Metrics) termEnded(loaded bool) {
+	end := "unloaded"
+	if loaded {
+		end = "loaded"
+	}
+	m.terms.WithLabelValues(end).Inc()
+}
+
 func (m *Metrics) storeCall(call string, err error) {
 	result := "ok"
 	if errors.Is(err, ErrNotApplied) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -77,6 +77,7 @@
 	n.configRead = sharedCall{interval: configReadInterval, limit: maxConfigReads, run: n.readStoreConfig}
 	n.peersConfig = sharedCall{interval: peersAskInterval, limit: 1, run: n.askPeersForConfig}
 	dep.Metrics.setConfigAge(n.configAgeSeconds)
+	dep.Metrics.setOwnerless(n.ownerlessSeconds)
 	return n
 }
 
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -63,6 +63,9 @@
 	confirmedAt    time.Duration                           // start of the last read that found the claim in the store
 	removeAt       map[string]time.Duration                // when to remove runners whose entries were deleted, unless these come back
 
+	startedAt time.Duration // of the term
+	progress  loadProgress  // of the load of the durable state
+
 	mu        sync.Mutex              // guards the fields below it, and reason
 	lastPings map[string]receivedPing // by incarnation, of processes that regard this one as the owner
 	pending   map[string]int          // jobs that have not started, by queue; nil before the durable state is loaded
@@ -94,7 +97,7 @@
 		lastPings: map[string]receivedPing{}, removeAt: map[string]time.Duration{}, unreadable: map[string]bool{},
 	}
 	now := n.clock.Now()
-	o.loopTime, o.confirmedAt = now, now
+	o.startedAt, o.loopTime, o.confirmedAt = now, now, now
 	o.handover = candidacy.NewHandover(now)
 	o.pace = pacing.NewCalls()
 	o.startLimit = pacing.NewStartLimit(candidacy.StartsPerSecond(n.self().candidate().Machine))
@@ -329,6 +332,9 @@
 func (o *ownership) cleanUp() {
 	o.cancel()
 	o.writer.releaseWaiters()
+	if o.progress.done.Load() {
+		o.n.view.recordLoadedOwner(o.n.clock.Now())
+	}
 	o.n.view.recordOwnerReply(o.n.clock.Now()) // it was the owner until now, which counts as contact with the owner
 	o.n.ownership.CompareAndSwap(o, nil)
 	o.n.dep.Metrics.Owner.Set(0)
@@ -337,6 +343,11 @@
 	o.mu.Lock()
 	reason := o.reason
 	o.mu.Unlock()
-	o.n.dep.Log.Log("ownership-ended", logrus.Fields{"term": o.info.Term, "reason": reason})
+	loaded := o.progress.done.Load()
+	o.n.dep.Metrics.termEnded(loaded)
+	o.n.dep.Log.Log("ownership-ended", logrus.Fields{
+		"term": o.info.Term, "reason": reason, "loaded": loaded, "held_ms": (o.n.clock.Now() - o.startedAt).Milliseconds(),
+		"records": o.progress.records.Load(),
+	})
 	close(o.ended)
 }
--- a/internal/control/pings.go
+++ b/internal/control/pings.go
@@ -29,6 +29,9 @@
 	if ping.Owner.Term != o.info.Term {
 		return
 	}
+	if !o.progress.done.Load() {
+		o.progress.pings.Add(1)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	since, reported := now, int64(0)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -19,6 +19,8 @@
 	lastOwnerReply time.Duration  // last reply of an owner to a ping
 	claimSeenAt    time.Duration  // when the current owner's claim became known
 	suspect        bool           // the last ping of the owner failed
+	pingError      string         // of the last ping of the owner that failed
+	loadedReplyAt  time.Duration  // last reply of an owner that had loaded the durable state
 	load           candidacy.Load // of the owner; zero while it is not known
 }
 
@@ -139,10 +141,32 @@
 	v.suspect = false
 }
 
-func (v *view) recordPingFailure() {
+// recordPingFailure records that a ping of the owner failed, and why.
+func (v *view) recordPingFailure(reason string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.suspect = true
+	v.suspect, v.pingError = true, reason
+}
+
+// lastPingError returns why the last failed ping of an owner failed.
+func (v *view) lastPingError() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.pingError
+}
+
+// recordLoadedOwner records that an owner has said that it has loaded the durable state.
+func (v *view) recordLoadedOwner(now time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.loadedReplyAt = max(v.loadedReplyAt, now)
+}
+
+// loadedOwnerSeenAt returns when an owner last said that it had loaded the durable state; 0 if none has.
+func (v *view) loadedOwnerSeenAt() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.loadedReplyAt
 }
 
 // ownerRepliedAt returns when an owner last replied to this process; 0 if none has.
--- a/internal/control/vote.go
+++ b/internal/control/vote.go
@@ -47,7 +47,10 @@
 	}
 	wg.Wait()
 	agreed := 2*lost > voters
-	n.dep.Log.Log("owner-vote", logrus.Fields{"term": o.Term, "lost": lost, "voters": voters, "agreed": agreed})
+	silent, _ := n.view.ownerSilentFor(n.clock.Now())
+	n.dep.Log.Log("owner-vote", logrus.Fields{
+		"term": o.Term, "lost": lost, "voters": voters, "agreed": agreed, "silent_ms": silent.Milliseconds(), "ping_error": n.view.lastPingError(),
+	})
 	return agreed
 }
 
@@ -86,7 +89,7 @@
 		return false
 	}
 	if err != nil {
-		n.view.recordPingFailure()
+		n.view.recordPingFailure(err.Error())
 		return true
 	}
 	if reply.Incarnation != o.Incarnation || !reply.IsOwner {
--- a/internal/control/watch_config.go
+++ b/internal/control/watch_config.go
@@ -185,6 +185,14 @@
 	return n.ownership.Load() != nil || n.clock.Now()-n.view.ownerRepliedAt() < readyTimeout
 }
 
+// ownerlessSeconds returns for how long this process has known of no owner that had loaded the durable state.
+func (n *Node) ownerlessSeconds() float64 {
+	if o := n.ownership.Load(); o != nil && o.progress.done.Load() {
+		return 0
+	}
+	return (n.clock.Now() - max(n.view.loadedOwnerSeenAt(), n.createdAt)).Seconds()
+}
+
 // readyTimeout is how long a process without contact to the owner still accepts requests. It is longer than a usual
 // takeover.
 const readyTimeout = 3 * time.Second
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -100,7 +100,7 @@
 		return ownerHealthy // nothing was sent, so nothing is known of the owner
 	}
 	if err != nil {
-		n.view.recordPingFailure()
+		n.view.recordPingFailure(err.Error())
 		if noListener(err) || silent > limit {
 			return ownerSilent
 		}
@@ -114,11 +114,12 @@
 		if reply.Incarnation == o.Incarnation && reply.BegunTerm < o.Term && silent <= ownerSilenceLimit {
 			return ownerHealthy // the store's answer to its claim may still be in transit
 		}
-		n.view.recordPingFailure()
+		n.view.recordPingFailure("the process is not the owner")
 		return ownerReplaced
 	}
 	n.view.recordOwnerReply(now)
 	if reply.Loaded {
+		n.view.recordLoadedOwner(now)
 		n.view.setPending(reply.Pending, reply.sentAt)
 	}
 	if !reply.StoreOK && n.health.answeredWithin(storeAnswerMaxAge, now) && n.health.stableFor(storeStableTime, now) && !n.configOverdue(now) {
