--- a/internal/control/bubble_test.go
+++ b/internal/control/bubble_test.go
@@ -16,10 +16,12 @@
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
 	nodes     []*testNode
+	bandwidth float64                // of each process's link in bytes a second; 0: unlimited
+	links     map[string]*narrowLink // by address
 }
 
 func newMemoryNetwork() *memoryNetwork {
-	return &memoryNetwork{listeners: map[string]*memoryListener{}}
+	return &memoryNetwork{listeners: map[string]*memoryListener{}, links: map[string]*narrowLink{}}
 }
 
 // memoryListener accepts the connections to an address of a memoryNetwork.
@@ -37,9 +39,33 @@
 		address: fmt.Sprintf("10.0.0.%d:1", len(m.listeners)+1), conns: make(chan net.Conn), closed: make(chan struct{}),
 	}
 	m.listeners[l.address] = l
+	if m.bandwidth > 0 {
+		m.links[l.address] = &narrowLink{bandwidth: m.bandwidth}
+	}
 	return l
 }
 
+// linkOf returns the narrow link of a process; nil if it is not narrow.
+func (m *memoryNetwork) linkOf(address string) *narrowLink {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[address]
+}
+
+// dialFrom connects the process at an address to another one.
+func (m *memoryNetwork) dialFrom(ctx context.Context, from, address string) (net.Conn, error) {
+	conn, err := m.dial(ctx, address)
+	link := m.linkOf(from)
+	if err != nil || link == nil {
+		return conn, err
+	}
+	if err := link.receive(ctx, messageOverhead); err != nil {
+		_ = conn.Close()
+		return nil, &net.OpError{Op: "dial", Err: err}
+	}
+	return newLateConn(conn, link.reserve), nil
+}
+
 func (m *memoryNetwork) dial(ctx context.Context, address string) (net.Conn, error) {
 	m.mu.Lock()
 	l := m.listeners[address]
@@ -48,12 +74,20 @@
 		return nil, &net.OpError{Op: "dial", Err: net.UnknownNetworkError(address)}
 	}
 	client, server := net.Pipe()
+	if link := m.linkOf(address); link != nil {
+		if err := link.receive(ctx, messageOverhead); err != nil {
+			return nil, &net.OpError{Op: "dial", Err: err}
+		}
+		server = newLateConn(server, link.reserve)
+	}
 	select {
 	case l.conns <- server:
 		return client, nil
 	case <-l.closed:
+		_ = server.Close()
 		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 	case <-ctx.Done():
+		_ = server.Close()
 		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
 	}
 }
@@ -111,7 +145,11 @@
 	began, base := time.Now(), Clock{}.Now()
 	tn.clock = Clock{now: func() time.Duration { return base + time.Since(began) }}
 	tn.createdAt = tn.clock.Now()
-	tn.peers.dial = m.dial
+	from := tn.opt.Address
+	tn.peers.dial = func(ctx context.Context, address string) (net.Conn, error) { return m.dialFrom(ctx, from, address) }
+	if link := m.linkOf(from); link != nil {
+		tn.dep.Store = protectedStore{narrowStore{tn.dep.Store, link}, tn.Node}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.nodes = append(m.nodes, tn)
--- a/internal/control/config_bound_test.go
+++ b/internal/control/config_bound_test.go
@@ -229,7 +229,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return newLateConn(conn), nil
+			return newLateConn(conn, func(int) time.Time { return time.Now().Add(latePeers) }), nil
 		}
 		clients := n.peers.clients
 		n.peers.clients = nil
--- a/internal/control/faulty_link_test.go
+++ b/internal/control/faulty_link_test.go
@@ -187,13 +187,14 @@
 	at   time.Time // when they are delivered
 }
 
-func newLateConn(conn net.Conn) *lateConn {
+// newLateConn returns a connection that delivers what it receives now at the time that arrival returns for its size.
+func newLateConn(conn net.Conn, arrival func(bytes int) time.Time) *lateConn {
 	c := &lateConn{Conn: conn, received: make(chan lateBytes, 4096)}
 	go func() {
 		for {
 			buffer := make([]byte, 4096)
 			n, err := conn.Read(buffer)
-			c.received <- lateBytes{buffer[:n], err, time.Now().Add(latePeers)}
+			c.received <- lateBytes{buffer[:n], err, arrival(n)}
 			if err != nil {
 				return
 			}
--- /dev/null
+++ b/internal/control/lost_owner_test.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/job"
+)
+
+const (
+	// smallLink is the bandwidth of the smallest VMs in megabits a second.
+	smallLink = 10
+	// smallWeight is the processor of the smallest VMs in millicores, and smallMemory their memory in megabytes.
+	smallWeight, smallMemory = 144, 144
+	// payloadBytes is the size of the payload of an unfinished job.
+	payloadBytes = 700
+	// ownerlessLimit is how long a cell of small VMs may have no working owner, beside the time for which the stored jobs
+	// occupy a small link twice: to notice the loss, to agree on it and to claim ownership.
+	ownerlessLimit = 4 * time.Second
+	// maxClaims is how many claims may follow the loss of an owner: that of the successor, and one of a process that is
+	// lost as well or that claims without having seen it.
+	maxClaims = 2
+)
+
+// storeJobs writes the records of jobs, a third of which are unfinished, and returns how long they occupy a small link.
+func storeJobs(t *testing.T, store *memoryStore, jobs int) time.Duration {
+	t.Helper()
+	storeFinishedJobs(t, store, jobs)
+	c := Commit{}
+	for i := 0; i < jobs; i += 3 {
+		spec := testSpec(0)
+		spec.ID, spec.Payload = spreadID(i), strings.Repeat("x", payloadBytes)
+		record := job.Record{Spec: spec}
+		c.Puts = append(c.Puts, Put{Key: jobPrefix + spec.ID, Value: record.Encode()})
+	}
+	if _, err := store.Commit(context.Background(), c); err != nil {
+		t.Fatal(err)
+	}
+	items, _, _ := store.Range(context.Background(), jobPrefix)
+	return (&narrowLink{bandwidth: smallLink * 1e6 / 8}).cost(itemBytes(items))
+}
+
+// loadedOwner returns the process that is the owner and has loaded the durable state, or nil.
+func loadedOwner(nodes []*testNode) *testNode {
+	for _, n := range nodes {
+		if o := n.ownership.Load(); o != nil && o.pendingJobs() != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+// TestSmallVMsGetAnOwnerBack guards against a cell without an owner (incident LOST): the load of the durable state fills the
+// narrow link of a small VM, pings wait behind it, and the others replace it before it has ended, one after the other.
+func TestSmallVMsGetAnOwnerBack(t *testing.T) {
+	for _, size := range []struct{ processes, jobs int }{{40, 3000}, {40, 16_000}, {300, 3000}} {
+		t.Run(fmt.Sprintf("%d processes, %d jobs", size.processes, size.jobs), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) { testSmallVMsGetAnOwnerBack(t, size.processes, size.jobs) })
+		})
+	}
+}
+
+func testSmallVMsGetAnOwnerBack(t *testing.T, processes, jobs int) {
+	networkOf(t).bandwidth = smallLink * 1e6 / 8
+	store := newMemoryStore()
+	if _, err := store.Commit(context.Background(), Commit{Puts: []Put{{Key: "op/config", Value: []byte{1}}}}); err != nil {
+		t.Fatal(err)
+	}
+	transfer := storeJobs(t, store, jobs)
+	var nodes []*testNode
+	for range processes {
+		nodes = append(nodes, startNodeOf(t, testDeps(), store, Options{Weight: smallWeight, LinkMbps: smallLink, MemoryMB: smallMemory}))
+	}
+	limit := ownerlessLimit + 2*transfer
+	eventually(t, limit, "an owner has loaded the durable state", func() bool { return loadedOwner(nodes) != nil })
+	for range 2 {
+		time.Sleep(3 * time.Second) // the members know each other
+		lost := loadedOwner(nodes)
+		if lost == nil {
+			t.Fatal("the owner has been replaced although it was alive")
+		}
+		term := lost.ownership.Load().info.Term
+		lost.kill()
+		nodes = others(nodes, lost)
+		eventually(t, limit, "the owner has been replaced", func() bool { return loadedOwner(nodes) != nil })
+		owner := loadedOwner(nodes)
+		if claims := owner.ownership.Load().info.Term - term; claims > maxClaims {
+			t.Errorf("%d claims followed the loss of the owner, want at most %d", claims, maxClaims)
+		}
+		for i := range 20 {
+			n := nodes[i%len(nodes)]
+			if state, found := stateOf(t, n, spreadID(i)); !found || (state == job.Done) != (i%3 != 0) {
+				t.Errorf("job %d: state %q, found %t", i, state, found)
+			}
+		}
+	}
+}
