--- a/internal/control/cell_test.go
+++ b/internal/control/cell_test.go
@@ -301,8 +301,7 @@
 		}
 	}
 	eventually(t, 5*time.Second, "all records are deleted", func() bool {
-		items, _, err := store.Range(ctx, jobPrefix)
-		return err == nil && len(items) == 0
+		return len(store.all(jobPrefix)) == 0
 	})
 }
 
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -120,7 +120,23 @@
 	return item, ok, m.refused()
 }
 
-func (m *memoryStore) Range(_ context.Context, prefix string) ([]Item, int64, error) {
+// all returns all items under a prefix, in no order, without the limits of a page.
+func (m *memoryStore) all(prefix string) []Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Item
+	for key, item := range m.items {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, item)
+		}
+	}
+	return out
+}
+
+// pageItems is the largest number of items in a page of a range.
+const pageItems = 500
+
+func (m *memoryStore) Range(_ context.Context, prefix, after string) (Page, error) {
 	m.mu.Lock()
 	m.countRead(prefix)
 	if m.lists == nil {
@@ -129,10 +145,16 @@
 	m.lists[prefix]++
 	var out []Item
 	for key, item := range m.items {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			out = append(out, item)
 		}
 	}
+	slices.SortFunc(out, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	next := ""
+	if len(out) > pageItems {
+		out = out[:pageItems]
+		next = out[pageItems-1].Key
+	}
 	rev, err, pause := m.rev, m.refused(), m.delayPerItem*time.Duration(len(out))
 	if strings.HasPrefix(prefix, jobPrefix) {
 		m.ranges++
@@ -147,7 +169,10 @@
 	if pause > 0 {
 		time.Sleep(pause)
 	}
-	return out, rev, err
+	if err != nil {
+		return Page{}, err
+	}
+	return Page{Items: out, Rev: rev, Next: next}, nil
 }
 
 func (m *memoryStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
@@ -280,11 +305,11 @@
 	return l.memoryStore.Get(ctx, key)
 }
 
-func (l *partitionableStore) Range(ctx context.Context, prefix string) ([]Item, int64, error) {
+func (l *partitionableStore) Range(ctx context.Context, prefix, after string) (Page, error) {
 	if err := l.pathError(); err != nil {
-		return nil, 0, err
+		return Page{}, err
 	}
-	return l.memoryStore.Range(ctx, prefix)
+	return l.memoryStore.Range(ctx, prefix, after)
 }
 
 func (l *partitionableStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
--- a/internal/control/faulty_link_test.go
+++ b/internal/control/faulty_link_test.go
@@ -33,7 +33,7 @@
 	lateAnswer = 1200 * time.Millisecond
 	// latePeers is the delay of what a process with lateReads receives from its peers, longer than a ping may take.
 	latePeers = 700 * time.Millisecond
-	// pageLimit is the time limit of the platform's client for a page of a range.
+	// pageLimit is how long the platform's client waits for a part of the answer to a read of a range.
 	pageLimit = 2500 * time.Millisecond
 	// hedgeDelay is the time after which that client sends a read again on a new connection.
 	hedgeDelay = 500 * time.Millisecond
@@ -108,13 +108,13 @@
 	return l.Store.Get(ctx, key)
 }
 
-func (l *faultyLink) Range(ctx context.Context, prefix string) ([]Item, int64, error) {
+func (l *faultyLink) Range(ctx context.Context, prefix, after string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageLimit)
 	defer cancel()
 	if _, err := l.apply(ctx); err != nil {
-		return nil, 0, err
+		return Page{}, err
 	}
-	return l.Store.Range(ctx, prefix)
+	return l.Store.Range(ctx, prefix, after)
 }
 
 // Watch waits in steps, as a fault also stops the watches that are waiting.
@@ -136,8 +136,8 @@
 			if left := time.Until(end); left > 0 { // a timer without a duration may crash the race detector in a bubble
 				time.Sleep(left)
 			}
-			_, rev, err := l.Store.Range(ctx, "none")
-			return nil, rev, err
+			page, err := l.Store.Range(ctx, "none", "")
+			return nil, page.Rev, err
 		}
 		if l.isLate() {
 			changes, rev, err := l.Store.Watch(ctx, prefix, after, max(time.Millisecond, time.Until(end)))
--- a/internal/control/interfaces.go
+++ b/internal/control/interfaces.go
@@ -36,6 +36,13 @@
 	Deleted bool
 }
 
+// Page is a part of the items under a prefix.
+type Page struct {
+	Items []Item
+	Rev   int64  // revision of the store at which the page was read
+	Next  string // key after which the next page begins, above that of this page; empty if this is the last one
+}
+
 // Commit is an atomic change of several keys.
 type Commit struct {
 	Expected map[string]int64 // revision by key; 0: the key doesn't exist
@@ -56,8 +63,9 @@
 // Store is the key-value service of the users' platform.
 type Store interface {
 	Get(ctx context.Context, key string) (item Item, found bool, err error)
-	// Range returns all items under a prefix and the store revision at which the first page was read.
-	Range(ctx context.Context, prefix string) (items []Item, rev int64, err error)
+	// Range returns the items under a prefix whose keys follow after, in the order of their keys, as many as fit into a page.
+	// It fails when nothing of the answer has arrived for a while, however long the whole answer takes.
+	Range(ctx context.Context, prefix, after string) (Page, error)
 	// Watch returns the changes after a revision and the revision to continue from. It waits for a change, but not longer
 	// than wait.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []Item, rev int64, err error)
--- a/internal/control/keys_test.go
+++ b/internal/control/keys_test.go
@@ -365,9 +365,9 @@
 	return Item{}, false, ctx.Err()
 }
 
-func (silentStore) Range(ctx context.Context, _ string) ([]Item, int64, error) {
+func (silentStore) Range(ctx context.Context, _, _ string) (Page, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return Page{}, ctx.Err()
 }
 
 // TestCallersDoNotWaitForSilentStore guards against callers with known keys who wait for a store that answers nothing, while
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
@@ -23,44 +24,73 @@
 	if err := o.usedRunners.load(); err != nil {
 		return err
 	}
-	items, err := o.readJobs()
-	if err == nil {
-		err = o.ctx.Err() // the ownership has ended meanwhile
-	}
+	stored, err := o.readJobs()
 	if err != nil {
 		return err
 	}
 	read := o.n.clock.Now()
-	active := 0
-	var records []*job.Record
-	for _, item := range items {
-		record, err := job.DecodeRecord(item.Value)
-		if err == nil && jobPrefix+record.ID != item.Key {
-			err = oops.Errorf("the record of job %s is stored under another key", record.ID)
-		}
-		if err != nil {
-			o.n.dep.Log.Log("bad-record", logrus.Fields{"key": item.Key, "error": err.Error()})
-			o.unreadable[strings.TrimPrefix(item.Key, jobPrefix)] = true
-			continue
-		}
-		o.writer.revs[record.ID] = item.Rev
-		records = append(records, record)
-		if record.Final == "" {
-			active++
-		}
-	}
+	records, active := o.collect(stored)
 	o.restoreAll(records)
+	if err := o.confirmAfterLoad(started); err != nil {
+		return err
+	}
 	o.publishPending()
 	o.progress.done.Store(true)
 	now := o.n.clock.Now()
 	o.n.dep.Metrics.Takeover.Observe((now - started).Seconds())
 	o.n.dep.Log.Log("owner", logrus.Fields{
-		"term": o.info.Term, "fence": o.info.Rev, "jobs": len(items), "active": active,
+		"term": o.info.Term, "fence": o.info.Rev, "jobs": len(records) + len(o.unreadable), "active": active,
 		"took_ms": (now - started).Milliseconds(), "read_ms": (read - started).Milliseconds(), "bytes": o.progress.bytes.Load(),
 	})
 	return nil
 }
 
+// confirmAfterLoad reads the claim again if the load has taken so long that another process may have claimed ownership
+// meanwhile. The time of the load is no pause of the event loop, which has not begun.
+func (o *ownership) confirmAfterLoad(started time.Duration) error {
+	asked := o.n.clock.Now()
+	if asked-started > maxLoopPause {
+		var item Item
+		err := o.retryRead(ownerKey, func() (err error) {
+			asked = o.n.clock.Now()
+			ctx, cancel := context.WithTimeout(o.ctx, 2*storeTimeout)
+			defer cancel()
+			item, _, err = o.n.dep.Store.Get(ctx, ownerKey)
+			o.n.recordStoreCall("get", err)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		if item.Rev != o.info.Rev {
+			if item.Rev > 0 {
+				o.n.applyOwnerItem(item)
+			}
+			return oops.Errorf("another process has claimed ownership meanwhile")
+		}
+		o.confirmedAt = asked
+	}
+	o.loopTime = o.n.clock.Now()
+	return nil
+}
+
+// collect returns all records that have been read, and how many of them are of unfinished jobs.
+func (o *ownership) collect(stored []storedRecords) (records []*job.Record, active int) {
+	for _, part := range stored {
+		for i, record := range part.records {
+			o.writer.revs[record.ID] = part.revs[i]
+			if record.Final == "" {
+				active++
+			}
+		}
+		records = append(records, part.records...)
+		for _, id := range part.unreadable {
+			o.unreadable[id] = true
+		}
+	}
+	return records, active
+}
+
 // maxPanickingRecords bounds how many records may be skipped because they panic. A scheduler that panics with more has a
 // fault of another kind.
 const maxPanickingRecords = 16
@@ -102,27 +132,55 @@
 	return nil
 }
 
-// readJobs reads the records of all jobs, with one parallel read for each first digit of the identifier. After the claim
-// only this process changes records, so the parts are consistent with each other.
-func (o *ownership) readJobs() ([]Item, error) {
-	var parts [len(job.IDDigits)][]Item
+// storedRecords are decoded records of jobs.
+type storedRecords struct {
+	records    []*job.Record
+	revs       []int64  // revision of each record
+	unreadable []string // identifiers of jobs whose records can't be decoded
+}
+
+// decode adds items to the records.
+func (s *storedRecords) decode(items []Item, log Logger) {
+	for _, item := range items {
+		record, err := job.DecodeRecord(item.Value)
+		if err == nil && jobPrefix+record.ID != item.Key {
+			err = oops.Errorf("the record of job %s is stored under another key", record.ID)
+		}
+		if err != nil {
+			log.Log("bad-record", logrus.Fields{"key": item.Key, "error": err.Error()})
+			s.unreadable = append(s.unreadable, strings.TrimPrefix(item.Key, jobPrefix))
+			continue
+		}
+		s.records = append(s.records, record)
+		s.revs = append(s.revs, item.Rev)
+	}
+}
+
+// readJobs reads the records of all jobs, with one parallel read for each first digit of the identifier. After the claim only this process changes records, so the parts are consistent with each other.
+func (o *ownership) readJobs() ([]storedRecords, error) {
+	parts := make([]storedRecords, len(job.IDDigits))
 	var g errgroup.Group
 	for i, digit := range job.IDDigits {
-		prefix := jobPrefix + string(digit)
+		reader := &rangeReader{n: o.n, prefix: jobPrefix + string(digit)}
 		g.Go(func() error {
-			return o.retryRead(prefix, func() (err error) {
-				parts[i], _, err = o.n.readRange(o.ctx, prefix)
-				if err == nil {
-					o.progress.read(parts[i])
+			for !reader.done {
+				err := o.retryRead(reader.prefix, func() error {
+					items, err := reader.next(o.ctx)
+					o.progress.read(items)
+					parts[i].decode(items, o.n.dep.Log)
+					return err
+				})
+				if err != nil {
+					return err
 				}
-				return err
-			})
+			}
+			return nil
 		})
 	}
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
-	return slices.Concat(parts[:]...), nil
+	return parts, o.ctx.Err()
 }
 
 // retryRead repeats a read until it succeeds or the ownership ends. During a store outage no other process could load
--- a/internal/control/lost_owner_test.go
+++ b/internal/control/lost_owner_test.go
@@ -39,7 +39,7 @@
 	if _, err := store.Commit(context.Background(), c); err != nil {
 		t.Fatal(err)
 	}
-	items, _, _ := store.Range(context.Background(), jobPrefix)
+	items := store.all(jobPrefix)
 	return (&narrowLink{bandwidth: smallLink * 1e6 / 8}).cost(itemBytes(items))
 }
 
--- a/internal/control/narrow_links_test.go
+++ b/internal/control/narrow_links_test.go
@@ -69,12 +69,12 @@
 	return item, found, err
 }
 
-func (s narrowStore) Range(ctx context.Context, prefix string) ([]Item, int64, error) {
-	items, rev, err := s.Store.Range(ctx, prefix)
-	if late := s.link.receive(ctx, itemBytes(items)); late != nil {
-		return nil, 0, late
+func (s narrowStore) Range(ctx context.Context, prefix, after string) (Page, error) {
+	page, err := s.Store.Range(ctx, prefix, after)
+	if late := s.link.receive(ctx, itemBytes(page.Items)); late != nil {
+		return Page{}, late
 	}
-	return items, rev, err
+	return page, err
 }
 
 func (s narrowStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
--- a/internal/control/protected_deps.go
+++ b/internal/control/protected_deps.go
@@ -27,9 +27,9 @@
 	return s.Store.Get(ctx, key)
 }
 
-func (s protectedStore) Range(ctx context.Context, prefix string) (items []Item, rev int64, err error) {
+func (s protectedStore) Range(ctx context.Context, prefix, after string) (page Page, err error) {
 	defer s.n.recoverCall("store range", &err)
-	return s.Store.Range(ctx, prefix)
+	return s.Store.Range(ctx, prefix, after)
 }
 
 func (s protectedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []Item, rev int64, err error) {
--- a/internal/control/watch_cell.go
+++ b/internal/control/watch_cell.go
@@ -34,15 +34,6 @@
 	}
 }
 
-func (n *Node) readRange(ctx context.Context, prefix string) ([]Item, int64, error) {
-	const pages = 10 // a range may take several calls
-	ctx, cancel := context.WithTimeout(ctx, pages*storeTimeout)
-	defer cancel()
-	items, rev, err := n.dep.Store.Range(ctx, prefix)
-	n.recordStoreCall("range", err)
-	return items, rev, err
-}
-
 func (n *Node) watch(ctx context.Context, prefix string, rev int64, wait time.Duration) ([]Item, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -40,7 +40,7 @@
 			defer cancel()
 			var attempts, again atomic.Int32
 			started := time.Now()
-			got, err := Do(ctx, interval, func() { again.Add(1) }, func(ctx context.Context, attempt int) (int, error) {
+			got, err := Do(ctx, Limits{Again: interval}, func() { again.Add(1) }, func(ctx context.Context, attempt int, _ func()) (int, error) {
 				attempts.Add(1)
 				a := c.answers[min(attempt, len(c.answers)-1)]
 				if a.after == 0 {
@@ -63,3 +63,46 @@
 		})
 	}
 }
+
+// TestProgressIsNoSilence guards against a large answer on a narrow link that is requested again while it arrives, which
+// makes the link slower still, and against one that stops half-way and is waited for without end (incident LOST).
+func TestProgressIsNoSilence(t *testing.T) {
+	const part, parts = 400 * time.Millisecond, 20
+	for name, c := range map[string]struct {
+		arrive   int // parts of the answer that arrive
+		attempts int32
+		took     time.Duration
+		err      error
+	}{
+		"all parts arrive":           {arrive: parts, attempts: 1, took: parts * part},
+		"the answer stops half-way":  {arrive: parts / 2, attempts: 5, took: parts/2*part + 5*interval, err: context.DeadlineExceeded},
+		"nothing of it ever arrives": {attempts: 5, took: 5 * interval, err: context.DeadlineExceeded},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var attempts atomic.Int32
+			started := time.Now()
+			limits := Limits{Again: interval, Stall: 5 * interval}
+			_, err := Do(context.Background(), limits, nil, func(ctx context.Context, attempt int, progressed func()) (int, error) {
+				attempts.Add(1)
+				for range c.arrive {
+					if attempt > 0 {
+						break // only the first attempt has a connection that works
+					}
+					time.Sleep(part)
+					progressed()
+				}
+				if c.arrive < parts {
+					<-ctx.Done()
+					return 0, ctx.Err()
+				}
+				return 0, nil
+			})
+			if took := time.Since(started); took != c.took || !errors.Is(err, c.err) {
+				t.Errorf("%s: error %v after %s, want %v after %s", name, err, took, c.err, c.took)
+			}
+			if attempts.Load() != c.attempts {
+				t.Errorf("%s: %d attempts, want %d", name, attempts.Load(), c.attempts)
+			}
+		})
+	}
+}
