--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -156,10 +156,24 @@
 	}
 }
 
-// readJobs reads the records of all jobs, with one parallel read for each first digit of the identifier. After the claim only this process changes records, so the parts are consistent with each other.
+// bandwidthPerRead is the part of a VM's link, in Mbit/s, that one read of a large range is expected to fill. The answers of
+// further reads would queue on the link, with pings and other calls behind them.
+const bandwidthPerRead = 5
+
+// parallelReads returns how many parts of the durable state a process reads at the same time.
+func parallelReads(linkMbps float64) int {
+	if linkMbps <= 0 {
+		return len(job.IDDigits)
+	}
+	return min(max(int(linkMbps/bandwidthPerRead), 1), len(job.IDDigits))
+}
+
+// readJobs reads the records of all jobs in one part for each first digit of the identifier, as many at the same time as the
+// link bears. After the claim only this process changes records, so the parts are consistent with each other.
 func (o *ownership) readJobs() ([]storedRecords, error) {
 	parts := make([]storedRecords, len(job.IDDigits))
 	var g errgroup.Group
+	g.SetLimit(parallelReads(o.n.opt.LinkMbps))
 	for i, digit := range job.IDDigits {
 		reader := &rangeReader{n: o.n, prefix: jobPrefix + string(digit)}
 		g.Go(func() error {
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -42,3 +42,13 @@
 		t.Error("the runner that earlier owners used isn't inherited")
 	}
 }
+
+// TestParallelReadsFitTheLink guards against an owner that fills its link with the answers of its own reads, behind which
+// pings wait until it is replaced (incident LOST), and against a large VM that reads one part after the other.
+func TestParallelReadsFitTheLink(t *testing.T) {
+	for linkMbps, want := range map[float64]int{0: 16, 1: 1, 10: 2, 20: 4, 200: 16, 1000: 16} {
+		if got := parallelReads(linkMbps); got != want {
+			t.Errorf("%v Mbit/s: %d reads at the same time, want %d", linkMbps, got, want)
+		}
+	}
+}
