--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -37,6 +37,7 @@
 	o.publishPending()
 	o.progress.done.Store(true)
 	now := o.n.clock.Now()
+	o.n.view.recordLoadedOwner(o.info.Term, now)
 	o.n.dep.Metrics.Takeover.Observe((now - started).Seconds())
 	o.n.dep.Log.Log("owner", logrus.Fields{
 		"term": o.info.Term, "fence": o.info.Rev, "jobs": len(records) + len(o.unreadable), "active": active,
--- a/internal/control/lost_owner_test.go
+++ b/internal/control/lost_owner_test.go
@@ -63,17 +63,24 @@
 	}
 }
 
-func testSmallVMsGetAnOwnerBack(t *testing.T, processes, jobs int) {
-	networkOf(t).bandwidth = smallLink * 1e6 / 8
+// startSmallCell starts processes on small VMs whose links have the given bandwidth, with stored jobs. It returns for how long
+// these occupy a link of smallLink.
+func startSmallCell(t *testing.T, processes, jobs int, linkMbps float64) (nodes []*testNode, transfer time.Duration) {
+	t.Helper()
+	networkOf(t).bandwidth = linkMbps * 1e6 / 8
 	store := newMemoryStore()
 	if _, err := store.Commit(context.Background(), Commit{Puts: []Put{{Key: "op/config", Value: []byte{1}}}}); err != nil {
 		t.Fatal(err)
 	}
-	transfer := storeJobs(t, store, jobs)
-	var nodes []*testNode
+	transfer = storeJobs(t, store, jobs)
 	for range processes {
 		nodes = append(nodes, startNodeOf(t, testDeps(), store, Options{Weight: smallWeight, LinkMbps: smallLink, MemoryMB: smallMemory}))
 	}
+	return nodes, transfer
+}
+
+func testSmallVMsGetAnOwnerBack(t *testing.T, processes, jobs int) {
+	nodes, transfer := startSmallCell(t, processes, jobs, smallLink)
 	limit := ownerlessLimit + 2*transfer
 	eventually(t, limit, "an owner has loaded the durable state", func() bool { return loadedOwner(nodes) != nil })
 	for range 2 {
@@ -98,3 +105,21 @@
 		}
 	}
 }
+
+// TestSqueezedCellGetsAnOwner guards against successors that are replaced one after the other because something that their
+// settings don't tell makes each of them silent while it loads: here links of a tenth of their bandwidth, as after a fault.
+func TestSqueezedCellGetsAnOwner(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const jobs, squeeze = 2000, 10
+		nodes, transfer := startSmallCell(t, 10, jobs, smallLink/squeeze)
+		// The time that an owner is given doubles from term to term, so the one that suffices is at most twice what is
+		// needed, and those before it are as long in all.
+		limit := ownerlessLimit + 4*squeeze*transfer
+		eventually(t, limit, "an owner has loaded the durable state", func() bool { return loadedOwner(nodes) != nil })
+		owner := loadedOwner(nodes)
+		time.Sleep(5 * time.Second)
+		if loadedOwner(nodes) != owner {
+			t.Error("an owner that had loaded the durable state has been replaced")
+		}
+	})
+}
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -333,7 +333,7 @@
 	o.cancel()
 	o.writer.releaseWaiters()
 	if o.progress.done.Load() {
-		o.n.view.recordLoadedOwner(o.n.clock.Now())
+		o.n.view.recordLoadedOwner(o.info.Term, o.n.clock.Now())
 	}
 	o.n.view.recordOwnerReply(o.n.clock.Now()) // it was the owner until now, which counts as contact with the owner
 	o.n.ownership.CompareAndSwap(o, nil)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -7,6 +7,10 @@
 	"github.com/agateyard/agateyard/internal/candidacy"
 )
 
+// maxSilenceDoublings bounds the silence that is allowed to an owner that loads the durable state, to 16 times the usual
+// one: 12 s.
+const maxSilenceDoublings = 4
+
 // view is what a process knows of its cell. It is safe for concurrent use.
 type view struct {
 	mu             sync.Mutex
@@ -21,6 +25,9 @@
 	suspect        bool           // the last ping of the owner failed
 	pingError      string         // of the last ping of the owner that failed
 	loadedReplyAt  time.Duration  // last reply of an owner that had loaded the durable state
+	ownerLoaded    bool           // the current owner has said that it has loaded the durable state
+	unloadedTerms  int            // successive terms before the current one that ended without a load, as far as is known
+	ownerGone      bool           // no process serves at the owner's address, or it is not the owner
 	load           candidacy.Load // of the owner; zero while it is not known
 }
 
@@ -37,9 +44,15 @@
 		return false
 	}
 	isNew := o.Term > v.owner.Term
+	if isNew && v.owner.Incarnation != "" {
+		v.unloadedTerms++
+		if v.ownerLoaded {
+			v.unloadedTerms = 0
+		}
+	}
 	v.owner = o
 	if isNew {
-		v.claimSeenAt, v.suspect = now, false
+		v.claimSeenAt, v.suspect, v.ownerLoaded, v.ownerGone = now, false, false, false
 		close(v.changed)
 		v.changed = make(chan struct{})
 	}
@@ -138,14 +151,15 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.lastOwnerReply = now
-	v.suspect = false
+	v.suspect, v.ownerGone = false, false
 }
 
-// recordPingFailure records that a ping of the owner failed, and why.
-func (v *view) recordPingFailure(reason string) {
+// recordPingFailure records that a ping of the owner failed, and why. gone means that the owner's process has ended or is
+// not the owner any more.
+func (v *view) recordPingFailure(reason string, gone bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.suspect, v.pingError = true, reason
+	v.suspect, v.pingError, v.ownerGone = true, reason, gone
 }
 
 // lastPingError returns why the last failed ping of an owner failed.
@@ -155,11 +169,25 @@
 	return v.pingError
 }
 
-// recordLoadedOwner records that an owner has said that it has loaded the durable state.
-func (v *view) recordLoadedOwner(now time.Duration) {
+// recordLoadedOwner records that the owner of a term has said that it has loaded the durable state.
+func (v *view) recordLoadedOwner(term int64, now time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.loadedReplyAt = max(v.loadedReplyAt, now)
+	if v.owner.Term == term {
+		v.ownerLoaded = true
+	}
+}
+
+// silenceLimit returns how long the current owner may be silent: the usual limit, doubled for each term before it that ended
+// without a load. Whatever makes owners silent while they load, in the end one has the time that it needs.
+func (v *view) silenceLimit(usual time.Duration) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.ownerLoaded {
+		return usual
+	}
+	return usual << min(v.unloadedTerms, maxSilenceDoublings)
 }
 
 // loadedOwnerSeenAt returns when an owner last said that it had loaded the durable state; 0 if none has.
@@ -176,6 +204,13 @@
 	return v.lastOwnerReply
 }
 
+// ownerIsGone reports whether the last ping of the owner has shown that its process has ended or is not the owner.
+func (v *view) ownerIsGone() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.ownerGone
+}
+
 // ownerSilentFor returns the time since the owner's last reply or its claim, whichever is later, and whether the last ping
 // of the owner failed.
 func (v *view) ownerSilentFor(now time.Duration) (silent time.Duration, suspect bool) {
--- a/internal/control/vote.go
+++ b/internal/control/vote.go
@@ -78,18 +78,22 @@
 		return false
 	}
 	silent, suspect := n.view.ownerSilentFor(n.clock.Now())
+	limit := n.view.silenceLimit(ownerSilenceLimit)
+	if limit > ownerSilenceLimit && silent <= limit {
+		return n.view.ownerIsGone() // a single ping that failed says nothing about an owner that may be loading
+	}
 	if suspect {
 		return true
 	}
 	if n.ownPingInterval() == pingInterval {
-		return silent > ownerSilenceLimit
+		return silent > limit
 	}
 	reply, err := n.ping(ctx, o.Address, votePingTimeout)
 	if LocalFailure(err) {
 		return false
 	}
 	if err != nil {
-		n.view.recordPingFailure(err.Error())
+		n.view.recordPingFailure(err.Error(), noListener(err))
 		return true
 	}
 	if reply.Incarnation != o.Incarnation || !reply.IsOwner {
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -92,7 +92,7 @@
 
 func (n *Node) pingOwner(ctx context.Context, o OwnerInfo) ownerVerdict {
 	silent, _ := n.view.ownerSilentFor(n.clock.Now())
-	limit := pingSilenceLimit(n.ownPingInterval())
+	limit := n.view.silenceLimit(pingSilenceLimit(n.ownPingInterval()))
 	reply, err := n.ping(ctx, o.Address, ownerPingTimeout(silent, limit))
 	now := n.clock.Now()
 	silent, _ = n.view.ownerSilentFor(now)
@@ -100,7 +100,7 @@
 		return ownerHealthy // nothing was sent, so nothing is known of the owner
 	}
 	if err != nil {
-		n.view.recordPingFailure(err.Error())
+		n.view.recordPingFailure(err.Error(), noListener(err))
 		if noListener(err) || silent > limit {
 			return ownerSilent
 		}
@@ -111,15 +111,15 @@
 		if reply.Owner.Term > o.Term {
 			return ownerHealthy
 		}
-		if reply.Incarnation == o.Incarnation && reply.BegunTerm < o.Term && silent <= ownerSilenceLimit {
+		if reply.Incarnation == o.Incarnation && reply.BegunTerm < o.Term && silent <= n.view.silenceLimit(ownerSilenceLimit) {
 			return ownerHealthy // the store's answer to its claim may still be in transit
 		}
-		n.view.recordPingFailure("the process is not the owner")
+		n.view.recordPingFailure("the process is not the owner", true)
 		return ownerReplaced
 	}
 	n.view.recordOwnerReply(now)
 	if reply.Loaded {
-		n.view.recordLoadedOwner(now)
+		n.view.recordLoadedOwner(o.Term, now)
 		n.view.setPending(reply.Pending, reply.sentAt)
 	}
 	if !reply.StoreOK && n.health.answeredWithin(storeAnswerMaxAge, now) && n.health.stableFor(storeStableTime, now) && !n.configOverdue(now) {
