--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -129,3 +129,20 @@
 		t.Errorf("leaving took %s", took)
 	}
 }
+
+// TestLeavingProcessVotesForLiveOwner guards against processes that are about to stop and vote against an owner that answers:
+// they pinged it no more, and took their own silence for its loss (incident LOST).
+func TestLeavingProcessVotesForLiveOwner(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		_, nodes := startCell(t, 3)
+		owner := ownersOf(nodes)[0]
+		info, _ := owner.view.currentOwner()
+		for _, n := range others(nodes, owner) {
+			n.leaving.Store(true)
+			time.Sleep(2 * ownerSilenceLimit)
+			if n.ownerIsLost(context.Background(), info.Term) {
+				t.Error("a process that is about to stop has lost an owner that answers")
+			}
+		}
+	})
+}
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -38,7 +38,7 @@
 func (n *Node) watchOwner(ctx context.Context) {
 	for ctx.Err() == nil {
 		_, changed := n.view.currentOwner()
-		if n.ownership.Load() == nil && !n.leaving.Load() {
+		if n.ownership.Load() == nil {
 			n.checkOwner(ctx)
 		}
 		pause := n.ownPingInterval()
@@ -65,6 +65,13 @@
 
 func (n *Node) checkOwner(ctx context.Context) {
 	o, _ := n.view.currentOwner()
+	if n.leaving.Load() {
+		// It claims nothing any more, but still serves and votes, and the owner learns that it is about to stop.
+		if o.Incarnation != "" && o.Incarnation != n.incarnation {
+			n.pingOwner(ctx, o)
+		}
+		return
+	}
 	if o.Incarnation == "" {
 		if !n.view.ownerWasRead() {
 			n.searchOwnerInBackground(ctx)
