--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -130,6 +130,42 @@
 	}
 }
 
+// TestHandoverAsksOnlyWhoMayTakeOver guards against a process that is to stop and asks members that are about to stop as well,
+// or that asks on after its ownership has ended: 33 calls within 2 s, each to a member with a narrow link (incident LOST).
+func TestHandoverAsksOnlyWhoMayTakeOver(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		log := &recordingLog{}
+		deps := testDeps()
+		deps.Log = log
+		store := newMemoryStore()
+		putValue(t, store, "op/config", "\x01")
+		var nodes []*testNode
+		for range 4 {
+			nodes = append(nodes, startNodeWith(t, deps, store, testWeight))
+		}
+		eventually(t, 5*time.Second, "an owner that is known to all", func() bool {
+			owners := ownersOf(nodes)
+			return len(owners) == 1 && len(owners[0].view.memberList()) == len(nodes) && len(owners[0].ownership.Load().adviceMachines()) == len(nodes)
+		})
+		owner := ownersOf(nodes)[0]
+		local := owner.ownership.Load()
+		rest := others(nodes, owner)
+		for _, n := range rest[1:] {
+			n.leaving.Store(true)
+		}
+		time.Sleep(2 * pingInterval)
+		owner.Leave(context.Background())
+		if asked := log.linesOf("handover"); asked != 1 || rest[0].ownership.Load() == nil {
+			t.Errorf("%d members were asked to take over, want only the one that stays", asked)
+		}
+		<-local.ended
+		owner.handOver(context.Background(), local, owner.view.memberList())
+		if asked := log.linesOf("handover"); asked != 1 {
+			t.Errorf("%d members were asked after the ownership had ended", asked-1)
+		}
+	})
+}
+
 // TestLeavingProcessVotesForLiveOwner guards against processes that are about to stop and vote against an owner that answers:
 // they pinged it no more, and took their own silence for its loss (incident LOST).
 func TestLeavingProcessVotesForLiveOwner(t *testing.T) {
@@ -144,5 +180,10 @@
 				t.Error("a process that is about to stop has lost an owner that answers")
 			}
 		}
+		for _, n := range others(nodes, owner) {
+			if !owner.ownership.Load().isLeaving(n.incarnation) {
+				t.Error("the owner doesn't know that a member is about to stop")
+			}
+		}
 	})
 }
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -31,14 +31,15 @@
 	n.handOver(ctx, local, n.view.memberList())
 }
 
-// handOver asks the members to take over, the best candidate first, until one has become the owner.
+// handOver asks the members to take over, the best candidate first, until one has become the owner or the ownership has ended
+// otherwise. Members that are about to stop refuse, so those that are known to are not asked.
 func (n *Node) handOver(ctx context.Context, local *ownership, members []Member) {
 	sort.Slice(members, func(i, k int) bool { return n.betterOwner(members[i], members[k], local.info.Term) })
 	for _, m := range members {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || local.ctx.Err() != nil {
 			return // the ownership has ended meanwhile, or the time for it
 		}
-		if m.Incarnation == n.incarnation || m.Leaving {
+		if m.Incarnation == n.incarnation || m.Leaving || local.isLeaving(m.Incarnation) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
--- a/internal/control/pings.go
+++ b/internal/control/pings.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// isLeaving reports whether the last ping of a process has said that it is about to stop. Its entry in the store doesn't say so.
+func (o *ownership) isLeaving(incarnation string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lastPings[incarnation].leaving
+}
+
 // relayCandidates returns the other processes that have pinged this owner recently.
 func (o *ownership) relayCandidates() []relay.Process {
 	o.mu.Lock()
