--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -24,6 +24,7 @@
 	s.needsPass = false
 	s.passCount++
 	clear(s.adviceRefusals)
+	s.startBacklog.ready = 0
 	runners := s.sortedRunners()
 	for _, r := range runners {
 		r.claimedBy = nil
@@ -120,7 +121,7 @@
 	}
 	st.apart = s.isKeptApart(st)
 	if !st.job.stored || st.job.inherited && awaitingInherited {
-		if st.advice.requests == 0 && s.mayCharge(st, 1) {
+		if st.advice.requests == 0 && s.mayCharge(st, 1) && !s.awaitsStarts(st, waiting) {
 			s.requestAdvice(st, waiting) // overlaps the call with the write of the acceptance
 		}
 		return
@@ -136,7 +137,7 @@
 	} else {
 		s.placeTasks(st, runners)
 	}
-	if waiting = st.waitingTasks(); waiting > 0 {
+	if waiting = st.waitingTasks(); waiting > 0 && !s.awaitsStarts(st, waiting) {
 		s.requestAdvice(st, waiting)
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -51,6 +51,7 @@
 	needsPass       bool
 	heldBack        bool // the stage that passStage has just visited waits for its tenant's limits
 	startBudget     int  // number of starts that may be sent now
+	startBacklog    startBacklog
 	orderBuf        []*runner
 	adviceRefusals  map[string]int // requests of a queue that no machine took in this pass
 	searches        int            // for runners to request advice about, for tests
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -30,6 +30,7 @@
 		x.runner.riskyAt = s.now
 	}
 	s.startBudget--
+	s.startBacklog.started(s.now)
 	t.lastRun = max(t.lastRun, x.number)
 	t.stage.job.started = true
 	s.excessLeft(t.stage.job)
