--- a/cmd/agateyard-scheduler/serve.go
+++ b/cmd/agateyard-scheduler/serve.go
@@ -31,8 +31,10 @@
 	// drainShare is the fraction of the grace period in which new requests are still served, because the load balancer
 	// needs two failed checks to remove the process.
 	drainShare = 0.6
-	// shutdownShare is the fraction of the whole grace period in which requests in flight may finish after that.
-	shutdownShare = 0.25
+	// answerShare is the fraction of the grace period after which every request is answered, with what is known by then.
+	answerShare = 0.8
+	// endShare is the fraction of the grace period after which the process ends. The last answers are sent before that.
+	endShare = 0.85
 	// headerTimeout ends connections that don't send the header of a request in time.
 	headerTimeout = 5 * time.Second
 )
@@ -63,23 +65,28 @@
 	logger.SetOutput(sink)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	log := decisionlog.NewLimiter(logger, settings.NodeName)
-	registry := prometheus.NewRegistry()
+	p := newProcess(settings, log, prometheus.NewRegistry())
+	sinkCtx, stopSink := context.WithCancel(context.Background())
+	defer stopSink()
+	go sink.Run(sinkCtx)
+	err = p.run()
+	sink.Drain()
+	return err
+}
+
+func newProcess(settings *platform.Settings, log *decisionlog.Limiter, registry *prometheus.Registry) *process {
 	metrics := control.NewMetrics(registry)
-	node := control.New(options, control.Deps{
+	node := control.New(settings.Options(), control.Deps{
 		Store: platform.NewStore(settings.Platform.Addr), Runners: platform.NewRunners(settings.Limits.MaxFDs),
 		Advisor: platform.NewAdvisor(settings.Advice), Directory: platform.Directory{}, Log: log, Metrics: metrics,
 	})
 	p := &process{settings: settings, node: node, log: log}
 	jobs := &platform.JobHandler{Node: node, Log: log, Metrics: metrics}
-	p.front = &http.Server{Handler: &platform.RecoverHandler{Handler: jobs, Log: log}, ReadHeaderTimeout: headerTimeout}
+	p.stopping = &platform.StopHandler{Handler: &platform.RecoverHandler{Handler: jobs, Log: log}}
+	p.front = &http.Server{Handler: p.stopping, ReadHeaderTimeout: headerTimeout, ConnState: p.busy.record}
 	status := statusHandler(node, registry)
 	p.ready = &http.Server{Handler: &platform.RecoverHandler{Handler: status, Log: log}, ReadHeaderTimeout: headerTimeout}
-	sinkCtx, stopSink := context.WithCancel(context.Background())
-	defer stopSink()
-	go sink.Run(sinkCtx)
-	err = p.run()
-	sink.Drain()
-	return err
+	return p
 }
 
 // statusHandler serves the load balancer's readiness check, the metrics and CPU profiles.
@@ -100,6 +107,8 @@
 	node     *control.Node
 	log      *decisionlog.Limiter
 	front    *http.Server
+	stopping *platform.StopHandler // of front
+	busy     busyConnections       // of front
 	ready    *http.Server
 }
 
@@ -132,7 +141,7 @@
 				p.reload()
 				continue
 			}
-			p.shutdown()
+			p.shutdown(listeners[p.settings.Listen.Front])
 			return nil
 		}
 	}
@@ -146,16 +155,21 @@
 }
 
 // shutdown hands ownership over, serves during drainShare of the grace period so that the load balancer can remove the
-// process, and finishes the requests in flight.
-func (p *process) shutdown() {
-	grace := p.settings.GracePeriod()
-	drain, endDrain := context.WithTimeout(context.Background(), time.Duration(float64(grace)*drainShare))
+// process, and answers the requests that were received. Further signals change nothing. Requests that arrive later on open
+// connections are answered too, so idle connections are not closed before the end.
+func (p *process) shutdown(front net.Listener) {
+	signaled := time.Now()
+	after := func(share float64) time.Time {
+		return signaled.Add(time.Duration(float64(p.settings.GracePeriod()) * share))
+	}
+	p.stopping.Stop(after(answerShare))
+	drain, endDrain := context.WithDeadline(context.Background(), after(drainShare))
 	defer endDrain()
-	p.front.SetKeepAlivesEnabled(false)
 	p.node.Leave(drain)
 	<-drain.Done()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(grace)*shutdownShare))
+	_ = front.Close() // the server's own Shutdown would drop requests that are read later
+	ctx, cancel := context.WithDeadline(context.Background(), after(endShare))
 	defer cancel()
-	err := p.front.Shutdown(ctx)
+	err := p.busy.wait(ctx)
 	p.log.Log("stopped", logrus.Fields{"error": decisionlog.ErrorText(err)})
 }
--- a/internal/control/cell_test.go
+++ b/internal/control/cell_test.go
@@ -351,7 +351,7 @@
 		}
 	}
 	busy := &ownership{n: owner.Node, ctx: context.Background(), events: make(chan func()), ended: make(chan struct{})}
-	if got := busy.submit(SubmitArgs{Spec: testSpec(2), Within: time.Millisecond}).Outcome; got != OutcomeNotOwner {
+	if got := busy.submit(context.Background(), SubmitArgs{Spec: testSpec(2), Within: time.Millisecond}).Outcome; got != OutcomeNotOwner {
 		t.Errorf("submission that a busy event loop did not take: %s", got)
 	}
 	store.setRefuse(true)
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -111,11 +111,11 @@
 	o.post(func() { o.recheckClaim(0); close(paused) })
 	<-paused
 	eventually(t, 2*time.Second, "the store counts as lost", func() bool { return n.health.failingFor(n.clock.Now()) > 2*refuseSubmissionsAfter })
-	got := o.submit(SubmitArgs{Spec: testSpec(1), Within: 200 * time.Millisecond})
+	got := o.submit(context.Background(), SubmitArgs{Spec: testSpec(1), Within: 200 * time.Millisecond})
 	if got.Outcome != OutcomeUnknown {
 		t.Errorf("submission to an owner whose claim is unconfirmed: %s", got.Outcome)
 	}
-	if got := o.cancelJob(JobArgs{ID: spreadID(1)}, 200*time.Millisecond); got != OutcomeUnknown {
+	if got := o.cancelJob(context.Background(), JobArgs{ID: spreadID(1)}, 200*time.Millisecond); got != OutcomeUnknown {
 		t.Errorf("cancellation of a job that a successor may have stored: %s", got)
 	}
 }
@@ -137,14 +137,14 @@
 		close(limited)
 	})
 	<-limited
-	if got := o.submit(args).Outcome; got != OutcomeOverLimit {
+	if got := o.submit(context.Background(), args).Outcome; got != OutcomeOverLimit {
 		t.Fatalf("submission to a confirmed owner: %s, want a refusal", got)
 	}
 	n.store.setPartitioned(true)
 	paused := make(chan struct{})
 	o.post(func() { o.recheckClaim(0); close(paused) })
 	<-paused
-	if got := o.submit(args).Outcome; got != OutcomeUnknown {
+	if got := o.submit(context.Background(), args).Outcome; got != OutcomeUnknown {
 		t.Errorf("submission to an owner whose claim is unconfirmed: %s", got)
 	}
 }
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -121,7 +121,7 @@
 		return err // not an outcome: an earlier request for the job may have been stored
 	}
 	p.n.noticeVersion(args.Caller.ConfigVersion)
-	*reply = p.n.ownership.Load().submit(args)
+	*reply = p.n.ownership.Load().submit(context.Background(), args)
 	reply.ConfigVersion = p.n.configVersion()
 	return nil
 }
@@ -130,7 +130,7 @@
 func (p *Peer) Cancel(args JobArgs, reply *SubmitReply) (err error) {
 	defer p.n.recoverCall("Cancel", &err)
 	p.n.noticeVersion(args.Caller.ConfigVersion)
-	reply.Outcome = p.n.ownership.Load().cancelJob(args, cancelTimeout)
+	reply.Outcome = p.n.ownership.Load().cancelJob(context.Background(), args, cancelTimeout)
 	reply.ConfigVersion = p.n.configVersion()
 	return nil
 }
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -12,11 +12,11 @@
 )
 
 // submit stores a job at this owner. A nil owner returns OutcomeNotOwner.
-func (o *ownership) submit(args SubmitArgs) SubmitReply {
+func (o *ownership) submit(ctx context.Context, args SubmitArgs) SubmitReply {
 	spec := args.Spec
 	args.Caller.claim(&spec)
 	var retryAfter time.Duration // read once the outcome has been received
-	outcome := o.runRequest(args.Within, func(done chan Outcome) {
+	outcome := o.runRequest(ctx, args.Within, func(done chan Outcome) {
 		if denied := o.checkAccess(spec.ID, args.Caller); denied != OutcomeUnknown {
 			done <- denied
 			return
@@ -75,9 +75,9 @@
 	return OutcomeUnknown
 }
 
-func (o *ownership) cancelJob(args JobArgs, within time.Duration) Outcome {
+func (o *ownership) cancelJob(ctx context.Context, args JobArgs, within time.Duration) Outcome {
 	id := args.ID
-	return o.runRequest(within, func(done chan Outcome) {
+	return o.runRequest(ctx, within, func(done chan Outcome) {
 		if denied := o.checkAccess(id, args.Caller); denied != OutcomeUnknown {
 			done <- denied
 			return
@@ -108,19 +108,20 @@
 	o.writer.addWaiter(id, version, done)
 }
 
-// runRequest runs a request in the event loop and waits for its outcome.
-func (o *ownership) runRequest(within time.Duration, event func(done chan Outcome)) Outcome {
+// runRequest runs a request in the event loop and waits for its outcome, until ctx is done or for the given time at most. The
+// request is executed even if its caller has gone by then; when the caller asks again, it finds the result.
+func (o *ownership) runRequest(ctx context.Context, within time.Duration, event func(done chan Outcome)) Outcome {
 	if o == nil {
 		return OutcomeNotOwner
 	}
 	done := make(chan Outcome, 1)
-	timer := time.NewTimer(within)
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
 	select {
 	case o.events <- func() { event(done) }:
 	case <-o.ctx.Done():
 		return OutcomeNotOwner
-	case <-timer.C:
+	case <-ctx.Done():
 		return OutcomeNotOwner // the event was never queued
 	}
 	select {
@@ -133,7 +134,7 @@
 		default:
 			return OutcomeUnknown
 		}
-	case <-timer.C:
+	case <-ctx.Done():
 		return OutcomeUnknown
 	}
 }
@@ -195,7 +196,7 @@
 	outcome := n.callOwner(ctx, func(ctx context.Context, o OwnerInfo, within time.Duration) (Outcome, error) {
 		args := SubmitArgs{Spec: spec, Caller: caller, Within: within}
 		if local := n.ownership.Load(); local != nil {
-			last = local.submit(args)
+			last = local.submit(ctx, args)
 			last.ConfigVersion = n.configVersion()
 			return last.Outcome, nil
 		}
@@ -213,7 +214,7 @@
 	args := JobArgs{ID: id, Caller: caller}
 	return n.callOwner(ctx, func(ctx context.Context, o OwnerInfo, within time.Duration) (Outcome, error) {
 		if local := n.ownership.Load(); local != nil {
-			return local.cancelJob(args, within), nil
+			return local.cancelJob(ctx, args, within), nil
 		}
 		var reply SubmitReply
 		err := call(ctx, n.peers.get(o.Address), "Cancel", args, &reply)
