--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -130,11 +130,12 @@
 type JobArgs struct {
 	ID     string
 	Caller Caller
+	Within time.Duration // how long the owner may take; 0 from processes of earlier builds
 }
 
 // StateReply is the state of a job.
 type StateReply struct {
-	Owner bool // false: the process is not the owner
+	Owner bool // false: the process is not the owner, has not loaded the durable state, or can't answer in time
 	Known bool
 	State job.State
 	// Refusal is OutcomeKeyUnknown or OutcomeNotYours if the caller may not access the job.
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,6 +28,8 @@
 	OwnerLease = 3 * time.Second
 	// unconfirmedLimit is how long an owner continues without contact to the store and to most of its peers.
 	unconfirmedLimit = 2500 * time.Millisecond
+	// eventQueueSize is the number of events that may wait for the event loop.
+	eventQueueSize = 4096
 )
 
 // ownership is one term in which this process is the owner. Only the goroutine of its event loop uses the scheduler and
@@ -65,6 +68,7 @@
 
 	startedAt time.Duration // of the term
 	progress  loadProgress  // of the load of the durable state
+	queries   atomic.Int64  // in the queue of the event loop, also abandoned ones
 
 	mu        sync.Mutex              // guards the fields below it, and reason
 	lastPings map[string]receivedPing // by incarnation, of processes that regard this one as the owner
@@ -93,7 +97,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &ownership{
 		n: n, info: info, ctx: ctx, cancel: cancel,
-		events: make(chan func(), 4096), ended: make(chan struct{}),
+		events: make(chan func(), eventQueueSize), ended: make(chan struct{}),
 		lastPings: map[string]receivedPing{}, removeAt: map[string]time.Duration{}, unreadable: map[string]bool{},
 	}
 	now := n.clock.Now()
--- a/internal/control/panic_test.go
+++ b/internal/control/panic_test.go
@@ -247,7 +247,7 @@
 	if got := o.submit(context.Background(), SubmitArgs{Spec: spec, Within: time.Second}).Outcome; got != OutcomeUnknown {
 		t.Errorf("submission: %s", got)
 	}
-	if got := o.cancelJob(context.Background(), JobArgs{ID: spec.ID}, time.Second); got != OutcomeUnknown {
+	if got := o.cancelJob(context.Background(), JobArgs{ID: spec.ID, Within: time.Second}); got != OutcomeUnknown {
 		t.Errorf("cancellation: %s", got)
 	}
 	if item, _, _ := store.Get(context.Background(), jobPrefix+spec.ID); string(item.Value) != record {
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -115,7 +115,7 @@
 	if got.Outcome != OutcomeUnknown {
 		t.Errorf("submission to an owner whose claim is unconfirmed: %s", got.Outcome)
 	}
-	if got := o.cancelJob(context.Background(), JobArgs{ID: spreadID(1)}, 200*time.Millisecond); got != OutcomeUnknown {
+	if got := o.cancelJob(context.Background(), JobArgs{ID: spreadID(1), Within: 200 * time.Millisecond}); got != OutcomeUnknown {
 		t.Errorf("cancellation of a job that a successor may have stored: %s", got)
 	}
 }
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -130,7 +130,7 @@
 func (p *Peer) Cancel(args JobArgs, reply *SubmitReply) (err error) {
 	defer p.n.recoverCall("Cancel", &err)
 	p.n.noticeVersion(args.Caller.ConfigVersion)
-	reply.Outcome = p.n.ownership.Load().cancelJob(context.Background(), args, cancelTimeout)
+	reply.Outcome = p.n.ownership.Load().cancelJob(context.Background(), args)
 	reply.ConfigVersion = p.n.configVersion()
 	return nil
 }
@@ -139,7 +139,7 @@
 func (p *Peer) State(args JobArgs, reply *StateReply) (err error) {
 	defer p.n.recoverCall("State", &err)
 	p.n.noticeVersion(args.Caller.ConfigVersion)
-	*reply = p.n.ownership.Load().state(args)
+	*reply = p.n.ownership.Load().state(context.Background(), args)
 	reply.ConfigVersion = p.n.configVersion()
 	return nil
 }
@@ -156,5 +156,5 @@
 // maxPeerCall bounds the time that another process may ask this one to spend on a call, above the longest advice call.
 const maxPeerCall = time.Minute
 
-// cancelTimeout is how long a cancellation that another process has forwarded waits to be stored.
+// cancelTimeout is how long a cancellation that another process has forwarded waits to be stored at most.
 const cancelTimeout = 2 * time.Second
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -75,9 +75,9 @@
 	return OutcomeUnknown
 }
 
-func (o *ownership) cancelJob(ctx context.Context, args JobArgs, within time.Duration) Outcome {
+func (o *ownership) cancelJob(ctx context.Context, args JobArgs) Outcome {
 	id := args.ID
-	return o.runRequest(ctx, within, func(done chan Outcome) {
+	return o.runRequest(ctx, ownerTime(args.Within, cancelTimeout), func(done chan Outcome) {
 		if denied := o.checkAccess(id, args.Caller); denied != OutcomeUnknown {
 			done <- denied
 			return
@@ -139,21 +139,38 @@
 	}
 }
 
-func (o *ownership) state(args JobArgs) StateReply {
-	if o == nil {
+// state returns the state of a job by the event loop. A query whose caller has gone is not executed. An owner that loads the
+// durable state answers at once that it doesn't know it, so that the caller reads the stored record.
+func (o *ownership) state(ctx context.Context, args JobArgs) StateReply {
+	if o == nil || !o.progress.done.Load() {
+		return StateReply{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTime(args.Within, pingTimeout))
+	defer cancel()
+	if o.queries.Add(1) > maxQueries {
+		o.queries.Add(-1)
 		return StateReply{}
 	}
 	answer := make(chan StateReply, 1)
-	select {
-	case o.events <- func() {
+	query := func() {
+		defer o.queries.Add(-1)
+		if ctx.Err() != nil {
+			return
+		}
 		if denied := o.checkAccess(args.ID, args.Caller); denied != OutcomeUnknown {
 			answer <- StateReply{Owner: true, Refusal: denied}
 			return
 		}
 		state, known := o.sched.State(args.ID)
 		answer <- StateReply{Owner: true, Known: known, State: state}
-	}:
+	}
+	select {
+	case o.events <- query:
 	case <-o.ctx.Done():
+		o.queries.Add(-1)
+		return StateReply{}
+	case <-ctx.Done():
+		o.queries.Add(-1)
 		return StateReply{}
 	}
 	select {
@@ -161,7 +178,18 @@
 		return reply
 	case <-o.ended:
 		return StateReply{}
+	case <-ctx.Done():
+		return StateReply{}
+	}
+}
+
+// ownerTime returns how long the owner may spend on a call. Without a valid limit of the caller it is the longest time that
+// callers of earlier builds wait.
+func ownerTime(within, limit time.Duration) time.Duration {
+	if within <= 0 {
+		return limit
 	}
+	return min(within, limit)
 }
 
 const (
@@ -177,6 +205,8 @@
 	replyShare = 3
 	// ownerCallTimeout bounds one call to the owner, after which the call is repeated.
 	ownerCallTimeout = 1500 * time.Millisecond
+	// maxQueries bounds the queries in the queue of the event loop to a quarter of it, so that they don't hold up other events.
+	maxQueries = eventQueueSize / 4
 	// noOwnerTimeout is how long a request waits for an owner before it is given up. A takeover usually takes less.
 	noOwnerTimeout = 2 * time.Second
 )
@@ -213,8 +243,9 @@
 func (n *Node) Cancel(ctx context.Context, caller Caller, id string) Outcome {
 	args := JobArgs{ID: id, Caller: caller}
 	return n.callOwner(ctx, func(ctx context.Context, o OwnerInfo, within time.Duration) (Outcome, error) {
+		args.Within = within
 		if local := n.ownership.Load(); local != nil {
-			return local.cancelJob(ctx, args, within), nil
+			return local.cancelJob(ctx, args), nil
 		}
 		var reply SubmitReply
 		err := call(ctx, n.peers.get(o.Address), "Cancel", args, &reply)
@@ -236,7 +267,7 @@
 			within := ownerCallTimeout
 			if at, ok := callCtx.Deadline(); ok {
 				left := time.Until(at)
-				within = max(left-min(replyMargin/2, left/replyShare), time.Millisecond)
+				within = timeAtOwner(left)
 			}
 			outcome, err := send(callCtx, o, within)
 			cancel()
@@ -261,6 +292,11 @@
 	return OutcomeUnknown
 }
 
+// timeAtOwner returns how long the owner may spend on a call for which the caller has the given time.
+func timeAtOwner(left time.Duration) time.Duration {
+	return max(left-min(replyMargin/2, left/replyShare), time.Millisecond)
+}
+
 // ErrKeyUnknown means that the owner's configuration doesn't admit the caller of a query: it has no such key or route.
 var ErrKeyUnknown = errors.New("the key is unknown to the owner")
 
@@ -291,16 +327,23 @@
 	}
 }
 
+// ownerState asks the owner for the state of a job, for half of the time left at most, so that the stored record can be read
+// if the owner doesn't answer.
 func (n *Node) ownerState(ctx context.Context, args JobArgs) StateReply {
+	timeout := pingTimeout
+	if at, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(at)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if local := n.ownership.Load(); local != nil {
-		return local.state(args)
+		return local.state(ctx, args)
 	}
 	o, _ := n.view.currentOwner()
 	if o.Address == "" {
 		return StateReply{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
+	args.Within = timeAtOwner(timeout)
 	var reply StateReply
 	if err := call(ctx, n.peers.get(o.Address), "State", args, &reply); err != nil {
 		return StateReply{}
