--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -104,7 +104,7 @@
 		if panicking == nil {
 			return
 		}
-		o.n.dep.Log.Log("bad-record", logrus.Fields{"key": jobPrefix + panicking.ID, "error": "it panics in the scheduler"})
+		o.n.reportBadRecord(jobPrefix+panicking.ID, "it panics in the scheduler")
 		o.unreadable[panicking.ID] = true
 		records = slices.DeleteFunc(records, func(r *job.Record) bool { return r == panicking })
 		o.sched = o.newScheduler()
@@ -141,14 +141,10 @@
 }
 
 // decode adds items to the records.
-func (s *storedRecords) decode(items []Item, log Logger) {
+func (s *storedRecords) decode(items []Item, n *Node) {
 	for _, item := range items {
-		record, err := job.DecodeRecord(item.Value)
-		if err == nil && jobPrefix+record.ID != item.Key {
-			err = oops.Errorf("the record of job %s is stored under another key", record.ID)
-		}
+		record, err := n.decodeRecord(item)
 		if err != nil {
-			log.Log("bad-record", logrus.Fields{"key": item.Key, "error": err.Error()})
 			s.unreadable = append(s.unreadable, strings.TrimPrefix(item.Key, jobPrefix))
 			continue
 		}
@@ -182,7 +178,7 @@
 				err := o.retryRead(reader.prefix, func() error {
 					items, err := reader.next(o.ctx)
 					o.progress.read(items)
-					parts[i].decode(items, o.n.dep.Log)
+					parts[i].decode(items, o.n)
 					return err
 				})
 				if err != nil {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -114,6 +114,7 @@
 	OutcomeOverLimit  // certain: not stored, the tenant's limits don't admit the job now
 	OutcomeKeyUnknown // certain: nothing done, a newer configuration doesn't admit the caller
 	OutcomeNotYours   // certain: nothing done, the job belongs to another tenant
+	OutcomeUnreadable // nothing done; the job has a record that can't be read, so what became of earlier requests isn't known
 )
 
 // isRefusal reports whether the owner certainly did nothing because of the request itself.
@@ -162,6 +163,7 @@
 var outcomeNames = map[Outcome]string{
 	OutcomeUnknown: "unknown", OutcomeStored: "stored", OutcomeRefused: "refused", OutcomeNoJob: "no-job",
 	OutcomeNotOwner: "not-owner", OutcomeOverLimit: "over-limit", OutcomeKeyUnknown: "key-unknown", OutcomeNotYours: "not-yours",
+	OutcomeUnreadable: "unreadable",
 }
 
 // String returns the outcome's name for logs.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -40,6 +40,7 @@
 	incarnation    string
 	view           *view
 	health         storeHealth
+	badRecords     badRecords
 	pauses         pauseDetector
 	peers          peerClients
 	ownership      atomic.Pointer[ownership]
--- a/internal/control/panic_test.go
+++ b/internal/control/panic_test.go
@@ -244,10 +244,10 @@
 	node := startNode(t, store, testWeight)
 	eventually(t, 5*time.Second, "an owner that accepts jobs", func() bool { return submit(node, testSpec(1)) == OutcomeStored })
 	o := node.ownership.Load()
-	if got := o.submit(context.Background(), SubmitArgs{Spec: spec, Within: time.Second}).Outcome; got != OutcomeUnknown {
+	if got := o.submit(context.Background(), SubmitArgs{Spec: spec, Within: time.Second}).Outcome; got != OutcomeUnreadable {
 		t.Errorf("submission: %s", got)
 	}
-	if got := o.cancelJob(context.Background(), JobArgs{ID: spec.ID, Within: time.Second}); got != OutcomeUnknown {
+	if got := o.cancelJob(context.Background(), JobArgs{ID: spec.ID, Within: time.Second}); got != OutcomeUnreadable {
 		t.Errorf("cancellation: %s", got)
 	}
 	if item, _, _ := store.Get(context.Background(), jobPrefix+spec.ID); string(item.Value) != record {
--- a/internal/control/request_outcomes_test.go
+++ b/internal/control/request_outcomes_test.go
@@ -54,14 +54,18 @@
 	}{
 		"no owner known": {
 			func(_ *testing.T, _ *memoryStore, _, stopped *testNode) *Node { return stopped.Node },
-			requestEnd{"queued", atOnce}, requestEnd{"unknown", noOwnerTimeout + 2*ownerRetryPause}, requestEnd{"unknown", noOwnerTimeout + 2*ownerRetryPause},
+			requestEnd{"queued", atOnce},
+			requestEnd{"unknown", noOwnerTimeout + 2*ownerRetryPause},
+			requestEnd{"unknown", noOwnerTimeout + 2*ownerRetryPause},
 		},
 		"owner loading": {
 			func(_ *testing.T, _ *memoryStore, _, stopped *testNode) *Node {
 				becomeLoadingOwner(stopped.Node)
 				return stopped.Node
 			},
-			requestEnd{"queued", atOnce}, requestEnd{"unknown", callerTime}, requestEnd{"unknown", callerTime},
+			requestEnd{"queued", atOnce},
+			requestEnd{"unknown", callerTime},
+			requestEnd{"unknown", callerTime},
 		},
 		"another process loading": {
 			func(t *testing.T, store *memoryStore, _, stopped *testNode) *Node {
@@ -75,25 +79,33 @@
 				stopped.view.setOwner(info, stopped.clock.Now())
 				return stopped.Node
 			},
-			requestEnd{"queued", atOnce}, requestEnd{"unknown", callerTime}, requestEnd{"unknown", callerTime},
+			requestEnd{"queued", atOnce},
+			requestEnd{"unknown", callerTime},
+			requestEnd{"unknown", callerTime},
 		},
 		"owner loaded": {
 			func(_ *testing.T, _ *memoryStore, running, _ *testNode) *Node { return running.Node },
-			requestEnd{"queued", atOnce}, requestEnd{"stored", atOnce}, requestEnd{"stored", atOnce},
+			requestEnd{"queued", atOnce},
+			requestEnd{"stored", atOnce},
+			requestEnd{"stored", atOnce},
 		},
 		"event loop of the owner busy": {
 			func(_ *testing.T, _ *memoryStore, _, stopped *testNode) *Node {
 				becomeLoadingOwner(stopped.Node).progress.done.Store(true)
 				return stopped.Node
 			},
-			requestEnd{"queued", pingTimeout + atOnce}, requestEnd{"unknown", callerTime}, requestEnd{"unknown", callerTime},
+			requestEnd{"queued", pingTimeout + atOnce},
+			requestEnd{"unknown", callerTime},
+			requestEnd{"unknown", callerTime},
 		},
 		"owner silent": {
 			func(t *testing.T, _ *memoryStore, _, stopped *testNode) *Node {
 				knowSilentOwner(t, stopped)
 				return stopped.Node
 			},
-			requestEnd{"queued", pingTimeout + atOnce}, requestEnd{"unknown", callerTime}, requestEnd{"unknown", callerTime},
+			requestEnd{"queued", pingTimeout + atOnce},
+			requestEnd{"unknown", callerTime},
+			requestEnd{"unknown", callerTime},
 		},
 		"store away": {
 			func(_ *testing.T, store *memoryStore, running, _ *testNode) *Node {
@@ -101,7 +113,9 @@
 				time.Sleep(2 * time.Second)
 				return running.Node
 			},
-			requestEnd{"queued", atOnce}, requestEnd{"refused", atOnce}, requestEnd{"unknown", callerTime},
+			requestEnd{"queued", atOnce},
+			requestEnd{"refused", atOnce},
+			requestEnd{"unknown", callerTime},
 		},
 		"owner silent and store away": {
 			func(t *testing.T, store *memoryStore, _, stopped *testNode) *Node {
@@ -109,7 +123,30 @@
 				knowSilentOwner(t, stopped)
 				return stopped.Node
 			},
-			requestEnd{"error", callerTime}, requestEnd{"unknown", callerTime}, requestEnd{"unknown", callerTime},
+			requestEnd{"error", callerTime},
+			requestEnd{"unknown", callerTime},
+			requestEnd{"unknown", callerTime},
+		},
+		"records unreadable, owner loaded": {
+			func(t *testing.T, store *memoryStore, running, _ *testNode) *Node {
+				running.kill()
+				makeUnreadable(t, store, 1, 2)
+				n := startNode(t, store, testWeight)
+				eventually(t, 5*time.Second, "an owner", func() bool { return submit(n, testSpec(3)) == OutcomeStored })
+				return n.Node
+			},
+			requestEnd{"error", atOnce},
+			requestEnd{"unreadable", atOnce},
+			requestEnd{"unreadable", atOnce},
+		},
+		"records unreadable, no owner known": {
+			func(t *testing.T, store *memoryStore, _, stopped *testNode) *Node {
+				makeUnreadable(t, store, 1, 2)
+				return stopped.Node
+			},
+			requestEnd{"error", atOnce},
+			requestEnd{"unknown", noOwnerTimeout + 2*ownerRetryPause},
+			requestEnd{"unknown", noOwnerTimeout + 2*ownerRetryPause},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -130,6 +167,13 @@
 	}
 }
 
+// makeUnreadable replaces the records of jobs by others that can't be decoded.
+func makeUnreadable(t *testing.T, store *memoryStore, jobs ...int) {
+	for _, i := range jobs {
+		putValue(t, store, jobPrefix+testSpec(i).ID, `{"id":1}`)
+	}
+}
+
 // becomeLoadingOwner makes a process the owner without running its event loop.
 func becomeLoadingOwner(n *Node) *ownership {
 	o := n.newOwnership(OwnerInfo{Term: 99, Rev: 99, Incarnation: n.incarnation, Address: n.opt.Address})
@@ -188,3 +232,33 @@
 		}
 	})
 }
+
+// TestUnreadableRecordIsLoggedOnce guards against an unreadable record that nobody hears of, because no owner has loaded it,
+// and against a line for each query.
+func TestUnreadableRecordIsLoggedOnce(t *testing.T) { inBubble(t, testUnreadableRecordIsLoggedOnce) }
+
+func testUnreadableRecordIsLoggedOnce(t *testing.T) {
+	store := newMemoryStore()
+	makeUnreadable(t, store, 1, 2)
+	log := &recordingLog{}
+	deps := testDeps()
+	deps.Log = log
+	n := newTestNodeWith(deps, store, "10.0.0.99:1", testWeight)
+	networkOf(t).useBubble(n)
+	endsOf(n.Node, 1, 2)
+	for range 2 { // a process may become the owner more than once
+		if err := newTestOwnership(n.Node).load(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	endsOf(n.Node, 1, 2)
+	lines := map[any]int{}
+	for _, line := range log.lines {
+		if line.event == "bad-record" {
+			lines[line.fields["key"]]++
+		}
+	}
+	if lines[jobPrefix+testSpec(1).ID] != 1 || lines[jobPrefix+testSpec(2).ID] != 1 || len(lines) != 2 {
+		t.Errorf("lines about unreadable records: %v, want one for each of two", lines)
+	}
+}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -22,7 +22,7 @@
 			return
 		}
 		if o.unreadable[spec.ID] {
-			done <- OutcomeUnknown // a record of the job exists: starting it again could repeat work that has run
+			done <- OutcomeUnreadable // a record of the job exists: starting it again could repeat work that has run
 			return
 		}
 		if o.sched.Stored(spec.ID) {
@@ -83,7 +83,7 @@
 			return
 		}
 		if o.unreadable[id] {
-			done <- OutcomeUnknown
+			done <- OutcomeUnreadable
 			return
 		}
 		if !o.sched.Cancel(id) {
@@ -316,8 +316,8 @@
 		}
 		if reply.Owner || ctx.Err() == nil {
 			state, found, err = n.storedState(ctx, args)
-			if err == nil {
-				return state, found, nil
+			if err == nil || errors.Is(err, errUnreadable) {
+				return state, found, err
 			}
 		}
 		if ctx.Err() != nil {
@@ -361,7 +361,7 @@
 	if err != nil || !found {
 		return "", false, err
 	}
-	record, err := job.DecodeRecord(item.Value)
+	record, err := n.decodeRecord(item)
 	if err != nil {
 		return "", false, err
 	}
