--- a/cmd/agateyard-scheduler/serve.go
+++ b/cmd/agateyard-scheduler/serve.go
@@ -156,7 +156,7 @@
 
 // shutdown hands ownership over, serves during drainShare of the grace period so that the load balancer can remove the
 // process, and answers the requests that were received. Further signals change nothing. Requests that arrive later on open
-// connections are answered too, so idle connections are not closed before the end.
+// connections are answered too, so idle connections are closed only when no request is left.
 func (p *process) shutdown(front net.Listener) {
 	signaled := time.Now()
 	after := func(share float64) time.Time {
@@ -170,6 +170,8 @@
 	_ = front.Close() // the server's own Shutdown would drop requests that are read later
 	ctx, cancel := context.WithDeadline(context.Background(), after(endShare))
 	defer cancel()
-	err := p.busy.wait(ctx)
+	_ = p.busy.wait(ctx)                // the second wait reports the error
+	p.front.SetKeepAlivesEnabled(false) // closes the idle connections; the last log lines may take long
+	err := p.busy.wait(ctx)             // for requests that were received until then
 	p.log.Log("stopped", logrus.Fields{"error": decisionlog.ErrorText(err)})
 }
--- a/cmd/agateyard-scheduler/stop_test.go
+++ b/cmd/agateyard-scheduler/stop_test.go
@@ -39,8 +39,12 @@
 }
 
 // startProcess runs a process whose store never answers a commit of a job, so that submissions wait as long as they may. It
-// returns the address for callers; ended is closed when the process has ended, with its connections.
-func startProcess(t *testing.T) (address string, ended chan struct{}) {
+// returns the address for callers; ended is closed when run has returned, after which the process writes its last log lines and
+// ends. Signals that the process doesn't handle don't end the test.
+func startProcess(t *testing.T) (p *process, address string, ended chan struct{}) {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(signals) })
 	store := standin.NewStore()
 	store.Put("op/config", map[string]any{"version": 1, "routes": []map[string]any{
 		{"name": "q", "host": "h.example", "prefix": "/q/", "service": "s"},
@@ -67,30 +71,26 @@
 	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	p := newProcess(settings, decisionlog.NewLimiter(logger, "a"), prometheus.NewRegistry())
+	p = newProcess(settings, decisionlog.NewLimiter(logger, "a"), prometheus.NewRegistry())
 	ended = make(chan struct{})
 	go func() {
 		defer close(ended)
 		if err := p.run(); err != nil {
 			t.Error(err)
 		}
-		_ = p.front.Close() // as the end of the process would
 	}()
 	for deadline := time.Now().Add(5 * time.Second); !p.node.Ready(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the process is not ready")
 		}
 	}
-	return address, ended
+	return p, address, ended
 }
 
 // TestStopAnswersRequests guards against a stopping process that ends while requests wait for an owner or the store: their
 // callers got a closed connection instead of an answer.
 func TestStopAnswersRequests(t *testing.T) {
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP) // a signal that the process doesn't handle must not end the test
-	defer signal.Stop(signals)
-	address, ended := startProcess(t)
+	p, address, ended := startProcess(t)
 	const body = `{"spec":"x","steps":[{"count":1,"cpu":100}]}`
 	request := func(method, id, body string, length int) string {
 		return fmt.Sprintf("%s /q/%s HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 9000\r\nContent-Length: %d\r\n\r\n%s", method, id, length, body)
@@ -162,8 +162,39 @@
 	defer cancel()
 	select {
 	case <-ended:
+		_ = p.front.Close() // as the end of the process would
 	case <-ctx.Done():
 		t.Error("the process has not ended within its grace period")
 	}
 	wg.Wait()
 }
+
+// TestStopClosesIdleConnections guards against a request that is taken while the process writes its last log lines, which may
+// take long, and that is cut off by the end of the process.
+func TestStopClosesIdleConnections(t *testing.T) {
+	p, address, ended := startProcess(t)
+	t.Cleanup(func() { _ = p.front.Close() })
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const request = "GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n"
+	responses := bufio.NewReader(conn)
+	for _, stop := range []bool{false, true} {
+		if stop {
+			if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			<-ended
+		}
+		_, _ = io.WriteString(conn, request)
+		response, err := http.ReadResponse(responses, nil)
+		if (err != nil) != stop {
+			t.Fatalf("a request, after the end %v: error %v", stop, err)
+		}
+		if !stop {
+			_, _ = io.Copy(io.Discard, response.Body)
+		}
+	}
+}
