--- a/internal/control/request_outcomes_test.go
+++ b/internal/control/request_outcomes_test.go
@@ -176,7 +176,7 @@
 
 // becomeLoadingOwner makes a process the owner without running its event loop.
 func becomeLoadingOwner(n *Node) *ownership {
-	o := n.newOwnership(OwnerInfo{Term: 99, Rev: 99, Incarnation: n.incarnation, Address: n.opt.Address})
+	o := newTestOwnership(n)
 	n.ownership.Store(o)
 	context.AfterFunc(o.ctx, func() { close(o.ended) }) // the test ends it
 	return o
