--- a/internal/control/bubble_test.go
+++ b/internal/control/bubble_test.go
@@ -18,10 +18,38 @@
 	nodes     []*testNode
 	bandwidth float64                // of each process's link in bytes a second; 0: unlimited
 	links     map[string]*narrowLink // by address
+	late      map[string]bool        // addresses of the processes whose new connections to peers deliver late
+	cut       map[networkPath]bool   // paths on which no connection can be made
 }
 
+// networkPath leads from the process at one address to the one at another.
+type networkPath struct{ from, to string }
+
 func newMemoryNetwork() *memoryNetwork {
-	return &memoryNetwork{listeners: map[string]*memoryListener{}, links: map[string]*narrowLink{}}
+	return &memoryNetwork{
+		listeners: map[string]*memoryListener{}, links: map[string]*narrowLink{}, late: map[string]bool{}, cut: map[networkPath]bool{},
+	}
+}
+
+// delay makes what the process at an address receives on new connections to its peers late by latePeers.
+func (m *memoryNetwork) delay(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.late[address] = true
+}
+
+// cutOff lets the process at one address make no more connections to the one at another.
+func (m *memoryNetwork) cutOff(from, to string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[networkPath{from, to}] = true
+}
+
+// faultsOf returns the faults of a path.
+func (m *memoryNetwork) faultsOf(from, to string) (late, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.late[from], m.cut[networkPath{from, to}]
 }
 
 // memoryListener accepts the connections to an address of a memoryNetwork.
@@ -54,10 +82,20 @@
 
 // dialFrom connects the process at an address to another one.
 func (m *memoryNetwork) dialFrom(ctx context.Context, from, address string) (net.Conn, error) {
+	late, cut := m.faultsOf(from, address)
+	if cut {
+		return nil, errUnreachable
+	}
 	conn, err := m.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if late {
+		conn = newLateConn(conn, func(int) time.Time { return time.Now().Add(latePeers) })
+	}
 	link := m.linkOf(from)
-	if err != nil || link == nil {
-		return conn, err
+	if link == nil {
+		return conn, nil
 	}
 	if err := link.receive(ctx, messageOverhead); err != nil {
 		_ = conn.Close()
--- a/internal/control/config_bound_test.go
+++ b/internal/control/config_bound_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -95,12 +94,9 @@
 }
 
 // isolate cuts a process off from the given address; the connections that it has break.
-func isolate(n *testNode, address string) {
-	p := n.peers.get(address)
-	p.mu.Lock()
-	p.dial = func(ctx context.Context) (net.Conn, error) { return nil, errUnreachable }
-	p.mu.Unlock()
-	p.disconnect(nil)
+func (c *boundCell) isolate(n *testNode, address string) {
+	networkOf(c.t).cutOff(n.opt.Address, address)
+	n.peers.get(address).disconnect(nil)
 }
 
 // violation returns how a process decides by a configuration older than version 2, or that it turns a caller away although
@@ -222,15 +218,8 @@
 // impair changes the connections of a blind process to its peers as its case says.
 func (c *boundCell) impair(n *testNode, b blindCase, owner *testNode) {
 	if b.fault == lateReads {
-		dial := n.peers.dial
+		networkOf(c.t).delay(n.opt.Address)
 		n.peers.mu.Lock()
-		n.peers.dial = func(ctx context.Context, address string) (net.Conn, error) {
-			conn, err := dial(ctx, address)
-			if err != nil {
-				return nil, err
-			}
-			return newLateConn(conn, func(int) time.Time { return time.Now().Add(latePeers) }), nil
-		}
 		clients := n.peers.clients
 		n.peers.clients = nil
 		n.peers.mu.Unlock()
@@ -239,7 +228,7 @@
 		}
 	}
 	if b.cut {
-		isolate(n, owner.opt.Address)
+		c.isolate(n, owner.opt.Address)
 	}
 }
 
@@ -344,7 +333,7 @@
 						c.links[i].set(quietWatch)
 					case i%10 == 1:
 						c.links[i].set(quietWatch)
-						isolate(n, owner.opt.Address)
+						c.isolate(n, owner.opt.Address)
 					case i%10 < 4:
 						c.links[i].set(silentStoreLink)
 					}
