--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -31,7 +31,7 @@
 	// acknowledge an end of the wrong incarnation.
 	acknowledgeWindow = time.Second
 	// unacknowledgedPollPause is the pause between polls while reported run ends are not yet durable and so can't be
-	// acknowledged: the runner reports them again and answers without waiting.
+	// acknowledged, or while acknowledgements don't arrive: the runner reports the ends again and answers without waiting.
 	unacknowledgedPollPause = 150 * time.Millisecond
 )
 
@@ -48,6 +48,7 @@
 	nextAt       time.Duration
 	lastReported int64 // highest number of a run end that the runner has reported
 	acknowledged int64 // highest number that the last poll has acknowledged
+	omitted      bool  // the last poll was sent without its acknowledgement, on a new connection
 	answered     bool  // the last poll was answered
 	answeredAt   time.Duration
 	firstAt      time.Duration // first poll
@@ -204,11 +205,14 @@
 	st.answeredAt = p.o.loopTime
 	report := reply.Report
 	p.o.sched.Report(report)
+	omitted, omittedBefore := false, st.omitted
 	for _, end := range report.Ended {
 		st.lastReported = max(st.lastReported, end.Seq)
+		omitted = omitted || end.Seq <= st.acknowledged
 	}
+	st.omitted = omitted
 	st.nextAt = p.o.loopTime + pacing.PollPause(p.o.pace.Delay(p.o.loopTime), len(report.Running) > 0)
-	if st.lastReported > p.o.sched.Acknowledged(ref.ID) {
+	if st.lastReported > p.o.sched.Acknowledged(ref.ID) || omitted && omittedBefore {
 		st.nextAt = max(st.nextAt, p.o.loopTime+unacknowledgedPollPause)
 		return
 	}
