--- a/internal/control/interfaces.go
+++ b/internal/control/interfaces.go
@@ -88,7 +88,7 @@
 // PollRequest asks a runner for its current and ended runs. It renews the lease of the runs if LeaseEnd isn't 0.
 type PollRequest struct {
 	Fence        int64
-	Acknowledged int64         // the runner may discard run ends up to this number
+	Acknowledged int64         // the runner may discard run ends up to this number, if it is the incarnation that is polled
 	LeaseEnd     int64         // in milliseconds on the runner's clock
 	Wait         time.Duration // how long the runner may wait for a run to end before it answers
 }
@@ -100,6 +100,7 @@
 type Runners interface {
 	Start(ctx context.Context, r scheduler.RunnerRef, req StartRequest) (scheduler.StartOutcome, error)
 	Stop(ctx context.Context, r scheduler.RunnerRef, req StopRequest) error
+	// Poll sends the acknowledgement only if no other incarnation can receive it, otherwise the poll without it.
 	Poll(ctx context.Context, r scheduler.RunnerRef, req PollRequest) (scheduler.Report, error)
 	// LeaseEnd returns when a lease that starts now ends, on the runner's clock; 0 if the clock is not known.
 	LeaseEnd(r scheduler.RunnerRef, lease time.Duration) int64
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -27,8 +27,8 @@
 	// replacedPollRetry is the pause before a runner is polled again at whose address another one answers.
 	replacedPollRetry = time.Second
 	// acknowledgeWindow is how long after an answered poll the ends of runs may be acknowledged. Their numbers restart with
-	// each incarnation of a runner; a new incarnation under the same identifier starts later than that, so a number can't
-	// acknowledge an end of the wrong incarnation.
+	// each incarnation of a runner. A new incarnation under the same identifier may start sooner than that; the client of the
+	// runners sends acknowledgements only on connections that lead to the incarnation that has listed the ends.
 	acknowledgeWindow = time.Second
 	// unacknowledgedPollPause is the pause between polls while reported run ends are not yet durable and so can't be
 	// acknowledged, or while acknowledgements don't arrive: the runner reports the ends again and answers without waiting.
