--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -27,11 +27,11 @@
 	// replacedPollRetry is the pause before a runner is polled again at whose address another one answers.
 	replacedPollRetry = time.Second
 	// acknowledgeWindow is how long after an answered poll the ends of runs may be acknowledged. Their numbers restart with
-	// each incarnation of a runner; a new incarnation under the same identifier starts later than that, so a number can't
-	// acknowledge an end of the wrong incarnation.
+	// each incarnation of a runner. A new incarnation under the same identifier may start sooner than that; the client of the
+	// runners sends acknowledgements only on connections that lead to the incarnation that has listed the ends.
 	acknowledgeWindow = time.Second
 	// unacknowledgedPollPause is the pause between polls while reported run ends are not yet durable and so can't be
-	// acknowledged: the runner reports them again and answers without waiting.
+	// acknowledged, or while acknowledgements don't arrive: the runner reports the ends again and answers without waiting.
 	unacknowledgedPollPause = 150 * time.Millisecond
 )
 
@@ -48,6 +48,7 @@
 	nextAt       time.Duration
 	lastReported int64 // highest number of a run end that the runner has reported
 	acknowledged int64 // highest number that the last poll has acknowledged
+	omitted      bool  // the last poll was sent without its acknowledgement, on a new connection
 	answered     bool  // the last poll was answered
 	answeredAt   time.Duration
 	firstAt      time.Duration // first poll
@@ -204,11 +205,14 @@
 	st.answeredAt = p.o.loopTime
 	report := reply.Report
 	p.o.sched.Report(report)
+	omitted, omittedBefore := false, st.omitted
 	for _, end := range report.Ended {
 		st.lastReported = max(st.lastReported, end.Seq)
+		omitted = omitted || end.Seq <= st.acknowledged
 	}
+	st.omitted = omitted
 	st.nextAt = p.o.loopTime + pacing.PollPause(p.o.pace.Delay(p.o.loopTime), len(report.Running) > 0)
-	if st.lastReported > p.o.sched.Acknowledged(ref.ID) {
+	if st.lastReported > p.o.sched.Acknowledged(ref.ID) || omitted && omittedBefore {
 		st.nextAt = max(st.nextAt, p.o.loopTime+unacknowledgedPollPause)
 		return
 	}
