--- a/internal/control/cell_test.go
+++ b/internal/control/cell_test.go
@@ -14,10 +14,7 @@
 
 func startCell(t *testing.T, size int) (*memoryStore, []*testNode) {
 	t.Helper()
-	store := newMemoryStore()
-	if _, err := store.Commit(context.Background(), Commit{Puts: []Put{{Key: "op/config", Value: []byte{1}}}}); err != nil {
-		t.Fatal(err)
-	}
+	store := newConfiguredStore(t)
 	var nodes []*testNode
 	for range size {
 		nodes = append(nodes, startNode(t, store, testWeight))
@@ -33,6 +30,16 @@
 	return store, nodes
 }
 
+// newConfiguredStore returns a store that holds a configuration.
+func newConfiguredStore(t *testing.T) *memoryStore {
+	t.Helper()
+	store := newMemoryStore()
+	if _, err := store.Commit(context.Background(), Commit{Puts: []Put{{Key: "op/config", Value: []byte{1}}}}); err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
 func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -46,6 +46,8 @@
 	terms        *prometheus.CounterVec
 	ownerlessFor atomic.Pointer[func() float64]
 	tenants      *prometheus.GaugeVec
+	// refusals counts the jobs that this process refused as owner, by reason.
+	refusals *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -93,6 +95,7 @@
 		loopBusy:          histogram("loop_longest_seconds", "Longest time for which the owner's event loop worked at a stretch, each second.", fast),
 		terms:             counter("terms_total", "Ownerships of this process that have ended, by whether the durable state had been loaded.", "end"),
 		staleDecisions:    counter("stale_decisions_total", "Requests decided by a configuration that was not confirmed in time, by result.", "result"),
+		refusals:          counter("refusals_total", "Jobs refused by the owner, by reason.", "reason"),
 		auth:              counter("auth_total", "Authenticated requests by result, where keys are required.", "result"),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "owned", Help: "State of the owner by kind.",
@@ -187,6 +190,8 @@
 	m.runTime.Observe(after.Seconds())
 }
 
+func (m *Metrics) refused(reason string) { m.refusals.WithLabelValues(reason).Inc() }
+
 func (m *Metrics) jobEnded(state job.State) { m.jobs.WithLabelValues(string(state)).Inc() }
 
 func (m *Metrics) setStats(s scheduler.Stats) {
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -239,12 +239,13 @@
 		o.reviewPings()
 		stats := o.sched.Stats()
 		o.n.dep.Metrics.setStats(stats)
+		coreWait, adviceWait := o.sched.PredictedWaits()
 		o.n.dep.Log.Log("load", logrus.Fields{
 			"jobs": stats.ActiveJobs, "open_stages": stats.OpenStages, "waiting_tasks": stats.WaitingTasks,
 			"runs": stats.Runs, "runners": stats.Runners, "usable": stats.UsableRunners, "set_apart": stats.IsolatedRunners,
 			"used_cpu_milli": stats.UsedCPU, "cpu_milli": stats.CapacityCPU, "advice_backlog_ms": o.sched.Dispatcher().Backlog().Milliseconds(),
 			"loop_ms": o.loopLoad.busy.Milliseconds(), "longest_ms": o.loopLoad.longest.Milliseconds(), "pass_ms": o.loopLoad.passes.Milliseconds(),
-			"start_limit": o.startLimit.Limit(),
+			"start_limit": o.startLimit.Limit(), "core_wait_ms": coreWait.Milliseconds(), "advice_wait_ms": adviceWait.Milliseconds(),
 		})
 		o.n.dep.Metrics.loopBusy.Observe(o.loopLoad.longest.Seconds())
 		o.loopLoad = loopLoad{}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -11,6 +11,9 @@
 	"github.com/agateyard/agateyard/internal/job"
 )
 
+// refusedStoreAway is the reason of refusals while the store doesn't answer.
+const refusedStoreAway = "store away"
+
 // submit stores a job at this owner. A nil owner returns OutcomeNotOwner.
 func (o *ownership) submit(args SubmitArgs) SubmitReply {
 	spec := args.Spec
@@ -33,8 +36,9 @@
 		if !known && o.n.health.failingFor(o.loopTime) > refuseSubmissionsAfter && o.mayRefuse() {
 			retryAfter = outageRetryAfter(o.n.health.failingFor(o.loopTime), spec.ID)
 			o.n.dep.Log.Log("refused", logrus.Fields{
-				"job": spec.ID, "reason": "store away", "retry_after_ms": retryAfter.Milliseconds(),
+				"job": spec.ID, "reason": refusedStoreAway, "retry_after_ms": retryAfter.Milliseconds(),
 			})
+			o.n.dep.Metrics.refused(refusedStoreAway)
 			done <- OutcomeRefused
 			return
 		}
@@ -46,8 +50,14 @@
 				}
 				o.n.dep.Log.Log("refused", logrus.Fields{
 					"job": spec.ID, "reason": refusal.Reason, "tenant": spec.Tenant, "retry_after_ms": refusal.RetryAfter.Milliseconds(),
+					"wait_ms": refusal.Wait.Milliseconds(),
 				})
+				o.n.dep.Metrics.refused(refusal.Reason)
 				retryAfter = refusal.RetryAfter
+				if refusal.Overload {
+					done <- OutcomeRefused // the cell is short of room, which no limit of the caller's explains
+					return
+				}
 				done <- OutcomeOverLimit
 				return
 			}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -10,15 +10,23 @@
 type Refusal struct {
 	Reason     string
 	RetryAfter time.Duration
+	Wait       time.Duration // predicted; 0 if it is not the reason
+	Overload   bool          // the cell is short of a resource, whatever the limits of the job's tenant
 }
 
 // Admit decides whether a job that is not known yet may be accepted. It returns nil if it may.
 func (s *Scheduler) Admit(spec *job.Spec) *Refusal {
-	t := s.tenants.byName[spec.Tenant]
-	if t == nil || !t.configured || s.jobs[spec.ID] != nil {
+	if s.jobs[spec.ID] != nil {
 		return nil
 	}
+	t := s.tenants.byName[spec.Tenant]
+	if t == nil || !t.configured {
+		return s.admitOverload(spec)
+	}
 	refusal := s.admit(t, spec)
+	if refusal == nil {
+		refusal = s.admitOverload(spec)
+	}
 	if refusal != nil {
 		t.refused++
 	}
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -292,6 +292,7 @@
 		return false // retried in a later pass, after more urgent stages
 	}
 	st.advice.pending++
+	st.load.called += expected
 	s.emit(RequestAdvice{
 		Step: st.id, Runners: refs, Machine: machine, Expected: expected, Renewal: renewal,
 	})
--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -99,8 +99,7 @@
 func (s *Scheduler) objectiveOf(spec *job.Spec, q *Queue) time.Duration {
 	work := criticalPath(spec, 0, s.runTimePredictor(q.Name))
 	if q.Advice != nil {
-		const adviceRunners = 30 // the objective includes one call about this many runners for each step
-		work += time.Duration(len(spec.Steps)) * q.Advice.CallDuration(adviceRunners)
+		work += time.Duration(len(spec.Steps)) * q.Advice.CallDuration(initialAdviceRunners)
 	}
 	return time.Duration(float64(work)*q.Stretch) + q.Objective
 }
--- a/internal/scheduler/occurrences.go
+++ b/internal/scheduler/occurrences.go
@@ -54,6 +54,7 @@
 		s.stages[id] = st
 		j.stages = append(j.stages, st)
 		s.chargeInheritedStage(st)
+		s.updateLoad(st, len(st.tasks))
 	}
 	return st
 }
@@ -84,6 +85,7 @@
 	st.open = false
 	st.claimedRunners = nil
 	s.updateDemand(st)
+	s.updateLoad(st, 0)
 	s.removeClosedStages()
 	j := st.job
 	for i := st.id.Step + 1; i < len(j.spec.Steps); i++ {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -37,6 +37,7 @@
 		s.releaseInherited()
 	}
 	s.updateFreeCapacity(runners)
+	s.load.setCapacity(runners)
 	s.refreshSpeeds(runners)
 	s.updateShares()
 	s.updateIsolation()
@@ -114,6 +115,10 @@
 		s.restoreAdvice(st)
 	}
 	waiting := st.waitingTasks()
+	if waiting == 0 {
+		s.recordPlaced(st)
+	}
+	s.updateLoad(st, waiting)
 	if waiting == 0 {
 		s.prefetchAdvice(st)
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -29,8 +29,10 @@
 	openStages     []*stage // also those whose tasks are all running; see stage.open
 	scheduledJobs  []*jobState
 	dirty          map[string]*jobState
-	eligibleShares map[string]float64 // measured share of eligible runners, by queue
-	byFreeCores    []*runner          // usable runners, most free cores first, as of the last pass
+	eligibleShares map[string]float64       // measured share of eligible runners, by queue
+	adviceCosts    map[string]time.Duration // measured duration of all advice calls of a stage, by queue
+	load           pendingLoad
+	byFreeCores    []*runner // usable runners, most free cores first, as of the last pass
 	effects        []Effect
 	nextSlot       int
 	passCount      int
@@ -80,6 +82,8 @@
 		runtimeModels:  map[string]*runtimeModel{},
 		dispatcher:     NewAdviceDispatcher(),
 		eligibleShares: map[string]float64{},
+		adviceCosts:    map[string]time.Duration{},
+		load:           newPendingLoad(),
 		dirty:          map[string]*jobState{},
 		crashes:        newCrashes(),
 		isolations:     map[isolationKey]*isolation{},
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -17,6 +17,7 @@
 	reservedCount      int  // number of reserved runs
 	advice             stageAdvice
 	wait               stageWait
+	load               stageLoad
 	claimedRunners     []*runner     // runners that a gang has claimed
 	gangRunners        []*runner     // runners on which this owner has started a gang
 	apart              bool          // has waiting tasks that may crash their runner, as of the last pass
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -68,6 +68,9 @@
 		}
 	}
 	s.openDueOccurrences()
+	for _, st := range s.stages {
+		s.updateLoad(st, st.waitingTasks()) // tasks that are done were restored after the stage was first counted
+	}
 	s.sortExcess()
 	s.chargeInherited()
 }
@@ -113,6 +116,7 @@
 		st.open = false
 		st.claimedRunners = nil
 		s.updateDemand(st)
+		s.updateLoad(st, 0)
 		for _, t := range st.tasks {
 			if t.current != nil && (state != job.Done || !st.step.Gang) { // the members of a gang end together
 				s.stop(t.current, "job "+string(state))
