--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -65,16 +65,24 @@
 	}
 	s.searches++
 	var refs []RunnerRef
-	if st.step.Gang {
+	lean := s.keepsCallsShort(st)
+	if lean && st.step.Gang {
+		refs = s.unqueriedWithRoom(st)
+	}
+	switch {
+	case len(refs) > 0:
+	case st.step.Gang:
 		refs = s.unqueriedForGang(st)
-	} else {
+	default:
 		refs = s.unqueriedWithCapacity(st, waiting)
 	}
 	if len(refs) == 0 {
 		st.advice.deferral = adviceDeferral{}
 		return
 	}
-	refs = s.padRequest(st, refs)
+	if !lean {
+		refs = s.padRequest(st, refs)
+	}
 	sent := false
 	for chunk := range slices.Chunk(refs, maxAdviceRunners) {
 		// Concurrently from several machines: a wide gang has to query most of the fleet.
@@ -97,7 +105,7 @@
 // shortestRequest returns the duration of the shortest call that a request of the stage can make.
 func (s *Scheduler) shortestRequest(st *stage) time.Duration {
 	policy := st.job.queue.Advice
-	if st.advice.requests > 0 || st.step.RequiredLabel != "" || st.apart {
+	if st.advice.requests > 0 || st.step.RequiredLabel != "" || st.apart || s.keepsCallsShort(st) {
 		return policy.CallDuration(1) // few runners may be left to query
 	}
 	return policy.CallDuration(min(paddedSize(policy), len(s.byFreeCores)))
