--- a/internal/control/overload_test.go
+++ b/internal/control/overload_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 	})
 	<-filled
 	spec := testSpec(1000)
-	reply := o.submit(SubmitArgs{Spec: spec, Within: time.Second})
+	reply := o.submit(context.Background(), SubmitArgs{Spec: spec, Within: time.Second})
 	if reply.Outcome != OutcomeRefused || reply.RetryAfter < time.Second {
 		t.Errorf("%s, Retry-After %s, want a refusal that isn't for a limit", reply.Outcome, reply.RetryAfter)
 	}
