--- a/internal/scheduler/lean_advice.go
+++ b/internal/scheduler/lean_advice.go
@@ -9,11 +9,10 @@
 
 const (
 	// shortAdviceWait is the predicted wait for advice calls from which on they are kept short: work that has free capacity
-	// has to start within 3 s. On a day without trouble up to 1.7 s were predicted; with 1 s here it earned less.
+	// has to start within 3 s.
 	shortAdviceWait = 3 * time.Second
 	// leanOversampling is the ratio of requested to needed capacity of a gang then. Smaller requests often fall short, and a
-	// second call costs more than the runners saved: 200 gangs of TestGangsStartWhileAdviceIsShort start within 49 s at 1.2,
-	// 36 s at 1.5, 34 s at 1.8, 35 s at 2.5 and 42 s at 4.
+	// second call costs more than the runners saved.
 	leanOversampling = 1.8
 )
 
--- a/internal/scheduler/overload.go
+++ b/internal/scheduler/overload.go
@@ -7,9 +7,10 @@
 	"github.com/agateyard/agateyard/internal/job"
 )
 
-// maxAdmittedWait is the longest predicted wait of an accepted job whose caller waits. Accepted work has to be at work
-// within 14 s of the end of the traffic. Half of that is left for the error of the prediction, which errs towards accepting.
-const maxAdmittedWait = 7 * time.Second
+// maxAdviceWait is the longest predicted wait for advice of an accepted job whose caller waits. While cores are free, accepted
+// work has to be at work within 14 s of the end of the traffic. Half of that is left for the error of the prediction, which
+// errs towards accepting. Work that waits for cores may wait for as long as it has value.
+const maxAdviceWait = 7 * time.Second
 
 // Reasons of refusals of an overloaded cell.
 const (
@@ -18,7 +19,7 @@
 )
 
 // admitOverload refuses a job if the accepted work that is at least as urgent is predicted to delay it beyond the time in
-// which it has value, or beyond maxAdmittedWait. Scheduled and long-running jobs are admitted: no caller waits for them,
+// which it has value, or its advice beyond maxAdviceWait. Scheduled and long-running jobs are admitted: no caller waits for them,
 // and a refusal would cost all their later occurrences, or all of a long run, for a shortage of seconds.
 func (s *Scheduler) admitOverload(spec *job.Spec) *Refusal {
 	if spec.Occurrences > 0 || isLongRunning(spec) {
@@ -28,16 +29,18 @@
 	if !known {
 		return nil
 	}
-	wait, reason := s.load.coreWait(queue.Service, queue.Priority), reasonCores
+	cores, advice := s.load.coreWait(queue.Service, queue.Priority), time.Duration(0)
 	if queue.Advice != nil {
-		if advice := s.load.adviceWait(queue.Priority, len(s.dispatcher.machines)); advice > wait {
-			wait, reason = advice, reasonAdvice
-		}
+		advice = s.load.adviceWait(queue.Priority, len(s.dispatcher.machines))
 	}
-	if wait <= time.Second { // also the common case, which needs no objective
+	if max(cores, advice) <= time.Second { // the common case, which needs no objective
 		return nil
 	}
-	limit := min(lateFactor*s.objectiveOf(spec, &queue), maxAdmittedWait)
+	value := lateFactor * s.objectiveOf(spec, &queue)
+	wait, limit, reason := cores, value, reasonCores
+	if adviceLimit := min(value, maxAdviceWait); advice-adviceLimit > wait-limit {
+		wait, limit, reason = advice, adviceLimit, reasonAdvice
+	}
 	if wait <= limit || s.waitsLittleAtShare(spec.Tenant, queue.Service, limit) {
 		return nil
 	}
