--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -118,8 +118,8 @@
 		if reply.Owner.Term > o.Term {
 			return ownerHealthy
 		}
-		if reply.Incarnation == o.Incarnation && reply.BegunTerm < o.Term && silent <= n.view.silenceLimit(ownerSilenceLimit) {
-			return ownerHealthy // the store's answer to its claim may still be in transit
+		if reply.Incarnation == o.Incarnation && reply.BegunTerm < o.Term && silent <= min(n.view.silenceLimit(ownerSilenceLimit), 2*storeTimeout) {
+			return ownerHealthy // the store's answer to its claim, which it waits for that long at most, may still be in transit
 		}
 		n.view.recordPingFailure("the process is not the owner", true)
 		return ownerReplaced
