--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -177,9 +177,12 @@
 			for !reader.done {
 				err := o.retryRead(reader.prefix, func() error {
 					items, err := reader.next(o.ctx)
+					if err != nil {
+						return err
+					}
 					o.progress.read(items, o.n.clock.Now())
 					parts[i].decode(items, o.n)
-					return err
+					return nil
 				})
 				if err != nil {
 					return err
--- a/internal/control/load_progress.go
+++ b/internal/control/load_progress.go
@@ -28,7 +28,7 @@
 	done    atomic.Bool  // the state is restored
 }
 
-// read counts items that have been read.
+// read counts the items of a page that has been read.
 func (p *loadProgress) read(items []Item, now time.Duration) {
 	size := 0
 	for _, item := range items {
@@ -45,7 +45,7 @@
 	return at > 0 && now-at <= d
 }
 
-// report logs the progress until the load has ended. Late timers show that the process is short of processor time; a load
+// reportProgress logs the progress until the load has ended. Late timers show that the process is short of processor time; a load
 // that takes long without them waits for the link or the store.
 func (o *ownership) reportProgress(ctx context.Context) {
 	ticker := time.NewTicker(progressInterval)
--- a/internal/control/load_progress_test.go
+++ b/internal/control/load_progress_test.go
@@ -63,3 +63,29 @@
 		}
 	})
 }
+
+// TestLoadWithoutStoreSaysSo guards against an owner that can't read the durable state and is not replaced, because its
+// attempts count as progress.
+func TestLoadWithoutStoreSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		storeFinishedJobs(t, store, 100)
+		tn := newTestNode(store, "127.0.0.1:1", testWeight)
+		network := newMemoryNetwork()
+		network.useBubble(tn)
+		tn.store.setPartitioned(true)
+		o := newTestOwnership(tn.Node)
+		tn.ownership.Store(o)
+		go func() {
+			defer o.cleanUp()
+			_, _ = o.readJobs()
+		}()
+		time.Sleep(2 * ownerStoreFailureLimit)
+		var reply PingReply
+		if err := (&Peer{tn.Node}).Ping(PingArgs{}, &reply); err != nil || reply.StoreOK {
+			t.Errorf("an owner that reads nothing says that it reaches the store (error %v)", err)
+		}
+		o.stepDown("test")
+		<-o.ended
+	})
+}
