--- a/internal/scheduler/overload.go
+++ b/internal/scheduler/overload.go
@@ -7,9 +7,9 @@
 	"github.com/agateyard/agateyard/internal/job"
 )
 
-// maxAdviceWait is the longest predicted wait for advice of an accepted job whose caller waits. While cores are free, accepted
-// work has to be at work within 14 s of the end of the traffic. Half of that is left for the error of the prediction, which
-// errs towards accepting. Work that waits for cores may wait for as long as it has value.
+// maxAdviceWait is the longest predicted wait for advice of an accepted job whose caller waits, while most cores are free:
+// then accepted work has to be at work within 14 s of the end of the traffic. Half of that is left for the error of the
+// prediction, which errs towards accepting. On a busy fleet work may wait for as long as it has value.
 const maxAdviceWait = 7 * time.Second
 
 // Reasons of refusals of an overloaded cell.
@@ -19,7 +19,7 @@
 )
 
 // admitOverload refuses a job if the accepted work that is at least as urgent is predicted to delay it beyond the time in
-// which it has value, or its advice beyond maxAdviceWait. Scheduled and long-running jobs are admitted: no caller waits for them,
+// which it has value, or, while most cores are free, its advice beyond maxAdviceWait. Scheduled and long-running jobs are admitted: no caller waits for them,
 // and a refusal would cost all their later occurrences, or all of a long run, for a shortage of seconds.
 func (s *Scheduler) admitOverload(spec *job.Spec) *Refusal {
 	if spec.Occurrences > 0 || isLongRunning(spec) {
@@ -38,7 +38,11 @@
 	}
 	value := lateFactor * s.objectiveOf(spec, &queue)
 	wait, limit, reason := cores, value, reasonCores
-	if adviceLimit := min(value, maxAdviceWait); advice-adviceLimit > wait-limit {
+	adviceLimit := value
+	if s.mostlyFree {
+		adviceLimit = min(value, maxAdviceWait)
+	}
+	if advice-adviceLimit > wait-limit {
 		wait, limit, reason = advice, adviceLimit, reasonAdvice
 	}
 	if wait <= limit || s.waitsLittleAtShare(spec.Tenant, queue.Service, limit) {
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -211,3 +211,25 @@
 		}
 	})
 }
+
+// TestBusyFleetAdmitsWork guards against refusals for want of advice on a busy fleet, where the work would be served in time by
+// the measure of its callers: a tenth of the jobs of a day with five times the usual traffic.
+func TestBusyFleetAdmitsWork(t *testing.T) {
+	sim := newMixedSimulation(1, 8)
+	for i := range sim.queues {
+		sim.queues[i].Advice = &AdvicePolicy{PerCall: time.Second, PerRunner: time.Millisecond, TicketTTL: 1500 * time.Millisecond}
+	}
+	sim.sched.SetQueues(sim.queues)
+	step := job.Step{Count: 2, Need: model.Resources{CoresMilli: 10}, Estimate: 200, Gang: true}
+	refusal := sim.overload("gang", step, 400)
+	if refusal == nil || refusal.Wait <= maxAdviceWait {
+		t.Fatalf("refusal %+v on an idle fleet", refusal)
+	}
+	for busy, want := range map[bool]bool{true: true, false: false} {
+		sim.sched.mostlyFree = !busy
+		offered := job.Spec{ID: "b100000000000000", Queue: "fill", Steps: []job.Step{step}}
+		if admitted := sim.sched.Admit(&offered) == nil; admitted != want {
+			t.Errorf("busy %v: admitted %v, want %v", busy, admitted, want)
+		}
+	}
+}
