--- a/internal/scheduler/start_backlog.go
+++ b/internal/scheduler/start_backlog.go
@@ -14,7 +14,7 @@
 // startBacklog measures how many tasks wait only for the owner to be able to send more starts. Advice for further tasks would
 // expire before they can start, and its calls would take the part of the link that the starts need.
 type startBacklog struct {
-	ready        int // tasks of the current pass whose stages have valid tickets
+	ready        int // waiting tasks of the current pass whose stages have a valid ticket, an upper bound of what could start
 	sent, before int // starts in the current window and in the one before it
 	windowBegan  time.Duration
 }
@@ -49,7 +49,8 @@
 	return s.startBacklog.full()
 }
 
-// hasValidTicket reports whether a start of the stage on one of its eligible runners would be accepted now.
+// hasValidTicket reports whether the stage has a valid ticket for a runner that is feasible for it, whether or not the runner
+// has room.
 func (s *Scheduler) hasValidTicket(st *stage) bool {
 	for _, e := range st.advice.eligible {
 		if s.feasible(st, e.runner) && s.ticketValid(st, e.runner, s.now) {
