--- a/review/harness/cell.go
+++ b/review/harness/cell.go
@@ -114,7 +114,10 @@
 	c.storeAddr = c.serve(c.store)
 	c.configure(1)
 	for i := range runners {
-		r := &runner{c: c, id: fmt.Sprintf("w%02d", i), rack: fmt.Sprintf("r%d", i/6), work: work, addr: c.freeAddr()}
+		r := &runner{c: c, id: fmt.Sprintf("w%02d", i), rack: fmt.Sprintf("r%d", i/8), label: "a", work: work, addr: c.freeAddr()}
+		if i == runners-1 {
+			r.label, r.gpu = "b", 8 // the only one of its kind
+		}
 		c.runners = append(c.runners, r)
 		r.start()
 	}
--- a/review/harness/judge.go
+++ b/review/harness/judge.go
@@ -18,19 +18,21 @@
 	done     map[string]map[string]time.Time
 	restarts map[string][]string // starts after a run had ended done, by task
 	twice    []string            // two runs at the same time
+	begun    map[string]bool     // jobs of which a task has started
 	outcomes []string            // of all runs that have ended
 	starts   int
 	notes    int
 }
 
 func newJudge(c *cell) *judge {
-	return &judge{c: c, running: map[string]map[string]bool{}, done: map[string]map[string]time.Time{}, restarts: map[string][]string{}}
+	return &judge{c: c, running: map[string]map[string]bool{}, done: map[string]map[string]time.Time{}, restarts: map[string][]string{}, begun: map[string]bool{}}
 }
 
 func (j *judge) started(runner, task string, run int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.starts++
+	j.begun[task[:16]] = true
 	j.c.record("start %s run %d on %s", task, run, runner)
 	key := fmt.Sprintf("%s/%d", runner, run)
 	for other := range j.running[task] {
@@ -93,3 +95,22 @@
 	defer j.mu.Unlock()
 	return append([]string{}, j.outcomes...)
 }
+
+// hasBegun reports whether a task of the job has started.
+func (j *judge) hasBegun(job string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.begun[job]
+}
+
+// atWork reports whether a run of the job exists.
+func (j *judge) atWork(job string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for task, runs := range j.running {
+		if task[:16] == job && len(runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,7 +16,7 @@
 // trouble reports whether the case plays its disruption.
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-var cases = map[string]func(){"many-ends": manyEnds, "lost-runners": lostRunners}
+var cases = map[string]func(){"many-ends": manyEnds, "lost-runners": lostRunners, "pending": pending, "only-runner": onlyRunner}
 
 func main() {
 	play, known := cases[os.Getenv("CASE")]
@@ -125,3 +125,88 @@
 	}
 	return uint64(time.Now().UnixNano())
 }
+
+// pending: jobs wait for a runner that leaves orders unanswered.
+func pending() {
+	const (
+		jobs    = 12
+		hang    = 5500 * time.Millisecond
+		visible = 5 * time.Second // visible_ms + 2 s
+	)
+	c := newCell(3, 10, 64000, func(string) (time.Duration, string) { return time.Second, "done" })
+	c.waitReady()
+	time.Sleep(time.Second)
+	only := c.runners[len(c.runners)-1] // of the kind that the jobs need
+	if trouble() {
+		only.setHangs(true)
+		time.AfterFunc(hang, func() { only.setHangs(false) })
+	}
+	accepted := make([]time.Time, jobs)
+	id := func(i int) string { return fmt.Sprintf("%016x", 0xc0000+i) }
+	var wg sync.WaitGroup
+	for i := range jobs {
+		wg.Go(func() {
+			if !c.submit(id(i), []map[string]any{{"count": 1, "cpu": 500, "mem-mb": 256, "est-ms": 1000, "required-label": "b"}}) {
+				c.cannotRun("a job was not accepted")
+			}
+			accepted[i] = time.Now()
+		})
+	}
+	wg.Wait()
+	var broken []string
+	for begun := time.Now(); time.Since(begun) < 12*time.Second; time.Sleep(100 * time.Millisecond) {
+		for _, n := range c.nodes {
+			sent := time.Now()
+			status, body := c.call(n, "GET", queue, nil)
+			waiting := 0 // since before the request, and still after its answer
+			for i := range jobs {
+				if sent.Sub(accepted[i]) > visible && !c.judge.hasBegun(id(i)) {
+					waiting++
+				}
+			}
+			shown, ok := body["pending"].(float64)
+			if status == 200 && ok && 2*int(shown) < waiting {
+				broken = append(broken, fmt.Sprintf("%s gives %d as pending; %d jobs accepted over %s before haven't begun", n.name, int(shown), waiting, visible))
+			}
+		}
+	}
+	c.finish(broken, "MIXED")
+}
+
+// onlyRunner: a runner fails what it starts for a while, and is the only one that has what a task needs.
+func onlyRunner() {
+	const (
+		id     = "00000000000d0001"
+		grey   = 6500 * time.Millisecond
+		finish = 14 * time.Second // finish_s
+		idle   = 3 * time.Second  // how long a job may have nothing running while a task's turn has come
+	)
+	c := newCell(3, 12, 64000, func(string) (time.Duration, string) { return time.Second, "done" })
+	c.waitReady()
+	time.Sleep(time.Second)
+	only := c.runners[len(c.runners)-1] // with accelerators
+	if trouble() {
+		only.setFails(true)
+		time.AfterFunc(grey, func() { only.setFails(false) })
+	}
+	if !c.submit(id, []map[string]any{{"count": 1, "cpu": 500, "mem-mb": 256, "gpu": 1, "est-ms": 1000}}) {
+		c.cannotRun("the job was not accepted")
+	}
+	time.Sleep(grey + finish)
+	idleSince, shown := time.Now(), ""
+	var longest time.Duration
+	for begun := time.Now(); time.Since(begun) < 30*time.Second; time.Sleep(50 * time.Millisecond) {
+		if c.judge.atWork(id) {
+			idleSince = time.Now()
+		}
+		longest = max(longest, time.Since(idleSince))
+	}
+	shown = c.state(id, 3*time.Second)
+	c.record("the job is shown as %s; nothing of it was at work for %s", shown, longest)
+	fmt.Printf("the job is shown as %s; nothing of it was at work for %s; %d starts\n", shown, longest, c.judge.starts)
+	var broken []string
+	if shown != "done" && shown != "failed" && longest > idle {
+		broken = append(broken, fmt.Sprintf("%s after the disruption the job is shown as %s and has had nothing at work for %s; all runners are idle", finish, shown, longest))
+	}
+	c.finish(broken, "LOST")
+}
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -26,6 +26,10 @@
 	mu         sync.Mutex
 	up         bool
 	unreached  bool // cut off: it answers nothing, but goes on running
+	hangs      bool // unhealthy: orders to start get no answer, and nothing is done
+	fails      bool // unhealthy: all that it starts fails
+	label      string
+	gpu        int
 	born       time.Time
 	server     *http.Server
 	fence      int64
@@ -86,7 +90,7 @@
 	r.seq++
 	r.c.store.Put("servers/"+r.id, map[string]any{
 		"service": "fleece-orders", "addr": r.addr, "zone": "tn-north-a", "version": "v1", "slots": 8, "state": "ready", "seq": r.seq,
-		"capacity": map[string]int{"cpu": r.c.runnerCPU, "mem-mb": 262144}, "labels": []string{"a", r.rack}, "born": r.born.UnixMilli(),
+		"capacity": map[string]int{"cpu": r.c.runnerCPU, "mem-mb": 262144, "gpu": r.gpu}, "labels": []string{r.label, r.rack}, "born": r.born.UnixMilli(),
 	})
 	r.c.beats.Store(r.id, time.Now())
 }
@@ -136,12 +140,15 @@
 		return
 	}
 	r.mu.Lock()
-	gone, unreached := !r.up || !r.born.Equal(born), r.unreached
+	gone, unreached, hangs := !r.up || !r.born.Equal(born), r.unreached, r.hangs
 	r.mu.Unlock()
 	if gone {
 		panic(http.ErrAbortHandler)
 	}
-	if unreached {
+	if unreached || hangs && req.URL.Path == "/run-start" {
+		if hangs {
+			r.c.record("order %s run %d on %s gets no answer", in.Task, in.Run, r.id)
+		}
 		<-req.Context().Done()
 		return
 	}
@@ -233,6 +240,9 @@
 		return "late"
 	}
 	d, how := r.work(in.Task)
+	if r.fails {
+		d, how = 100*time.Millisecond, "failed"
+	}
 	x := &taskRun{task: in.Task, run: in.Run}
 	r.runs[in.Task] = x
 	r.c.judge.started(r.id, in.Task, in.Run)
@@ -333,3 +343,19 @@
 	}
 	return map[string]any{"clock-ms": r.clock(), "born": r.born.UnixMilli(), "running": running, "ended": ended}
 }
+
+// setHangs makes the runner leave orders to start unanswered, or ends that.
+func (r *runner) setHangs(on bool) {
+	r.c.record("runner %s hangs: %t", r.id, on)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hangs = on
+}
+
+// setFails makes all tasks fail that the runner starts, or ends that.
+func (r *runner) setFails(on bool) {
+	r.c.record("runner %s fails all that it starts: %t", r.id, on)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fails = on
+}
