--- a/review/harness/cell.go
+++ b/review/harness/cell.go
@@ -25,6 +25,8 @@
 	holdMax   = 6 * time.Second // hold-max-ms of the settings
 	heartbeat = 1500 * time.Millisecond
 	queue     = "/jobs/"
+	quotes    = "/quotes/"
+	restock   = "/restock/"
 	hostName  = "orders.example"
 )
 
@@ -136,15 +138,22 @@
 func (c *cell) configure(version int) {
 	c.store.Put("op/config", map[string]any{
 		"version": version,
-		"routes": []map[string]any{{
-			"name": "order-confirm", "host": hostName, "prefix": queue, "service": "fleece-orders", "priority": 0, "attempts": 3, "stretch": 2, "slo-ms": 500,
-		}},
+		"routes": []map[string]any{
+			route("order-confirm", queue, 0), route("wholesale-quote", quotes, 1), route("restock-check", restock, 2),
+		},
 		"services": []map[string]any{{"name": "fleece-orders", "enforces-capacity": false}},
 		"limits":   map[string]int{"max-body-bytes": 262144},
 	})
 	c.record("config version %d", version)
 }
 
+func route(name, prefix string, priority int) map[string]any {
+	return map[string]any{
+		"name": name, "host": hostName, "prefix": prefix, "service": "fleece-orders", "priority": priority, "attempts": 3,
+		"stretch": 2, "slo-ms": 500,
+	}
+}
+
 // keepEntries writes the entries of the runners about every heartbeat, and removes those that have been silent for three of them.
 // The store doesn't count the time while it was down.
 func (c *cell) keepEntries() {
@@ -369,10 +378,12 @@
 }
 
 // submit hands a job in, with up to four retries at other processes.
-func (c *cell) submit(id string, steps []map[string]any) bool {
+func (c *cell) submit(id string, steps []map[string]any) bool { return c.submitTo(queue, id, steps) }
+
+func (c *cell) submitTo(prefix, id string, steps []map[string]any) bool {
 	for try := range 5 {
 		n := c.nodes[(int(id[15])+try)%len(c.nodes)]
-		status, _ := c.call(n, http.MethodPost, queue+id, map[string]any{"spec": "work", "steps": steps})
+		status, _ := c.call(n, http.MethodPost, prefix+id, map[string]any{"spec": "work", "steps": steps})
 		if status/100 == 2 {
 			return true
 		}
@@ -385,10 +396,12 @@
 }
 
 // state asks for the state of a job until a process answers, for up to limit.
-func (c *cell) state(id string, limit time.Duration) string {
+func (c *cell) state(id string, limit time.Duration) string { return c.stateOf(queue, id, limit) }
+
+func (c *cell) stateOf(prefix, id string, limit time.Duration) string {
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		for _, n := range c.nodes {
-			status, body := c.call(n, http.MethodGet, queue+id, nil)
+			status, body := c.call(n, http.MethodGet, prefix+id, nil)
 			if status == http.StatusOK {
 				state, _ := body["state"].(string)
 				return state
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,7 +16,7 @@
 // trouble reports whether the case plays its disruption.
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-var cases = map[string]func(){"many-ends": manyEnds, "lost-runners": lostRunners, "pending": pending, "only-runner": onlyRunner}
+var cases = map[string]func(){"many-ends": manyEnds, "lost-runners": lostRunners, "pending": pending, "only-runner": onlyRunner, "claims": claims}
 
 func main() {
 	play, known := cases[os.Getenv("CASE")]
@@ -210,3 +210,76 @@
 	}
 	c.finish(broken, "LOST")
 }
+
+// claims: a runner of a gang is lost for good, so that the gang waits for room.
+func claims() {
+	const (
+		lasting = "00000000000e0001"
+		gang    = "00000000000e0002"
+		jobs    = 5
+		finish  = 14 * time.Second // finish_s
+		idle    = 3 * time.Second  // how long a job may have nothing running while a task's turn has come
+	)
+	work := func(task string) (time.Duration, string) {
+		switch task[:16] {
+		case lasting:
+			return time.Hour, "done"
+		case gang:
+			return 20 * time.Second, "done"
+		}
+		return time.Second, "done"
+	}
+	c := newCell(3, 9, 64000, work)
+	c.waitReady()
+	time.Sleep(time.Second)
+	if !c.submit(lasting, []map[string]any{{"count": 1, "cpu": 30000, "mem-mb": 4000, "daemon": true}}) {
+		c.cannotRun("the lasting job was not accepted")
+	}
+	time.Sleep(500 * time.Millisecond)
+	c.gangs.sizes[gang+".0.0"] = 8
+	if !c.submitTo(quotes, gang, []map[string]any{{"count": 8, "cpu": 40000, "mem-mb": 34000, "est-ms": 20000, "gang": true}}) {
+		c.cannotRun("the gang was not accepted")
+	}
+	time.Sleep(3 * time.Second)
+	if !c.judge.atWork(gang) {
+		c.cannotRun("the gang has not started")
+	}
+	if trouble() {
+		for _, r := range c.runners {
+			if r.runsJob(gang) {
+				r.crash() // for good
+				break
+			}
+		}
+	}
+	time.Sleep(4 * time.Second)
+	id := func(i int) string { return fmt.Sprintf("%016x", 0xe0010+i) }
+	for i := range jobs {
+		if !c.submitTo(restock, id(i), []map[string]any{{"count": 1, "cpu": 2000, "mem-mb": 2800, "est-ms": 1000}}) {
+			c.cannotRun("a job was not accepted")
+		}
+	}
+	time.Sleep(finish)
+	var broken []string
+	begun := map[int]bool{}
+	for at := time.Now(); time.Since(at) < idle+time.Second; time.Sleep(50 * time.Millisecond) {
+		for i := range jobs {
+			begun[i] = begun[i] || c.judge.hasBegun(id(i))
+		}
+	}
+	for i := range jobs {
+		if !begun[i] {
+			broken = append(broken, fmt.Sprintf("job %s, accepted over %s before, is shown as %s, and no task has ever started", id(i), finish+idle, c.stateOf(restock, id(i), 3*time.Second)))
+		}
+	}
+	c.record("at work: the lasting job %t (30 of 512 cores), the gang %t", c.judge.atWork(lasting), c.judge.atWork(gang))
+	fmt.Printf("at work: the lasting job %t (30 of 512 cores), the gang %t\n", c.judge.atWork(lasting), c.judge.atWork(gang))
+	time.Sleep(30 * time.Second)
+	for i := range jobs {
+		c.record("%s later, job %s has begun: %t", 30*time.Second, id(i), c.judge.hasBegun(id(i)))
+	}
+	if c.judge.atWork(gang) && len(broken) > 0 {
+		broken = nil // more than half of the capacity may have been in use
+	}
+	c.finish(broken, "LOST")
+}
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -359,3 +359,15 @@
 	defer r.mu.Unlock()
 	r.fails = on
 }
+
+// runsJob reports whether a run of the job is at work on the runner.
+func (r *runner) runsJob(job string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task := range r.runs {
+		if task[:16] == job {
+			return true
+		}
+	}
+	return false
+}
