--- a/review/harness/cell.go
+++ b/review/harness/cell.go
@@ -76,6 +76,12 @@
 	os.Exit(2)
 }
 
+// loopback returns a loopback address of this process's own, so that its free ports are not taken by another cell.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16%64, pid>>8%256, 1+pid%254)
+}
+
 func (c *cell) freeAddr() string {
 	l, err := net.Listen("tcp", c.ip+":0")
 	if err != nil {
@@ -109,7 +115,7 @@
 		os.Exit(2)
 	}
 	c := &cell{
-		dir: dir, ip: "127.0.0.1", runnerCPU: runnerCPU, store: standin.NewStore(), begun: time.Now(), out: bufio.NewWriter(file),
+		dir: dir, ip: loopback(), runnerCPU: runnerCPU, store: standin.NewStore(), begun: time.Now(), out: bufio.NewWriter(file),
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 	}
 	c.judge, c.gangs = newJudge(c), newGangs()
