--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,7 +16,7 @@
 // trouble reports whether the case plays its disruption.
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-var cases = map[string]func(){"many-ends": manyEnds, "lost-runners": lostRunners, "pending": pending, "only-runner": onlyRunner, "claims": claims}
+var cases = map[string]func(){"many-ends": manyEnds, "lost-runners": lostRunners, "pending": pending, "only-runner": onlyRunner, "claims": claims, "kill-ends": killEnds, "zero-cpu": zeroCPU}
 
 func main() {
 	play, known := cases[os.Getenv("CASE")]
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -334,7 +334,7 @@
 func (r *runner) report() map[string]any {
 	running := [][]any{}
 	for _, x := range r.runs {
-		running = append(running, []any{x.task, x.run, "", 100, 1000})
+		running = append(running, []any{x.task, x.run, "", 100, usageOf(x.task)})
 	}
 	sort.Slice(running, func(i, k int) bool { return fmt.Sprint(running[i]) < fmt.Sprint(running[k]) })
 	ended := [][]any{}
