--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -48,10 +48,14 @@
 		o.n.dep.Log.Log("tenant-wait", logrus.Fields{"step": e.Step.String(), "tenant": e.Tenant, "reason": e.Reason, "ended": e.Ended})
 	case scheduler.StageWaiting:
 		o.n.dep.Metrics.stageWaits.WithLabelValues(e.Cause).Inc()
-		o.n.dep.Log.Log("stage-wait", logrus.Fields{
+		fields := logrus.Fields{
 			"step": e.Step.String(), "tasks": e.Tasks, "waited_ms": e.Waited.Milliseconds(), "cause": e.Cause,
 			"eligible": e.Eligible, "room": e.Room, "free": e.Free,
-		})
+		}
+		if e.Gang.Job != "" {
+			fields["gang"], fields["gang_starts_in_ms"] = e.Gang.String(), e.GangStartsIn.Milliseconds()
+		}
+		o.n.dep.Log.Log("stage-wait", fields)
 	case scheduler.RunnerLost:
 		o.runnerLost(e)
 	case scheduler.CrashCounted:
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -137,9 +137,9 @@
 		slices.SortStableFunc(order, byIsolation)
 	}
 	var refs []RunnerRef
-	found := 0
+	found, runtime := 0, s.expectedRunTime(st)
 	for _, r := range order {
-		if !s.unqueried(st, r) || r.claimedBy != nil && r.claimedBy != st {
+		if !s.unqueried(st, r) || !s.mayPlace(st, r, s.onRunner(runtime, r)) {
 			continue
 		}
 		copies := need.Copies(r.free(), st.maxOnRunner(waiting))
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -77,12 +77,12 @@
 	const gang = "b000000000000001"
 	sim.submitStep("gang", gang, job.Step{Count: 2, Need: model.Resources{CoresMilli: 7000}, Estimate: 1000, Gang: true})
 	sim.run(time.Second)
-	claimed := sim.sched.stages[job.StepID{Job: gang}].claimedRunners
+	claimed := sim.sched.stages[job.StepID{Job: gang}].claims
 	if len(claimed) != 2 {
 		t.Fatalf("%d runners are claimed, want 2", len(claimed))
 	}
-	for _, r := range claimed {
-		sim.runners[r.ID].setCapacity(4000)
+	for _, c := range claimed {
+		sim.runners[c.runner.ID].setCapacity(4000)
 	}
 	for i := range 200 { // 10 s
 		sim.submitStep("fill", fmt.Sprintf("e%015x", i), job.Step{Count: 1, Need: model.Resources{CoresMilli: 3000}, Estimate: 2000})
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -3,11 +3,9 @@
 import (
 	"slices"
 	"sort"
-	"time"
-)
 
-// maxClaimedShare limits the share of the runners that several gangs may claim at the same time.
-const maxClaimedShare = 0.5
+	"github.com/agateyard/agateyard/internal/model"
+)
 
 // placeGang reserves capacity for all tasks of a gang. If there is not enough, it preempts runs or claims runners.
 func (s *Scheduler) placeGang(st *stage, runners []*runner) {
@@ -46,7 +44,7 @@
 
 // reserveGang reserves the capacity of all members. Their runs have the same number.
 func (s *Scheduler) reserveGang(st *stage, placements []gangPlacement) {
-	st.claimedRunners, st.preemptionDeadline = nil, 0
+	st.claims, st.preemptionDeadline = nil, 0
 	number := 0
 	for _, t := range st.tasks {
 		number = max(number, s.nextRunNumber(t))
@@ -66,11 +64,11 @@
 	suspect bool
 }
 
-// planGang distributes a gang over runners with enough capacity; nil if it doesn't fit. With ignoreUsage, the total
-// capacity of the runners counts, including what other runs use now.
-func (s *Scheduler) planGang(st *stage, candidates []*runner, ignoreUsage bool) []gangPlacement {
+// planGang distributes a gang over runners with enough capacity; nil if it doesn't fit. With later, what other runs use now
+// counts as well, if they are expected to end.
+func (s *Scheduler) planGang(st *stage, candidates []*runner, later bool) []gangPlacement {
 	if !st.step.SameRack {
-		return s.packGang(st, candidates, ignoreUsage)
+		return s.packGang(st, candidates, later)
 	}
 	racks := map[string][]*runner{}
 	var rackOrder []string
@@ -81,28 +79,30 @@
 		racks[r.Rack] = append(racks[r.Rack], r)
 	}
 	for _, rack := range rackOrder {
-		if placements := s.packGang(st, racks[rack], ignoreUsage); placements != nil {
+		if placements := s.packGang(st, racks[rack], later); placements != nil {
 			return placements
 		}
 	}
-	return s.packGang(st, candidates, ignoreUsage) // across several racks, which is slower
+	return s.packGang(st, candidates, later) // across several racks, which is slower
 }
 
 // packGang fills the runners with capacity for the most tasks first, so that a gang uses few runners; while runners differ
 // in speed, the fastest ones. Runners on which runs fail often are used only if the gang doesn't fit without them, as one
-// member that fails breaks the whole gang. With ignoreUsage, the runners that are expected to be idle soonest come first.
-func (s *Scheduler) packGang(st *stage, candidates []*runner, ignoreUsage bool) []gangPlacement {
+// member that fails breaks the whole gang. With later, the runners that are expected to be idle soonest come first.
+func (s *Scheduler) packGang(st *stage, candidates []*runner, later bool) []gangPlacement {
 	need := st.step.Reserved()
 	lastAttempt := st.isLastAttempt(st.tasks[0])
+	patience, runtime := s.latePatience(st), s.expectedRunTime(st)
 	var placements []gangPlacement
 	for _, r := range candidates {
-		if !ignoreUsage && r.claimedBy != nil && r.claimedBy != st {
-			continue
-		}
-		capacity := r.free()
-		if ignoreUsage {
-			capacity = r.Capacity
-			s.estimateIdleAt(r)
+		var capacity model.Resources
+		switch {
+		case later:
+			capacity = s.roomLater(r, patience)
+		case need.CoresMilli > r.Capacity.CoresMilli-r.used.CoresMilli:
+			continue // the usual case while gangs wait, at the least cost
+		default:
+			capacity = s.roomNow(st, r, runtime)
 		}
 		limit := st.maxOnRunner(len(st.tasks))
 		if r.health.probing {
@@ -112,7 +112,7 @@
 			placements = append(placements, gangPlacement{runner: r, count: n, suspect: s.isSuspect(r, lastAttempt)})
 		}
 	}
-	if s.fleetSpeed.unequal && !ignoreUsage {
+	if s.fleetSpeed.unequal && !later {
 		if sound := packBySpeed(soundPlacements(placements), len(st.tasks)); sound != nil {
 			return sound
 		}
@@ -120,10 +120,10 @@
 	}
 	sort.SliceStable(placements, func(i, k int) bool {
 		a, b := placements[i], placements[k]
-		if ignoreUsage && a.runner.idleAt != b.runner.idleAt {
-			return a.runner.idleAt < b.runner.idleAt // idle soonest
+		if later && a.runner.outlook.idleAt != b.runner.outlook.idleAt {
+			return a.runner.outlook.idleAt < b.runner.outlook.idleAt // idle soonest
 		}
-		if !ignoreUsage && a.suspect != b.suspect {
+		if !later && a.suspect != b.suspect {
 			return b.suspect
 		}
 		return a.count > b.count
@@ -131,78 +131,6 @@
 	return takeMembers(placements, len(st.tasks))
 }
 
-// claimRunners claims runners for a gang until their capacity is free. Less urgent stages may only backfill claimed
-// runners: place runs that are expected to end before the gang starts.
-func (s *Scheduler) claimRunners(st *stage, candidates, runners []*runner) {
-	claimed := 0
-	for _, r := range candidates {
-		r.claimable = r.claimedBy == nil
-	}
-	for _, r := range runners {
-		if r.claimedBy != nil {
-			claimed++
-		}
-	}
-	if !st.claimIsValid() {
-		st.claimedRunners = nil
-		var free []*runner
-		for _, r := range candidates {
-			if r.claimable {
-				free = append(free, r)
-			}
-		}
-		for _, placement := range s.planGang(st, free, true) {
-			st.claimedRunners = append(st.claimedRunners, placement.runner)
-		}
-	}
-	for _, r := range candidates {
-		r.claimable = false
-	}
-	if claimed > 0 && float64(claimed+len(st.claimedRunners)) > maxClaimedShare*float64(len(runners)) {
-		return
-	}
-	ready := s.now
-	for _, r := range st.claimedRunners {
-		s.estimateIdleAt(r)
-		ready = max(ready, r.idleAt)
-	}
-	for _, r := range st.claimedRunners {
-		r.claimedBy = st
-		r.claimStart = ready
-	}
-}
-
-// estimateIdleAt estimates when all runs on a runner will have ended. The estimate is computed once per pass.
-func (s *Scheduler) estimateIdleAt(r *runner) {
-	if r.idleAtPass == s.passCount {
-		return
-	}
-	r.idleAtPass = s.passCount
-	r.idleAt = s.now
-	for _, x := range r.runs {
-		r.idleAt = max(r.idleAt, s.expectedEnd(x))
-	}
-}
-
-// mayPlace reports whether a stage may place a task of the given run time on a runner. On a runner that is claimed by a
-// gang, the task has to end before the gang is expected to start.
-func (s *Scheduler) mayPlace(st *stage, r *runner, runtime time.Duration) bool {
-	return r.claimedBy == nil || r.claimedBy == st || s.now+runtime < r.claimStart
-}
-
-// claimIsValid reports whether the gang has claimed runners, all of them are still usable for it, and it still fits there: they may
-// have shrunk.
-func (st *stage) claimIsValid() bool {
-	need, limit, members := st.step.Reserved(), st.maxOnRunner(len(st.tasks)), 0
-	for _, r := range st.claimedRunners {
-		if !r.claimable {
-			return false
-		}
-		members += need.Copies(r.Capacity, limit)
-	}
-	return members >= len(st.tasks)
-}
-
 // startGang starts all members if each has a reserved run. The caller has checked the tickets.
 func (s *Scheduler) startGang(st *stage) {
 	for _, t := range st.tasks {
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -295,7 +295,7 @@
 				busy = append(busy, r)
 			}
 		case r.isolation == nil && copies(r) > 0 && !s.crashesByItself(r.Addr):
-			s.estimateIdleAt(r)
+			s.updateOutlook(r)
 			others = append(others, r)
 		}
 	}
@@ -303,7 +303,7 @@
 		missing = 1
 	}
 	slices.SortStableFunc(others, func(a, b *runner) int {
-		return cmp.Or(cmp.Compare(min(len(a.runs), 1), min(len(b.runs), 1)), cmp.Compare(a.idleAt, b.idleAt))
+		return cmp.Or(cmp.Compare(min(len(a.runs), 1), min(len(b.runs), 1)), cmp.Compare(a.outlook.idleAt, b.outlook.idleAt))
 	})
 	// One at a time, and none while the stage has an idle one: stages with different eligible runners would otherwise exchange them in
 	// each pass.
--- a/internal/scheduler/lean_advice.go
+++ b/internal/scheduler/lean_advice.go
@@ -27,11 +27,9 @@
 // capacity. The search starts at a position that differs between jobs, so that gangs rarely compete for the same runners.
 func (s *Scheduler) unqueriedWithRoom(st *stage) []RunnerRef {
 	need, limit := st.step.Reserved(), st.maxOnRunner(len(st.tasks))
-	known := 0
+	known, runtime := 0, s.expectedRunTime(st)
 	for _, r := range s.candidates(st, nil) {
-		if r.claimedBy == nil || r.claimedBy == st {
-			known += need.Copies(r.free(), limit)
-		}
+		known += need.Copies(s.roomNow(st, r, runtime), limit)
 	}
 	wanted := (leanOversampling*float64(len(st.tasks)) - float64(known)) / s.eligibleShare(st)
 	var refs []RunnerRef
@@ -42,10 +40,10 @@
 			break
 		}
 		r := s.byFreeCores[(start+k)%n]
-		if r.claimedBy != nil && r.claimedBy != st || !s.unqueried(st, r) {
+		if !s.unqueried(st, r) {
 			continue
 		}
-		if copies := need.Copies(r.free(), limit); copies > 0 {
+		if copies := need.Copies(s.roomNow(st, r, runtime), limit); copies > 0 {
 			refs = append(refs, r.ref())
 			found += copies
 		}
--- a/internal/scheduler/occurrences.go
+++ b/internal/scheduler/occurrences.go
@@ -83,7 +83,7 @@
 // stageDone opens the stages that depended on a finished stage and completes the occurrence with its last stage.
 func (s *Scheduler) stageDone(st *stage) {
 	st.open = false
-	st.claimedRunners = nil
+	st.claims = nil
 	s.updateDemand(st)
 	s.updateLoad(st, 0)
 	s.removeClosedStages()
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -25,6 +25,7 @@
 	s.passCount++
 	clear(s.adviceRefusals)
 	s.startBacklog.ready = 0
+	s.claimed = 0
 	runners := s.sortedRunners()
 	for _, r := range runners {
 		r.claimedBy = nil
@@ -38,6 +39,7 @@
 		s.releaseInherited()
 	}
 	s.updateFreeCapacity(runners)
+	s.updateFreeServices(runners)
 	s.load.setCapacity(runners)
 	s.refreshSpeeds(runners)
 	s.updateShares()
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -69,11 +69,11 @@
 	sample          speedSample
 	slowness        float64       // estimate from the sample and the prior of the runner's kind
 	terminatesAt    time.Duration // 0 if no termination is announced
-	idleAt          time.Duration // expected end of all its runs
-	idleAtPass      int           // pass in which idleAt was estimated
-	claimStart      time.Duration // expected start of the gang that claims the runner
-	claimable       bool          // while claimRunners looks for runners: a candidate without a claim
-	claimedBy       *stage        // gang that claims the runner; nil if none
+	outlook         outlook
+	claimedBy       *stage          // gang that claims room on the runner; nil if none
+	claimStart      time.Duration   // when that gang is expected to start
+	claimSpare      model.Resources // what the gang leaves to runs that last longer
+	claimable       bool            // while claimRunners looks for runners: a candidate without a claim
 }
 
 type runKey struct {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,8 +43,9 @@
 	mostlyFree     bool            // at least half of the usable cores are free
 	// mostlyFreeSince is when at least half of the usable cores became free; meaningful only while they are.
 	mostlyFreeSince time.Duration
-	overdueAdviceAt time.Duration // when advice was last requested for a deferred stage before more urgent ones
-	waitsCheckedAt  time.Duration // when long waits were last looked for
+	freeServices    map[string]time.Duration // since when at least half of the usable cores of a service have been free, if they are
+	overdueAdviceAt time.Duration            // when advice was last requested for a deferred stage before more urgent ones
+	waitsCheckedAt  time.Duration            // when long waits were last looked for
 	fleetSpeed      fleetSpeed
 	failures        fleetFailures
 	runnersByID     []*runner // cached list of the runners, sorted by identifier; nil if outdated
@@ -52,6 +53,7 @@
 	discoveryRead   bool // all runners in discovery have been listed once
 	needsPass       bool
 	heldBack        bool // the stage that passStage has just visited waits for its tenant's limits
+	claimed         int  // runners that gangs have claimed in this pass
 	startBudget     int  // number of starts that may be sent now
 	startBacklog    startBacklog
 	orderBuf        []*runner
@@ -88,6 +90,7 @@
 		dirty:          map[string]*jobState{},
 		crashes:        newCrashes(),
 		isolations:     map[isolationKey]*isolation{},
+		freeServices:   map[string]time.Duration{},
 		takenOverAt:    now,
 		startBudget:    math.MaxInt,
 		adviceRefusals: map[string]int{},
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -18,16 +18,16 @@
 	advice             stageAdvice
 	wait               stageWait
 	load               stageLoad
-	claimedRunners     []*runner     // runners that a gang has claimed
-	gangRunners        []*runner     // runners on which this owner has started a gang
-	apart              bool          // has waiting tasks that may crash their runner, as of the last pass
-	notIsolatedSince   time.Duration // since when no runner that is set apart is eligible; 0 if one is
-	notIsolatedAt      time.Duration // when that was last checked
-	nextPreemption     time.Duration // earliest time to look for runs to preempt again
-	requested          int32         // tasks that count in the demand of the job's tenant
-	runSeconds         float32       // expected run time of a task when it was first counted there
-	preemptionDeadline time.Duration // when the runs preempted for reserved runs should have ended; 0 if none were
-	remainingPath      time.Duration // expected run time of the longest dependency chain among this and all later steps of the job
+	claims             []gangPlacement // room that a gang has claimed
+	gangRunners        []*runner       // runners on which this owner has started a gang
+	apart              bool            // has waiting tasks that may crash their runner, as of the last pass
+	notIsolatedSince   time.Duration   // since when no runner that is set apart is eligible; 0 if one is
+	notIsolatedAt      time.Duration   // when that was last checked
+	nextPreemption     time.Duration   // earliest time to look for runs to preempt again
+	requested          int32           // tasks that count in the demand of the job's tenant
+	runSeconds         float32         // expected run time of a task when it was first counted there
+	preemptionDeadline time.Duration   // when the runs preempted for reserved runs should have ended; 0 if none were
+	remainingPath      time.Duration   // expected run time of the longest dependency chain among this and all later steps of the job
 }
 
 func newStage(j *jobState, id job.StepID) *stage {
--- a/internal/scheduler/stage_waits.go
+++ b/internal/scheduler/stage_waits.go
@@ -27,6 +27,9 @@
 	Eligible int // runners that may take its tasks, whatever else runs there
 	Room     int // how many of its tasks fit on them, if nothing else ran there
 	Free     int // how many fit now
+	// Gang is the gang that has claimed free capacity which the stage could use, and GangStartsIn when it is expected to start.
+	Gang         job.StepID
+	GangStartsIn time.Duration
 }
 
 func (StageWaiting) effect() {}
@@ -67,17 +70,23 @@
 func (s *Scheduler) describeWait(st *stage) StageWaiting {
 	e := StageWaiting{Step: st.id, Tasks: st.waitingTasks() + st.reservedCount, Waited: s.now - st.wait.since}
 	need, limit := st.step.Reserved(), st.maxOnRunner(len(st.tasks))
+	later, runtime := 0, s.expectedRunTime(st)
 	for _, r := range s.candidates(st, s.sortedRunners()) {
 		e.Eligible++
 		e.Room += need.Copies(r.Capacity, limit)
 		e.Free += need.Copies(r.free(), limit)
+		later += need.Copies(s.roomLater(r, s.latePatience(st)), limit)
+		if need.Fits(r.free()) && !s.mayPlace(st, r, s.onRunner(runtime, r)) {
+			e.Gang, e.GangStartsIn = r.claimedBy.id, max(r.claimStart-s.now, 0)
+		}
 	}
-	e.Cause = s.waitCause(st, e)
+	e.Cause = s.waitCause(st, e, later)
 	return e
 }
 
-// waitCause returns the first condition that keeps the stage from starting, in the order in which a pass checks them.
-func (s *Scheduler) waitCause(st *stage, e StageWaiting) string {
+// waitCause returns the first condition that keeps the stage from starting, in the order in which a pass checks them. later is how many
+// of its tasks will fit once the runs with an expected end have ended.
+func (s *Scheduler) waitCause(st *stage, e StageWaiting, later int) string {
 	wanted := 1
 	if st.step.Gang {
 		wanted = len(st.tasks)
@@ -97,10 +106,14 @@
 		return s.missingRunnersCause(st)
 	case st.apart:
 		return "kept apart from other tasks"
+	case later < wanted:
+		return "tasks that last, or runs that should have ended, hold the capacity"
 	case e.Free < wanted:
 		return "too little free capacity"
 	case s.startBudget <= 0:
 		return "starts are limited"
+	case e.Gang != job.StepID{}:
+		return "a gang has claimed the free capacity"
 	}
 	return "free capacity is claimed or reserved for others"
 }
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -148,6 +148,7 @@
 	t.stage.reservedCount++
 	t.lastRun = number
 	s.charge(x)
+	s.placedBesideClaim(x)
 	r.health.placed(x)
 	return x
 }
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -114,7 +114,7 @@
 	s.finalJobs = append(s.finalJobs, j)
 	for _, st := range j.stages {
 		st.open = false
-		st.claimedRunners = nil
+		st.claims = nil
 		s.updateDemand(st)
 		s.updateLoad(st, 0)
 		for _, t := range st.tasks {
