--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -287,6 +287,8 @@
 	idle := false // an idle runner is set apart that the stage may use
 	for _, r := range candidates {
 		switch {
+		case !s.becomesFree(r):
+			continue // set apart or not, it is of no use to the suspect
 		case r.isolation == is && copies(r) > 0:
 			r.riskyAt = max(r.riskyAt, s.now-isolationTime) // it is waited for
 			missing -= copies(r)
@@ -320,6 +322,11 @@
 	}
 }
 
+// becomesFree reports whether the runs of others on a runner, with which a suspect must not share it, have ended or are expected to.
+func (s *Scheduler) becomesFree(r *runner) bool {
+	return len(r.runs) == r.riskyRuns || s.becomesIdle(r)
+}
+
 // mayRunAnywhere reports whether risky runs of a stage may be placed on runners that are not set apart: because another one may
 // be set apart for a queue, or because the stage has found none of those that are, or not enough for its gang, for a while.
 func (s *Scheduler) mayRunAnywhere(st *stage, why risk, candidates []*runner) bool {
@@ -328,7 +335,9 @@
 		return true
 	}
 	need := st.step.Reserved()
-	if !st.step.Gang && slices.ContainsFunc(candidates, func(r *runner) bool { return r.isolation == is && need.Fits(r.Capacity) }) {
+	if !st.step.Gang && slices.ContainsFunc(candidates, func(r *runner) bool {
+		return r.isolation == is && need.Fits(r.Capacity) && (why != riskByTask || s.becomesFree(r))
+	}) {
 		st.notIsolatedSince = 0
 		return false
 	}
--- /dev/null
+++ b/internal/scheduler/isolation_wait_test.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/agateyard/agateyard/internal/job"
+)
+
+// TestSuspectWaitsForNoLastingTask guards against a task that is suspected of crashing its runner, or a gang, which waits for ever for a
+// runner without other runs, as tasks that last run on all of them.
+func TestSuspectWaitsForNoLastingTask(t *testing.T) {
+	for name, c := range map[string]struct {
+		occupants, suspect job.Step
+	}{
+		"task beside lasting tasks": {
+			job.Step{Count: 8, Need: cores(2), Estimate: 500, LongRunning: true, MaxPerRunner: 1},
+			job.Step{Count: 1, Need: cores(2), Estimate: 20_000},
+		},
+		"task beside late runs": {
+			job.Step{Count: 8, Need: cores(2), Estimate: 500, MaxPerRunner: 1},
+			job.Step{Count: 1, Need: cores(2), Estimate: 20_000},
+		},
+		"gang beside lasting tasks": {
+			job.Step{Count: 8, Need: cores(2), Estimate: 500, LongRunning: true, MaxPerRunner: 1},
+			job.Step{Count: 2, Need: cores(2), Estimate: 20_000, Gang: true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newClaimSimulation(8, map[string]time.Duration{occupantJob: time.Hour})
+			sim.submitStep("fill", occupantJob, c.occupants)
+			sim.run(time.Second)
+			const suspect = "f000000000000001"
+			sim.deadly = func(task job.TaskID) bool { return task.Job == suspect && task.Index == 0 && sim.crashes[task] == 0 }
+			sim.submitStep("fill", suspect, c.suspect)
+			runs := func() []*fakeRunner {
+				return sim.runnersAt(func(info RunnerInfo) bool {
+					for key := range sim.runners[info.ID].runs {
+						if key.task.Job == suspect {
+							return true
+						}
+					}
+					return false
+				})
+			}
+			kept := false
+			for range 60 {
+				sim.run(100 * time.Millisecond)
+				for _, r := range sim.runners {
+					if r.ended {
+						r.info.Service = "elsewhere" // what answers at its address later is of no use
+					}
+				}
+				kept = kept || sim.sched.isKeptApart(sim.sched.stages[job.StepID{Job: suspect}])
+			}
+			if !kept {
+				t.Fatal("no task that waits is suspected of the crash")
+			}
+			sim.run(6 * time.Second)
+			if len(runs()) == 0 {
+				t.Error("the suspect has not started again 12s after it was submitted")
+			}
+			sim.reportViolations(t)
+		})
+	}
+}
--- a/internal/scheduler/outlook.go
+++ b/internal/scheduler/outlook.go
@@ -88,6 +88,12 @@
 	r.outlook = o
 }
 
+// becomesIdle reports whether all runs on a runner are expected to end.
+func (s *Scheduler) becomesIdle(r *runner) bool {
+	s.updateOutlook(r)
+	return r.outlook.lasting.IsZero() && r.outlook.late.IsZero()
+}
+
 // roomLater returns the capacity of a runner that will be free, as far as the ends of its runs can be expected.
 func (s *Scheduler) roomLater(r *runner, patience time.Duration) model.Resources {
 	s.updateOutlook(r)
