--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -20,7 +20,10 @@
 	} else if s.crashes.known() {
 		candidates = slices.DeleteFunc(candidates, func(r *runner) bool { return !s.admitsRisk(r, noRisk, false) })
 	}
-	chosen := s.planGang(st, candidates, false)
+	chosen := s.planGang(st, candidates, gangRoom{})
+	if chosen == nil && s.needsWholeProbes(st, candidates) {
+		chosen = s.planGang(st, candidates, gangRoom{wholeProbes: true})
+	}
 	if chosen == nil {
 		if s.isLimitedExcess(st) {
 			return
@@ -64,11 +67,16 @@
 	suspect bool
 }
 
-// planGang distributes a gang over runners with enough capacity; nil if it doesn't fit. With later, what other runs use now
-// counts as well, if they are expected to end.
-func (s *Scheduler) planGang(st *stage, candidates []*runner, later bool) []gangPlacement {
+// gangRoom is the capacity that counts when a gang is distributed over runners.
+type gangRoom struct {
+	later       bool // also what other runs use now, if they are expected to end
+	wholeProbes bool // all that is free on a runner that is being probed, instead of the room for one run
+}
+
+// planGang distributes a gang over runners with enough capacity; nil if it doesn't fit.
+func (s *Scheduler) planGang(st *stage, candidates []*runner, room gangRoom) []gangPlacement {
 	if !st.step.SameRack {
-		return s.packGang(st, candidates, later)
+		return s.packGang(st, candidates, room)
 	}
 	racks := map[string][]*runner{}
 	var rackOrder []string
@@ -79,17 +87,17 @@
 		racks[r.Rack] = append(racks[r.Rack], r)
 	}
 	for _, rack := range rackOrder {
-		if placements := s.packGang(st, racks[rack], later); placements != nil {
+		if placements := s.packGang(st, racks[rack], room); placements != nil {
 			return placements
 		}
 	}
-	return s.packGang(st, candidates, later) // across several racks, which is slower
+	return s.packGang(st, candidates, room) // across several racks, which is slower
 }
 
 // packGang fills the runners with capacity for the most tasks first, so that a gang uses few runners; while runners differ
 // in speed, the fastest ones. Runners on which runs fail often are used only if the gang doesn't fit without them, as one
-// member that fails breaks the whole gang. With later, the runners that are expected to be idle soonest come first.
-func (s *Scheduler) packGang(st *stage, candidates []*runner, later bool) []gangPlacement {
+// member that fails breaks the whole gang. Of the capacity that will be free later, the runners that are expected to be idle soonest come first.
+func (s *Scheduler) packGang(st *stage, candidates []*runner, room gangRoom) []gangPlacement {
 	need := st.step.Reserved()
 	lastAttempt := st.isLastAttempt(st.tasks[0])
 	patience, runtime := s.latePatience(st), s.expectedRunTime(st)
@@ -97,7 +105,7 @@
 	for _, r := range candidates {
 		var capacity model.Resources
 		switch {
-		case later:
+		case room.later:
 			capacity = s.roomLater(r, patience)
 		case need.CoresMilli > r.Capacity.CoresMilli-r.used.CoresMilli:
 			continue // the usual case while gangs wait, at the least cost
@@ -105,14 +113,14 @@
 			capacity = s.roomNow(st, r, runtime)
 		}
 		limit := st.maxOnRunner(len(st.tasks))
-		if r.health.probing {
+		if r.health.probing && !room.wholeProbes {
 			limit = min(limit, 1)
 		}
 		if n := need.Copies(capacity, limit); n > 0 {
 			placements = append(placements, gangPlacement{runner: r, count: n, suspect: s.isSuspect(r, lastAttempt)})
 		}
 	}
-	if s.fleetSpeed.unequal && !later {
+	if s.fleetSpeed.unequal && !room.later {
 		if sound := packBySpeed(soundPlacements(placements), len(st.tasks)); sound != nil {
 			return sound
 		}
@@ -120,10 +128,10 @@
 	}
 	sort.SliceStable(placements, func(i, k int) bool {
 		a, b := placements[i], placements[k]
-		if later && a.runner.outlook.idleAt != b.runner.outlook.idleAt {
+		if room.later && a.runner.outlook.idleAt != b.runner.outlook.idleAt {
 			return a.runner.outlook.idleAt < b.runner.outlook.idleAt // idle soonest
 		}
-		if !later && a.suspect != b.suspect {
+		if !room.later && a.suspect != b.suspect {
 			return b.suspect
 		}
 		return a.count > b.count
@@ -131,6 +139,12 @@
 	return takeMembers(placements, len(st.tasks))
 }
 
+// needsWholeProbes reports whether a gang fits only with more than one run on runners that are being probed, whatever else ends.
+func (s *Scheduler) needsWholeProbes(st *stage, candidates []*runner) bool {
+	return slices.ContainsFunc(candidates, func(r *runner) bool { return r.health.probing }) &&
+		s.planGang(st, candidates, gangRoom{later: true}) == nil
+}
+
 // startGang starts all members if each has a reserved run. The caller has checked the tickets.
 func (s *Scheduler) startGang(st *stage) {
 	for _, t := range st.tasks {
--- a/internal/scheduler/gang_claim.go
+++ b/internal/scheduler/gang_claim.go
@@ -29,7 +29,7 @@
 				free = append(free, r)
 			}
 		}
-		st.claims = s.planGang(st, free, true)
+		st.claims = s.planGang(st, free, gangRoom{later: true, wholeProbes: s.needsWholeProbes(st, free)})
 	}
 	for _, r := range candidates {
 		r.claimable = false
