--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -55,6 +55,9 @@
 		if e.Gang.Job != "" {
 			fields["gang"], fields["gang_starts_in_ms"] = e.Gang.String(), e.GangStartsIn.Milliseconds()
 		}
+		if e.RetryIn > 0 {
+			fields["retry_in_ms"] = e.RetryIn.Milliseconds()
+		}
 		o.n.dep.Log.Log("stage-wait", fields)
 	case scheduler.RunnerLost:
 		o.runnerLost(e)
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -35,8 +35,10 @@
 	Failed      map[int][]int  `json:"failed,omitempty"` // numbers of the failed runs, by task index
 	Checkpoints map[int]string `json:"saved,omitempty"`  // last checkpoint, by task index
 	// Crashes are the losses of runners that may have been caused by a task, by task index. A gang counts under its first task.
-	Crashes         map[int][]Crash `json:"crashed,omitempty"`
-	EligibleRunners []string        `json:"good,omitempty"` // eligible runners, if repeating the advice calls would be expensive
+	Crashes map[int][]Crash `json:"crashed,omitempty"`
+	// FailedLately are the failed runs that may still decide where a task runs next, by task index.
+	FailedLately    map[int][]FailedRun `json:"failed-lately,omitempty"`
+	EligibleRunners []string            `json:"good,omitempty"` // eligible runners, if repeating the advice calls would be expensive
 }
 
 // Encode returns the stored form of the record.
--- a/internal/job/record_check.go
+++ b/internal/job/record_check.go
@@ -55,6 +55,11 @@
 			return oops.Errorf("progress: no task %d in step %d", task, p.Step)
 		}
 	}
+	for task := range p.FailedLately {
+		if outside(task) {
+			return oops.Errorf("progress: no task %d in step %d", task, p.Step)
+		}
+	}
 	for task := range p.Checkpoints {
 		if outside(task) {
 			return oops.Errorf("progress: no task %d in step %d", task, p.Step)
--- a/internal/job/record_fuzz_test.go
+++ b/internal/job/record_fuzz_test.go
@@ -43,7 +43,7 @@
 
 var recordSeeds = []string{
 	``, `null`, `{}`, `[]`, strings.Repeat(`{"steps":[`, 20_000),
-	`{"id":"000000000000000a","queue":"q","steps":[{"count":2}],"accepted":1,"progress":[{"k":0,"s":0,"done":[0],"failed":{"1":[1]},"saved":{"1":"c"},"good":["r"],"crashed":{"0":[{"r":"r","b":1,"n":1,"of":2}]}}]}`,
+	`{"id":"000000000000000a","queue":"q","steps":[{"count":2}],"accepted":1,"progress":[{"k":0,"s":0,"done":[0],"failed":{"1":[1]},"saved":{"1":"c"},"good":["r"],"crashed":{"0":[{"r":"r","b":1,"n":1,"of":2}]},"failed-lately":{"1":[{"r":"r","t":1,"q":true}]}}]}`,
 	`{"id":"000000000000000a","queue":"q","steps":[{"count":-1}]}`,
 	`{"id":"000000000000000a","queue":"q","steps":[{"count":1,"after":[5]}]}`,
 	`{"id":"000000000000000a","queue":"q","steps":[{"count":1}],"progress":[{"k":-1,"s":0}]}`,
@@ -57,17 +57,18 @@
 // counts twice, after which a job would end as done before all of its occurrences have run.
 func TestMalformedRecordsAreRefused(t *testing.T) {
 	for name, data := range map[string]string{
-		"negative count":      `{"id":"000000000000000a","steps":[{"count":-1}]}`,
-		"unknown dependency":  `{"id":"000000000000000a","steps":[{"count":1,"after":[5]}]}`,
-		"negative step":       `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":-1}]}`,
-		"negative occurrence": `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":-1,"s":0}]}`,
-		"negative task":       `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"done":[-1]}]}`,
-		"failed task":         `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"failed":{"-1":[1]}}]}`,
-		"crashed task":        `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"crashed":{"1":[{"r":"r","n":1}]}}]}`,
-		"checkpoint":          `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"saved":{"1":"c"}}]}`,
-		"progress twice":      `{"id":"000000000000000a","steps":[{"count":1}],"times":2,"progress":[{"k":0,"s":0,"all":true},{"k":0,"s":0,"all":true}]}`,
-		"no identifier":       `{"steps":[{"count":1}]}`,
-		"unknown state":       `{"id":"000000000000000a","final":"lost"}`,
+		"negative count":          `{"id":"000000000000000a","steps":[{"count":-1}]}`,
+		"unknown dependency":      `{"id":"000000000000000a","steps":[{"count":1,"after":[5]}]}`,
+		"negative step":           `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":-1}]}`,
+		"negative occurrence":     `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":-1,"s":0}]}`,
+		"negative task":           `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"done":[-1]}]}`,
+		"failed task":             `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"failed":{"-1":[1]}}]}`,
+		"task that failed lately": `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"failed-lately":{"1":[{"r":"r","t":1}]}}]}`,
+		"crashed task":            `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"crashed":{"1":[{"r":"r","n":1}]}}]}`,
+		"checkpoint":              `{"id":"000000000000000a","steps":[{"count":1}],"progress":[{"k":0,"s":0,"saved":{"1":"c"}}]}`,
+		"progress twice":          `{"id":"000000000000000a","steps":[{"count":1}],"times":2,"progress":[{"k":0,"s":0,"all":true},{"k":0,"s":0,"all":true}]}`,
+		"no identifier":           `{"steps":[{"count":1}]}`,
+		"unknown state":           `{"id":"000000000000000a","final":"lost"}`,
 	} {
 		if r, err := DecodeRecord([]byte(data)); err == nil {
 			t.Errorf("%s: decoded as %+v", name, r)
--- a/internal/scheduler/best_fit.go
+++ b/internal/scheduler/best_fit.go
@@ -3,20 +3,20 @@
 import "github.com/agateyard/agateyard/internal/model"
 
 // bestFit returns the runner on which the task leaves the fewest cores unused, with penalties for avoided and remote
-// runners and, by costs or for urgent work, for the speed of runners. It returns nil if no runner has capacity, or if a failed task would get the
-// runner that it avoids although the stage has other candidates.
-func (s *Scheduler) bestFit(st *stage, t *task, need model.Resources, candidates []*runner, costs *speedCosts) *runner {
-	var best *runner
+// runners and, by costs or for urgent work, for the speed of runners. It returns nil if no runner has capacity; avoided is true if
+// the only ones that have are those where the task has failed lately.
+func (s *Scheduler) bestFit(st *stage, t *task, need model.Resources, candidates []*runner, costs *speedCosts) (best *runner, avoided bool) {
 	bestCost := int64(0)
 	runtime := s.expectedRunTime(st)
 	// A failed run costs urgent work its objective, and others what a last attempt decides. Work with slack may use suspect
 	// runners, which shows whether they have recovered.
 	lastAttempt := st.isLastAttempt(t)
 	avoidSuspects := st.job.queue.Priority == urgentPriority || lastAttempt
+	failedLately := t.lastFailure != nil
 	why := s.riskOf(t)
 	anywhere := why != noRisk && s.mayRunAnywhere(st, why, candidates)
 	for _, r := range candidates {
-		if !s.mayPlace(st, r, s.onRunner(runtime, r)) || !need.Fits(r.free()) || !r.health.admits(s.now) {
+		if !need.Fits(r.free()) || !s.mayPlace(st, r, s.onRunner(runtime, r)) || !r.health.admits(s.now) {
 			continue
 		}
 		if !s.admitsRisk(r, why, anywhere) {
@@ -25,6 +25,10 @@
 		if st.step.MaxPerRunner > 0 && st.runsOn(r) >= st.step.MaxPerRunner {
 			continue
 		}
+		if failedLately && s.avoids(t, r) {
+			avoided = true
+			continue
+		}
 		cost := r.free().CoresMilli - need.CoresMilli
 		if costs != nil {
 			cost += costs.of(r)
@@ -46,11 +50,7 @@
 			best, bestCost = r, cost
 		}
 	}
-	otherRunners := len(candidates) > 1 && why == noRisk // few runners are set apart for tasks that may crash them
-	if best != nil && best.ID == t.avoidRunner && len(t.failedRuns) > 0 && otherRunners {
-		return nil
-	}
-	return best
+	return best, avoided && best == nil
 }
 
 // riskCost returns the cost of placing a task that may crash its runner: the runs that would be lost with it count.
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -84,10 +84,14 @@
 	if st.step.Gang {
 		counted = st.tasks[0] // a gang fails as a whole
 	}
-	if slices.Contains(counted.failedRuns, x.number) {
+	known := slices.Contains(counted.failedRuns, x.number)
+	if !known {
+		counted.failedRuns = append(counted.failedRuns, x.number)
+	}
+	s.recordFailure(x)
+	if known {
 		return
 	}
-	counted.failedRuns = append(counted.failedRuns, x.number)
 	s.stateChanged(st.job)
 	if limit := st.job.queue.Attempts; limit > 0 && len(counted.failedRuns) >= limit {
 		s.finish(st.job, job.Failed, fmt.Sprintf("task %s failed %d times", t.id(), len(counted.failedRuns)))
@@ -98,6 +102,7 @@
 	r := x.runner
 	switch outcome {
 	case EndDone:
+		r.soundAt = max(r.soundAt, x.startSentAt)
 		r.health.succeeded()
 		s.observeOutcome(x, false)
 		s.observe(x)
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -12,7 +12,7 @@
 	if !st.idle() || s.startBudget <= 0 || !st.tasks[0].crashIsDurable() {
 		return
 	}
-	candidates := s.candidates(st, runners)
+	candidates := s.withoutAvoided(st, s.candidates(st, runners))
 	all := candidates
 	why := s.riskOf(st.tasks[0])
 	if why != noRisk {
--- a/internal/scheduler/malformed_test.go
+++ b/internal/scheduler/malformed_test.go
@@ -15,6 +15,7 @@
 		`{"id":"000000000000000a","queue":"q","steps":[{"count":3,"gang":true,"est":9223372036854775807,"need":{"cores_milli":1000}},{"count":1,"after":[0,0]}],"progress":[{"k":0,"s":0,"good":["r1","r1","x"],"saved":{"0":"c"}}]}`,
 		`{"id":"000000000000000a","queue":"q","steps":[{"count":3}],"times":100000,"first":0,"interval":0}`,
 		`{"id":"000000000000000a","queue":"x","steps":[{"count":1}],"times":2,"first":9223372036854775807,"interval":9223372036854775807,"progress":[{"k":1,"s":0,"all":true}]}`,
+		`{"id":"000000000000000a","queue":"q","steps":[{"count":2}],"progress":[{"k":0,"s":0,"failed":{"1":[1]},"failed-lately":{"1":[{"r":"r1","t":-9223372036854775808,"q":true},{"r":"r1","t":9223372036854775807}]}}]}`,
 		`{"id":"000000000000000a","queue":"q","final":"done","finished":9223372036854775807}`,
 	} {
 		f.Add([]byte(seed))
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -206,11 +206,14 @@
 		if s.startBudget <= st.reservedCount {
 			break // the owner can't deliver more starts at present
 		}
-		r := s.bestFit(st, t, need, candidates, costs)
+		r, avoided := s.bestFit(st, t, need, candidates, costs)
 		if r == nil && s.riskOf(t) == riskByTask {
 			s.prepareIsolation(st, candidates)
 			continue // a task that may crash its runner waits without holding back the others
 		}
+		if avoided {
+			continue // others of the stage may run there
+		}
 		if r == nil {
 			return
 		}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -119,6 +119,12 @@
 			}
 			p.Crashes[t.index] = slices.Clone(t.crashes)
 		}
+		if t.lastFailure != nil {
+			if p.FailedLately == nil {
+				p.FailedLately = map[int][]job.FailedRun{}
+			}
+			p.FailedLately[t.index] = t.failedLately()
+		}
 		if t.checkpoint != "" {
 			if p.Checkpoints == nil {
 				p.Checkpoints = map[int]string{}
@@ -161,6 +167,11 @@
 			st.tasks[i].checkpoint = checkpoint
 		}
 	}
+	for i, runs := range p.FailedLately {
+		if i < len(st.tasks) {
+			s.restoreFailures(st.tasks[i], runs)
+		}
+	}
 	s.restoreCrashes(st, p.Crashes)
 	st.advice.recordedEligible = p.EligibleRunners
 	j.started = j.started || p.AllDone || len(p.Done)+len(p.Failed)+len(p.Checkpoints)+len(p.Crashes) > 0
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -65,6 +65,7 @@
 	failures        failureRate
 	excessFailures  float64 // failure rate above the fleet's, as of excessCheckedAt
 	excessCheckedAt time.Duration
+	soundAt         time.Duration // latest start of a run that is done
 	speed           runnerSpeed
 	sample          speedSample
 	slowness        float64       // estimate from the sample and the prior of the runner's kind
--- a/internal/scheduler/stage_waits.go
+++ b/internal/scheduler/stage_waits.go
@@ -30,6 +30,8 @@
 	// Gang is the gang that has claimed free capacity which the stage could use, and GangStartsIn when it is expected to start.
 	Gang         job.StepID
 	GangStartsIn time.Duration
+	// RetryIn is when a task that has failed may use the same runner again, if it waits for another one.
+	RetryIn time.Duration
 }
 
 func (StageWaiting) effect() {}
@@ -70,23 +72,34 @@
 func (s *Scheduler) describeWait(st *stage) StageWaiting {
 	e := StageWaiting{Step: st.id, Tasks: st.waitingTasks() + st.reservedCount, Waited: s.now - st.wait.since}
 	need, limit := st.step.Reserved(), st.maxOnRunner(len(st.tasks))
-	later, runtime := 0, s.expectedRunTime(st)
+	room, runtime := stageRoom{}, s.expectedRunTime(st)
 	for _, r := range s.candidates(st, s.sortedRunners()) {
 		e.Eligible++
 		e.Room += need.Copies(r.Capacity, limit)
 		e.Free += need.Copies(r.free(), limit)
-		later += need.Copies(s.roomLater(r, s.latePatience(st)), limit)
+		room.later += need.Copies(s.roomLater(r, s.latePatience(st)), limit)
+		if s.anyAvoids(st, r) {
+			room.avoided += need.Copies(r.free(), limit)
+		}
 		if need.Fits(r.free()) && !s.mayPlace(st, r, s.onRunner(runtime, r)) {
 			e.Gang, e.GangStartsIn = r.claimedBy.id, max(r.claimStart-s.now, 0)
 		}
 	}
-	e.Cause = s.waitCause(st, e, later)
+	if room.avoided > 0 {
+		e.RetryIn = s.retryIn(st)
+	}
+	e.Cause = s.waitCause(st, e, room)
 	return e
 }
 
-// waitCause returns the first condition that keeps the stage from starting, in the order in which a pass checks them. later is how many
-// of its tasks will fit once the runs with an expected end have ended.
-func (s *Scheduler) waitCause(st *stage, e StageWaiting, later int) string {
+// stageRoom is for how many tasks of a stage there is room.
+type stageRoom struct {
+	later   int // once the runs with an expected end have ended
+	avoided int // now, on runners that a waiting task avoids
+}
+
+// waitCause returns the first condition that keeps the stage from starting, in the order in which a pass checks them.
+func (s *Scheduler) waitCause(st *stage, e StageWaiting, room stageRoom) string {
 	wanted := 1
 	if st.step.Gang {
 		wanted = len(st.tasks)
@@ -106,10 +119,12 @@
 		return s.missingRunnersCause(st)
 	case st.apart:
 		return "kept apart from other tasks"
-	case later < wanted:
+	case room.later < wanted:
 		return "tasks that last, or runs that should have ended, hold the capacity"
 	case e.Free < wanted:
 		return "too little free capacity"
+	case e.Free-room.avoided < wanted:
+		return "a run has failed lately on the runners with room"
 	case s.startBudget <= 0:
 		return "starts are limited"
 	case e.Gang != job.StepID{}:
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -14,7 +14,8 @@
 	checkpoint    string      // last checkpoint
 	crashes       []job.Crash // losses of runners that it, or the gang whose first task it is, may have caused
 	crashVersion  int64       // version of the job that has to be durable before the task, or its gang, starts again
-	avoidRunner   string      // runner of the last run that failed or was refused
+	avoidRunner   string      // runner of the last run that failed or was refused; others are preferred
+	lastFailure   *failedRun  // nil if no run has failed lately
 }
 
 func (t *task) id() job.TaskID {
