--- a/internal/scheduler/gang_claim.go
+++ b/internal/scheduler/gang_claim.go
@@ -18,6 +18,9 @@
 // backfill the rest: place runs that are expected to end before the gang starts. A gang that would not fit if all runs with an
 // expected end had ended claims nothing.
 func (s *Scheduler) claimRunners(st *stage, candidates, runners []*runner) {
+	if s.claimed > 0 && float64(s.claimed+1) > maxClaimedShare*float64(len(runners)) {
+		return // whatever the gang needs
+	}
 	for _, r := range candidates {
 		r.claimable = r.claimedBy == nil
 	}
