--- a/internal/scheduler/best_fit.go
+++ b/internal/scheduler/best_fit.go
@@ -15,11 +15,12 @@
 	failedLately := t.lastFailure != nil
 	why := s.riskOf(t)
 	anywhere := why != noRisk && s.mayRunAnywhere(st, why, candidates)
+	shared := s.mayShare(st, why)
 	for _, r := range candidates {
 		if !need.Fits(r.free()) || !s.mayPlace(st, r, s.onRunner(runtime, r)) || !r.health.admits(s.now) {
 			continue
 		}
-		if !s.admitsRisk(r, why, anywhere) {
+		if !s.admitsRisk(r, why, anywhere, shared) {
 			continue
 		}
 		if st.step.MaxPerRunner > 0 && st.runsOn(r) >= st.step.MaxPerRunner {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -18,7 +18,7 @@
 	if why != noRisk {
 		candidates = s.riskyGangCandidates(st, why, candidates)
 	} else if s.crashes.known() {
-		candidates = slices.DeleteFunc(candidates, func(r *runner) bool { return !s.admitsRisk(r, noRisk, false) })
+		candidates = slices.DeleteFunc(candidates, func(r *runner) bool { return !s.admitsRisk(r, noRisk, false, s.mayShare(st, noRisk)) })
 	}
 	chosen := s.planGang(st, candidates, gangRoom{})
 	if chosen == nil && s.needsWholeProbes(st, candidates) {
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -61,12 +61,13 @@
 
 // isolation holds the runners of a service that are set apart for tasks that may crash them.
 type isolation struct {
-	key      isolationKey
-	runners  []*runner
-	lostAt   map[string]time.Duration // when runners that were set apart were lost, by identifier
-	limit    int                      // how many may be set apart, or have been lost lately while they were; 0: the service has too few
-	wanted   int                      // how many are of use, and can be spared by other work
-	capacity int64                    // of limit runners, in millicores
+	key         isolationKey
+	runners     []*runner
+	lostAt      map[string]time.Duration // when runners that were set apart were lost, by identifier
+	limit       int                      // how many may be set apart, or have been lost lately while they were; 0: the service has too few
+	pausedUntil time.Duration            // until when no run of others is started there
+	wanted      int                      // how many are of use, and can be spared by other work
+	capacity    int64                    // of limit runners, in millicores
 }
 
 // riskOf returns why a task has to be kept apart from others.
@@ -354,8 +355,9 @@
 	is := s.isolationFor(st.job.queue.Service, why)
 	wide := 2*st.step.Reserved().CoresMilli*int64(len(st.tasks)) > is.capacity
 	anywhere := wide || s.mayRunAnywhere(st, why, candidates)
-	admitted := slices.DeleteFunc(slices.Clone(candidates), func(r *runner) bool { return !s.admitsRisk(r, why, anywhere) })
-	if wide || is.room() == 0 || s.now-st.notIsolatedSince >= maxIsolationWait && st.notIsolatedSince > 0 {
+	shared := s.mayShare(st, why)
+	admitted := slices.DeleteFunc(slices.Clone(candidates), func(r *runner) bool { return !s.admitsRisk(r, why, anywhere, shared) })
+	if wide || shared || is.room() == 0 || s.now-st.notIsolatedSince >= maxIsolationWait && st.notIsolatedSince > 0 {
 		return admitted
 	}
 	slices.SortStableFunc(admitted, byIsolation)
--- a/internal/scheduler/isolation_wait_test.go
+++ b/internal/scheduler/isolation_wait_test.go
@@ -64,3 +64,45 @@
 		})
 	}
 }
+
+// TestSuspectLeavesRoomOnTheOnlyRunner guards against work that never starts because the only runner that fits is set apart for a task that is
+// suspected of a crash, for as long as that task runs.
+func TestSuspectLeavesRoomOnTheOnlyRunner(t *testing.T) {
+	accelerator := cores(1)
+	accelerator.Accelerators = 1
+	const suspect = "f000000000000001"
+	sim := newFaultSimulation(0)
+	sim.restartsInPlace = true
+	sim.deadly = func(task job.TaskID) bool { return task.Job == suspect && sim.crashes[task] == 0 }
+	sim.submitStep("fill", suspect, job.Step{Count: 1, Need: accelerator, Estimate: 600_000})
+	sim.run(10 * time.Second)
+	if n := len(sim.runners["r03"].runs); n != 1 {
+		t.Fatalf("%d tasks run on the runner that has crashed", n)
+	}
+	if sim.sched.runners["r03"].isolation == nil {
+		t.Fatal("the runner isn't set apart")
+	}
+	sim.mustStart(t, maxIdleWait, sim.submitSmall("urgent", "u", 2, job.Step{Count: 1, Need: accelerator, Estimate: 1000})...)
+}
+
+// TestSuspectDoesNotStarveOnSharedRunner guards against a suspect that never finds its only runner without the runs of others, as such
+// runs keep coming.
+func TestSuspectDoesNotStarveOnSharedRunner(t *testing.T) {
+	accelerator := cores(1)
+	accelerator.Accelerators = 1
+	const suspect = "f000000000000001"
+	sim := newFaultSimulation(0)
+	sim.restartsInPlace = true
+	sim.deadly = func(task job.TaskID) bool { return task.Job == suspect && sim.crashes[task] == 0 }
+	sim.submitStep("fill", suspect, job.Step{Count: 1, Need: accelerator, Estimate: 600_000})
+	for i := range 250 { // 25 s
+		sim.submitSmall("urgent", string(rune('A'+i%20))+string(rune('A'+i/20)), 1, job.Step{Count: 1, Need: accelerator, Estimate: 1000})
+		sim.run(100 * time.Millisecond)
+	}
+	for key := range sim.runners["r03"].runs {
+		if key.task.Job == suspect {
+			return
+		}
+	}
+	t.Error("the suspect doesn't run")
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -127,6 +127,7 @@
 		return
 	}
 	st.apart = s.isKeptApart(st)
+	s.updateSharing(st)
 	if !st.job.stored || st.job.inherited && awaitingInherited {
 		if st.advice.requests == 0 && s.mayCharge(st, 1) && !s.awaitsStarts(st, waiting) {
 			s.requestAdvice(st, waiting) // overlaps the call with the write of the acceptance
@@ -171,9 +172,9 @@
 }
 
 // feasible reports whether a runner's service, state and labels allow it to run the stage. Runners that are set apart take
-// only stages with tasks that may crash them.
+// only stages with tasks that may crash them, and those that fit nowhere else.
 func (s *Scheduler) feasible(st *stage, r *runner) bool {
-	return r.usable() && r.Service == st.job.queue.Service && r.hasLabel(st.step.RequiredLabel) && (st.apart || r.isolation == nil)
+	return r.usable() && r.Service == st.job.queue.Service && r.hasLabel(st.step.RequiredLabel) && (r.isolation == nil || st.apart || st.needsIsolated)
 }
 
 // approved reports whether the advice service has named the runner as eligible for the stage. Queues without advice
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -21,6 +21,8 @@
 	claims             []gangPlacement // room that a gang has claimed
 	gangRunners        []*runner       // runners on which this owner has started a gang
 	apart              bool            // has waiting tasks that may crash their runner, as of the last pass
+	isolatedOnlySince  time.Duration   // since when it fits on runners that are set apart only; 0 if it fits elsewhere
+	needsIsolated      bool            // it may use runners that are set apart for others
 	notIsolatedSince   time.Duration   // since when no runner that is set apart is eligible; 0 if one is
 	notIsolatedAt      time.Duration   // when that was last checked
 	nextPreemption     time.Duration   // earliest time to look for runs to preempt again
--- a/internal/scheduler/startup.go
+++ b/internal/scheduler/startup.go
@@ -53,15 +53,16 @@
 }
 
 // admitsRisk reports whether a run may be placed on a runner, as far as runs that may crash it are concerned: the run itself, or
-// others there. With anywhere, a run that is kept apart need not be placed on a runner that is set apart for it.
-func (s *Scheduler) admitsRisk(r *runner, why risk, anywhere bool) bool {
+// others there. With anywhere, a run that is kept apart need not be placed on a runner that is set apart for it; with shared, any
+// run may be placed on a runner that is set apart for others.
+func (s *Scheduler) admitsRisk(r *runner, why risk, anywhere, shared bool) bool {
 	switch {
 	case why == noRisk:
-		return r.isolation == nil && s.isSettled(r)
+		return (r.isolation == nil || shared) && s.isSettled(r)
 	case r.isolation == nil:
-		return anywhere && s.isQuiet(r)
+		return (anywhere || shared) && s.isQuiet(r)
 	case r.isolation.key.risk != why:
-		return false
+		return shared && s.isQuiet(r)
 	}
-	return (why != riskByTask || len(r.runs) == r.riskyRuns) && s.isQuiet(r)
+	return (why != riskByTask || len(r.runs) == r.riskyRuns || shared) && s.isQuiet(r)
 }
