--- a/internal/scheduler/isolation_sharing.go
+++ b/internal/scheduler/isolation_sharing.go
@@ -36,8 +36,9 @@
 		st.isolatedOnlySince, st.needsIsolated = 0, false
 	case st.isolatedOnlySince == 0:
 		st.isolatedOnlySince = s.now
-	default:
-		st.needsIsolated = s.now-st.isolatedOnlySince >= sharingDelay
+	case !st.needsIsolated && s.now-st.isolatedOnlySince >= sharingDelay:
+		st.needsIsolated = true
+		st.advice.exhaustedVersion = 0 // a gang may query the runners that are set apart
 	}
 }
 
--- a/internal/scheduler/isolation_wait_test.go
+++ b/internal/scheduler/isolation_wait_test.go
@@ -68,10 +68,31 @@
 // TestSuspectLeavesRoomOnTheOnlyRunner guards against work that never starts because the only runner that fits is set apart for a task that is
 // suspected of a crash, for as long as that task runs.
 func TestSuspectLeavesRoomOnTheOnlyRunner(t *testing.T) {
+	accelerator := cores(1)
+	accelerator.Accelerators = 1
+	t.Run("tasks", func(t *testing.T) {
+		testRoomBesideSuspect(t, nil, job.Step{Count: 1, Need: accelerator, Estimate: 1000})
+	})
+	t.Run("gangs", func(t *testing.T) {
+		testRoomBesideSuspect(t, nil, job.Step{Count: 2, Need: accelerator, Estimate: 1000, Gang: true})
+	})
+	advice := &AdvicePolicy{PerCall: 8 * time.Millisecond, TicketTTL: 1500 * time.Millisecond}
+	t.Run("tasks with advice", func(t *testing.T) {
+		testRoomBesideSuspect(t, advice, job.Step{Count: 1, Need: accelerator, Estimate: 1000})
+	})
+	t.Run("gangs with advice", func(t *testing.T) {
+		testRoomBesideSuspect(t, advice, job.Step{Count: 2, Need: accelerator, Estimate: 1000, Gang: true})
+	})
+}
+
+func testRoomBesideSuspect(t *testing.T, advice *AdvicePolicy, other job.Step) {
 	accelerator := cores(1)
 	accelerator.Accelerators = 1
 	const suspect = "f000000000000001"
 	sim := newFaultSimulation(0)
+	sim.queues[0].Advice = advice
+	sim.eligible = func(job.StepID, string) bool { return true }
+	sim.sched.SetQueues(sim.queues)
 	sim.restartsInPlace = true
 	sim.deadly = func(task job.TaskID) bool { return task.Job == suspect && sim.crashes[task] == 0 }
 	sim.submitStep("fill", suspect, job.Step{Count: 1, Need: accelerator, Estimate: 600_000})
@@ -82,7 +103,7 @@
 	if sim.sched.runners["r03"].isolation == nil {
 		t.Fatal("the runner isn't set apart")
 	}
-	sim.mustStart(t, maxIdleWait, sim.submitSmall("urgent", "u", 2, job.Step{Count: 1, Need: accelerator, Estimate: 1000})...)
+	sim.mustStart(t, maxIdleWait, sim.submitSmall("urgent", "u", 2, other)...)
 }
 
 // TestSuspectDoesNotStarveOnSharedRunner guards against a suspect that never finds its only runner without the runs of others, as such
