--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -158,9 +158,12 @@
 	if x.state != runRunning || x.task.current != x || !st.step.Checkpoints || st.step.Gang || st.step.LongRunning {
 		return false
 	}
-	if s.now-x.startSentAt < minRunBeforePreemption || s.expectedEnd(x)-s.now < minRemainingForPreemption {
+	if s.now-x.startSentAt < minRunBeforePreemption {
 		return false
 	}
+	if left := s.expectedEnd(x) - s.now; left < minRemainingForPreemption && left >= -minLatePatience {
+		return false // about to end; later than that, its end can't be expected
+	}
 	if !s.outranks(preemptor, st) {
 		return false
 	}
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -131,3 +131,14 @@
 	}
 	sim.reportViolations(t)
 }
+
+// TestGangPreemptsLateRuns guards against a gang that waits for runs which should have ended long ago, as these count as about to end,
+// although they save checkpoints and could be stopped.
+func TestGangPreemptsLateRuns(t *testing.T) {
+	sim := newClaimSimulation(4, map[string]time.Duration{occupantJob: time.Hour})
+	sim.submitStep("fill", occupantJob, job.Step{Count: 4, Need: cores(6), Estimate: 1000, Checkpoints: true})
+	sim.run(5 * time.Second)
+	sim.submitStep("gang", gangJob, job.Step{Count: 4, Need: cores(4), Estimate: 2000, Gang: true})
+	// The objective is 2.2 times 2 s plus 1 s, so the gang has to start within 3.4 s.
+	sim.mustStart(t, 3400*time.Millisecond, gangJob)
+}
