--- a/internal/scheduler/gang_claim_test.go
+++ b/internal/scheduler/gang_claim_test.go
@@ -143,6 +143,19 @@
 	}
 }
 
+// TestBusyServiceEndsClaims guards against work that waits without an end behind a gang that waits for a late run, as more than half of
+// the service is in use for good.
+func TestBusyServiceEndsClaims(t *testing.T) {
+	sim := newClaimSimulation(4, map[string]time.Duration{occupantJob: time.Hour})
+	sim.submitStep("gang", "b000000000000001", job.Step{Count: 4, Need: cores(5), Estimate: 500, LongRunning: true, MaxPerRunner: 1})
+	sim.run(200 * time.Millisecond)
+	sim.submitStep("gang", occupantJob, job.Step{Count: 1, Need: cores(2), Estimate: 500})
+	sim.run(time.Second)
+	sim.submitStep("gang", gangJob, job.Step{Count: 4, Need: cores(3), Estimate: 20_000, Gang: true})
+	sim.run(maxUnderestimate * 500 * time.Millisecond)
+	sim.mustStart(t, maxIdleWait, sim.submitSmall("fill", "f", 2, job.Step{Count: 1, Need: cores(1), Estimate: 600_000})...)
+}
+
 // TestClaimLeavesRoomBesideTheGang guards against long work that waits for a gang although the gang doesn't need the rest of its
 // runners, and against a gang that starts later because of that work.
 func TestClaimLeavesRoomBesideTheGang(t *testing.T) {
--- a/internal/scheduler/outlook.go
+++ b/internal/scheduler/outlook.go
@@ -16,6 +16,8 @@
 	// latePatienceShare is the same as a share of the time that a gang has waited. A gang that waits for long has to start even if there
 	// are always some late runs, and holds back others for a small part of its wait only.
 	latePatienceShare = 0.25
+	// maxUnderestimate is how many times as long as expected a run may take until no end is in sight, however busy its service is.
+	maxUnderestimate = 10
 )
 
 // outlook is when the runs on a runner are expected to have ended, and what those hold that have no end in sight.
@@ -38,14 +40,18 @@
 // lasts reports whether the run goes on until it is stopped.
 func (r *run) lasts() bool { return r.task.stage.step.LongRunning && r.state != runStopping }
 
-// lateness returns for how long a run should have ended, not counting the time in which most of its service was in use; 0 if it
-// is being stopped. While most of a service is in use, others lose little by a gang that waits for runs whose estimates were too short.
+// lateness returns for how long a run should have ended; 0 if it is being stopped. While most of a service is in use, others lose little
+// by a gang that waits for runs whose estimates were too short: that time counts only from maxUnderestimate times the estimate on.
 func (s *Scheduler) lateness(x *run) time.Duration {
-	freeSince, free := s.freeServices[x.runner.Service]
-	if x.state == runStopping || !free {
+	end := s.expectedEnd(x)
+	if x.state == runStopping || s.now <= end {
 		return 0
 	}
-	return max(min(s.now-s.expectedEnd(x), s.now-freeSince), 0)
+	late := s.now - x.startSentAt - maxUnderestimate*(end-x.startSentAt)
+	if freeSince, free := s.freeServices[x.runner.Service]; free {
+		late = max(late, min(s.now-end, s.now-freeSince))
+	}
+	return max(late, 0)
 }
 
 // updateFreeServices records since when at least half of the usable cores of each service have been free.
