--- a/internal/scheduler/gang_claim.go
+++ b/internal/scheduler/gang_claim.go
@@ -68,8 +68,12 @@
 // mayPlace reports whether a stage may place a task of the given run time on a runner. On a runner that is claimed by a
 // gang, the task has to end before the gang is expected to start, or to fit beside the gang.
 func (s *Scheduler) mayPlace(st *stage, r *runner, runtime time.Duration) bool {
-	return r.claimedBy == nil || r.claimedBy == st || s.backfills(st, r, runtime) || st.step.Reserved().Fits(r.claimSpare) ||
-		st.step.LongRunning && st.wait.since > 0 && s.now-st.wait.since >= maxLastingHold
+	return r.claimedBy == nil || r.claimedBy == st || s.backfills(st, r, runtime) || st.step.Reserved().Fits(r.claimSpare) || s.ignoresClaims(st)
+}
+
+// ignoresClaims reports whether the tasks of a stage last, and have waited for as long as claims may hold them back.
+func (s *Scheduler) ignoresClaims(st *stage) bool {
+	return st.step.LongRunning && st.wait.since > 0 && s.now-st.wait.since >= maxLastingHold
 }
 
 // backfills reports whether a task that is placed on a claimed runner now is expected to end before the gang starts.
@@ -79,7 +83,7 @@
 
 // roomNow returns what a gang of the given run time may use on a runner now, with regard to the claim of another gang.
 func (s *Scheduler) roomNow(st *stage, r *runner, runtime time.Duration) model.Resources {
-	if r.claimedBy == nil || r.claimedBy == st || s.backfills(st, r, s.onRunner(runtime, r)) {
+	if r.claimedBy == nil || r.claimedBy == st || s.backfills(st, r, s.onRunner(runtime, r)) || s.ignoresClaims(st) {
 		return r.free()
 	}
 	return r.free().Min(r.claimSpare)
--- a/internal/scheduler/gang_claim_test.go
+++ b/internal/scheduler/gang_claim_test.go
@@ -156,6 +156,17 @@
 	sim.mustStart(t, maxIdleWait, sim.submitSmall("fill", "f", 2, job.Step{Count: 1, Need: cores(1), Estimate: 600_000})...)
 }
 
+// TestLastingGangPassesAClaim guards against a gang of tasks that last which isn't at work for as long as another gang waits for room.
+func TestLastingGangPassesAClaim(t *testing.T) {
+	sim := newClaimSimulation(4, nil)
+	sim.submitStep("gang", occupantJob, job.Step{Count: 1, Need: cores(4), Estimate: 60_000})
+	sim.run(time.Second)
+	sim.submitStep("gang", gangJob, job.Step{Count: 4, Need: cores(8), Estimate: 20_000, Gang: true})
+	sim.run(time.Second)
+	// Tasks that last have to be at work after 6 s.
+	sim.mustStart(t, 6*time.Second, sim.submitSmall("fill", "f", 1, job.Step{Count: 2, Need: cores(1), Estimate: 500, Gang: true, LongRunning: true})...)
+}
+
 // TestClaimLeavesRoomBesideTheGang guards against long work that waits for a gang although the gang doesn't need the rest of its
 // runners, and against a gang that starts later because of that work.
 func TestClaimLeavesRoomBesideTheGang(t *testing.T) {
