--- a/internal/scheduler/isolation_sharing.go
+++ b/internal/scheduler/isolation_sharing.go
@@ -12,6 +12,8 @@
 	// startPause is for how long nothing else is started on runners that are set apart after such a task has looked for one in vain: it
 	// starts only where no other run is starting.
 	startPause = isolationTime + fullPassInterval + tickSlack
+	// startPauseInterval is the time between such pauses, as the task may never find one, whatever the others do.
+	startPauseInterval = 2 * time.Second
 )
 
 // mayShare reports whether tasks of a stage may be placed on runners that are set apart for others: those that fit nowhere else, and those
@@ -25,7 +27,9 @@
 	if !free || s.now-freeSince < maxLonelyWait || st.wait.since == 0 || s.now-st.wait.since < maxLonelyWait {
 		return false
 	}
-	s.isolationFor(service, riskByTask).pausedUntil = s.now + startPause
+	if is := s.isolationFor(service, riskByTask); s.now >= is.pausedUntil+startPauseInterval {
+		is.pausedUntil = s.now + startPause
+	}
 	return true
 }
 
--- a/internal/scheduler/isolation_wait_test.go
+++ b/internal/scheduler/isolation_wait_test.go
@@ -127,3 +127,30 @@
 	}
 	t.Error("the suspect doesn't run")
 }
+
+// TestSuspectThatCannotRunHoldsNothingBack guards against work that never starts because a gang that is suspected of a crash looks for
+// runners in vain, as one of those that it needs is lost for good.
+func TestSuspectThatCannotRunHoldsNothingBack(t *testing.T) {
+	accelerators := cores(1)
+	accelerators.Accelerators = 8
+	sim := newFaultSimulation(0)
+	second := sim.runners["r02"]
+	second.info.Capacity.Accelerators = 8
+	sim.sched.RunnerListed(second.info)
+	sim.deadly = func(task job.TaskID) bool { return task.Job == gangJob && task.Index == 0 && sim.crashes[task] == 0 }
+	sim.submitStep("fill", gangJob, job.Step{Count: 2, Need: accelerators, Estimate: 600_000, Gang: true})
+	for range 150 { // 15 s
+		sim.run(100 * time.Millisecond)
+		for _, r := range sim.runners {
+			if r.ended {
+				r.info.Service = "elsewhere" // what answers at its address later is of no use
+			}
+		}
+	}
+	if !sim.sched.isKeptApart(sim.sched.stages[job.StepID{Job: gangJob}]) {
+		t.Fatal("no gang that waits is suspected of the crash")
+	}
+	one := cores(1)
+	one.Accelerators = 1
+	sim.mustStart(t, maxIdleWait, sim.submitSmall("urgent", "u", 2, job.Step{Count: 1, Need: one, Estimate: 1000})...)
+}
