--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -25,6 +25,7 @@
 		chosen = s.planGang(st, candidates, gangRoom{wholeProbes: true})
 	}
 	if chosen == nil {
+		s.updateHeld(st, candidates)
 		if s.isLimitedExcess(st) {
 			return
 		}
@@ -47,7 +48,7 @@
 
 // reserveGang reserves the capacity of all members. Their runs have the same number.
 func (s *Scheduler) reserveGang(st *stage, placements []gangPlacement) {
-	st.claims, st.preemptionDeadline = nil, 0
+	st.claims, st.heldSince, st.preemptionDeadline = nil, 0, 0
 	number := 0
 	for _, t := range st.tasks {
 		number = max(number, s.nextRunNumber(t))
--- a/internal/scheduler/gang_claim.go
+++ b/internal/scheduler/gang_claim.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/agateyard/agateyard/internal/model"
@@ -9,9 +10,9 @@
 const (
 	// maxClaimedShare limits the share of the runners that several gangs may claim at the same time.
 	maxClaimedShare = 0.5
-	// maxLastingHold is how long tasks that last wait for room that is claimed. They must be at work again within seconds, and a
-	// gang may wait for minutes.
-	maxLastingHold = 2 * time.Second
+	// maxClaimHold is how long claims hold back tasks that last, and other work on a service of which at least half is free unless the
+	// gang is expected to start soon. Work that has room must not wait for 3 s.
+	maxClaimHold = 2 * time.Second
 )
 
 // claimRunners claims room on runners for a gang until it is free. Work that is less urgent may take what the gang doesn't need, and
@@ -68,12 +69,40 @@
 // mayPlace reports whether a stage may place a task of the given run time on a runner. On a runner that is claimed by a
 // gang, the task has to end before the gang is expected to start, or to fit beside the gang.
 func (s *Scheduler) mayPlace(st *stage, r *runner, runtime time.Duration) bool {
-	return r.claimedBy == nil || r.claimedBy == st || s.backfills(st, r, runtime) || st.step.Reserved().Fits(r.claimSpare) || s.ignoresClaims(st)
+	return r.claimedBy == nil || r.claimedBy == st || s.backfills(st, r, runtime) || st.step.Reserved().Fits(r.claimSpare) || s.passesClaim(st, r)
 }
 
-// ignoresClaims reports whether the tasks of a stage last, and have waited for as long as claims may hold them back.
-func (s *Scheduler) ignoresClaims(st *stage) bool {
-	return st.step.LongRunning && st.wait.since > 0 && s.now-st.wait.since >= maxLastingHold
+// passesClaim reports whether a stage has been held back for as long as the claim of a runner may. On a service of which at least half
+// is free, a gang holds back others for longer only if it is expected to start within the time for which it has waited.
+func (s *Scheduler) passesClaim(st *stage, r *runner) bool {
+	if st.heldSince == 0 || s.now-st.heldSince < maxClaimHold {
+		return false
+	}
+	if st.step.LongRunning {
+		return true
+	}
+	if freeSince, free := s.freeServices[r.Service]; !free || s.now-freeSince < maxClaimHold {
+		return false
+	}
+	waited := s.now - r.claimedBy.wait.since
+	if r.claimedBy.wait.since == 0 {
+		waited = 0
+	}
+	return r.claimStart <= s.now || r.claimStart-s.now > waited
+}
+
+// updateHeld records since when a stage that was not placed has been held back by claims.
+func (s *Scheduler) updateHeld(st *stage, candidates []*runner) {
+	need, runtime := st.step.Reserved(), s.expectedRunTime(st)
+	held := s.claimed > 0 && slices.ContainsFunc(candidates, func(r *runner) bool {
+		return r.claimedBy != nil && r.claimedBy != st && need.Fits(r.free()) && (!s.mayPlace(st, r, s.onRunner(runtime, r)) || s.passesClaim(st, r))
+	})
+	switch {
+	case !held:
+		st.heldSince = 0
+	case st.heldSince == 0:
+		st.heldSince = s.now
+	}
 }
 
 // backfills reports whether a task that is placed on a claimed runner now is expected to end before the gang starts.
@@ -83,7 +112,7 @@
 
 // roomNow returns what a gang of the given run time may use on a runner now, with regard to the claim of another gang.
 func (s *Scheduler) roomNow(st *stage, r *runner, runtime time.Duration) model.Resources {
-	if r.claimedBy == nil || r.claimedBy == st || s.backfills(st, r, s.onRunner(runtime, r)) || s.ignoresClaims(st) {
+	if r.claimedBy == nil || r.claimedBy == st || s.backfills(st, r, s.onRunner(runtime, r)) || s.passesClaim(st, r) {
 		return r.free()
 	}
 	return r.free().Min(r.claimSpare)
--- a/internal/scheduler/gang_claim_test.go
+++ b/internal/scheduler/gang_claim_test.go
@@ -156,6 +156,18 @@
 	sim.mustStart(t, maxIdleWait, sim.submitSmall("fill", "f", 2, job.Step{Count: 1, Need: cores(1), Estimate: 600_000})...)
 }
 
+// TestLateClaimLetsOthersPass guards against work that waits for more than 3 s on an idle service behind a gang which should have started,
+// as the gang has waited for long and so goes on waiting for a late run.
+func TestLateClaimLetsOthersPass(t *testing.T) {
+	sim := newClaimSimulation(4, map[string]time.Duration{occupantJob: time.Hour})
+	sim.submitStep("gang", occupantJob, job.Step{Count: 1, Need: cores(4), Estimate: 30_000})
+	sim.run(500 * time.Millisecond)
+	sim.submitStep("gang", gangJob, job.Step{Count: 4, Need: cores(8), Estimate: 100_000, Gang: true})
+	sim.run(30 * time.Second)
+	sim.mustStart(t, maxIdleWait, sim.submitSmall("fill", "f", 2, job.Step{Count: 1, Need: cores(1), Estimate: 600_000})...)
+	sim.mustStart(t, maxIdleWait, sim.submitSmall("fill", "e", 1, job.Step{Count: 2, Need: cores(1), Estimate: 600_000, Gang: true})...)
+}
+
 // TestLastingGangPassesAClaim guards against a gang of tasks that last which isn't at work for as long as another gang waits for room.
 func TestLastingGangPassesAClaim(t *testing.T) {
 	sim := newClaimSimulation(4, nil)
@@ -214,6 +226,19 @@
 		sim.mustStart(t, maxIdleWait, lasting...)
 		sim.mustStart(t, 18*time.Second, gangJob)
 	})
+	t.Run("long work", func(t *testing.T) {
+		sim := newClaimSimulation(4, nil)
+		sim.queues[1].Objective = 10 * time.Minute // it stays more urgent than the others
+		sim.sched.SetQueues(sim.queues)
+		for i := range 60 { // 300 s
+			sim.submitStep("fill", fmt.Sprintf("f%015d", i), job.Step{Count: 1, Need: cores(1), Estimate: 60_000})
+			if i == 10 {
+				sim.submitStep("gang", gangJob, whole)
+			}
+			sim.run(5 * time.Second)
+		}
+		sim.mustStart(t, 0, gangJob)
+	})
 	for name, lengthOf := range map[string]func(sim *simulation) time.Duration{
 		"ten times as long as estimated": func(*simulation) time.Duration { return 5 * time.Second },
 		"one of 30 ten times as long": func(sim *simulation) time.Duration {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -216,8 +216,10 @@
 			continue // others of the stage may run there
 		}
 		if r == nil {
+			s.updateHeld(st, candidates)
 			return
 		}
+		st.heldSince = 0
 		if x := s.reserve(t, r, s.nextRunNumber(t)); x.risk != noRisk {
 			s.setApart(r, x.risk)
 		}
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -18,6 +18,7 @@
 	advice             stageAdvice
 	wait               stageWait
 	load               stageLoad
+	heldSince          time.Duration   // since when claims of gangs keep it from room that is free; 0 if they don't
 	claims             []gangPlacement // room that a gang has claimed
 	gangRunners        []*runner       // runners on which this owner has started a gang
 	apart              bool            // has waiting tasks that may crash their runner, as of the last pass
