--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -97,7 +97,8 @@
 
 // packGang fills the runners with capacity for the most tasks first, so that a gang uses few runners; while runners differ
 // in speed, the fastest ones. Runners on which runs fail often are used only if the gang doesn't fit without them, as one
-// member that fails breaks the whole gang. Of the capacity that will be free later, the runners that are expected to be idle soonest come first.
+// member that fails breaks the whole gang. If capacity counts that will be free later, the runners that are expected to be idle soonest
+// come first.
 func (s *Scheduler) packGang(st *stage, candidates []*runner, room gangRoom) []gangPlacement {
 	need := st.step.Reserved()
 	lastAttempt := st.isLastAttempt(st.tasks[0])
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -26,6 +26,7 @@
 	clear(s.adviceRefusals)
 	s.startBacklog.ready = 0
 	s.claimed = 0
+	s.reportLongWaits() // with the claims of the pass before
 	runners := s.sortedRunners()
 	for _, r := range runners {
 		r.claimedBy = nil
@@ -52,7 +53,6 @@
 		s.startReserved(st) // reserved capacity is idle until the runs start
 	}
 	s.requestOverdueAdvice()
-	s.reportLongWaits()
 	unplaced := 0
 	for entry := range s.inShareOrder(s.rank()) {
 		before := len(s.effects)
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -51,6 +51,7 @@
 	deadly      func(task job.TaskID) bool                // nil: no task crashes its runner
 	crashes     map[job.TaskID]int                        // of runners under their tasks, by task
 	storeDown   bool                                      // no record is stored
+	stageWaits  map[string]StageWaiting                   // the last report of a long wait, by job
 
 	crashAfter      time.Duration // from the start of a deadly task to the crash, if longer than usual
 	restartsInPlace bool          // runners that have crashed start again under the same identifier
@@ -116,6 +117,7 @@
 	sim.inFlight = map[runKey]startInFlight{}
 	sim.membersDone = map[runKey]int{}
 	sim.crashes = map[job.TaskID]int{}
+	sim.stageWaits = map[string]StageWaiting{}
 	sim.finished, sim.finishedAt = map[string]JobFinished{}, map[string]time.Duration{}
 	for i := range runners {
 		r := &fakeRunner{sim: sim, incarnation: 1, runs: map[runKey]*fakeRun{}, stoppedUpTo: map[job.TaskID]int{}}
@@ -245,6 +247,8 @@
 		sim.logf("%T %+v", effect, effect)
 	}
 	switch e := effect.(type) {
+	case StageWaiting:
+		sim.stageWaits[e.Step.Job] = e
 	case JobFinished:
 		sim.finished[e.Job], sim.finishedAt[e.Job] = e, sim.now
 	case StartRun:
