--- a/internal/scheduler/failure_avoidance_test.go
+++ b/internal/scheduler/failure_avoidance_test.go
@@ -9,7 +9,7 @@
 
 const (
 	// shortFault is how long a runner fails what it starts: the faults that the users' deployments name last for less.
-	shortFault = 7 * time.Second
+	shortFault = 8 * time.Second
 	// finishTime is within what time after a fault work that can run has to be at work again.
 	finishTime = 14 * time.Second
 	failedJob  = "f000000000000001"
