--- a/review/harness-2/judge.go
+++ b/review/harness-2/judge.go
@@ -20,7 +20,6 @@
 	running map[string]int     // runs by runner
 	done    map[string]doneRun // by runner and run
 	saved   map[string]bool    // checkpoints
-	noted   bool               // an end done was acknowledged without a lapse before
 	again   []string           // ends done before the later starts
 	wasDone bool
 	failed  int
@@ -30,6 +29,7 @@
 type doneRun struct {
 	runner string
 	at     time.Duration
+	noted  bool // it was acknowledged without a lapse of the lease before
 }
 
 // Judge holds what runners have seen.
@@ -212,7 +212,7 @@
 	switch how {
 	case "done":
 		t.wasDone = true
-		t.done[runName(runner, x.task, x.run)] = doneRun{runner, j.rec.Now()}
+		t.done[runName(runner, x.task, x.run)] = doneRun{runner: runner, at: j.rec.Now()}
 	case "failed":
 		t.failed++
 	case "crashed":
@@ -254,8 +254,9 @@
 		return
 	}
 	done := runName(runner, e.task, e.run)
-	if j.lapsed[runner] <= t.done[done].at {
-		t.noted = true
+	if d, seen := t.done[done]; seen && j.lapsed[runner] <= d.at {
+		d.noted = true
+		t.done[done] = d
 		return
 	}
 	// The lease lapsed between the end and its acknowledgement: the end doesn't count.
@@ -268,8 +269,11 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for id, t := range j.tasks {
-		if len(t.again) > 0 && t.noted {
-			tasks = append(tasks, fmt.Sprintf("TWICE: %s has started %d times, also after %s had ended done", id, t.starts, t.again[0]))
+		for _, done := range t.again {
+			if t.done[done].noted {
+				tasks = append(tasks, fmt.Sprintf("TWICE: %s has started %d times, also after %s had ended done", id, t.starts, done))
+				break
+			}
 		}
 	}
 	return tasks
