--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -299,3 +299,77 @@
 	c.Rec.Say("runs on %s: %d", special.ID, special.Running())
 	return broken, nil
 }
+
+// lastingTask loses a runner for good and, while its leases run out, the process that last wrote its claim, and watches the
+// tasks of a job that lasts.
+func lastingTask(c *Cell, trouble bool) ([]string, error) {
+	const (
+		tasks     = 24
+		killAfter = 2 * time.Second        // from the loss of the runner
+		downFor   = 500 * time.Millisecond // of the process
+		afterRun  = 6 * time.Second        // the rule holds from so long after the last run of a task
+		calm      = 4 * time.Second        // and after the last disruption
+		idleLimit = 3 * time.Second
+		watch     = 25 * time.Second
+	)
+	if err := c.addRunners(12, kindA); err != nil {
+		return nil, err
+	}
+	if err := c.StartProcs(9); err != nil {
+		return nil, err
+	}
+	k := NewClient(c)
+	j := k.NewJob(Step{Count: tasks, CPU: 8000, Mem: 4000, Length: time.Hour, Daemon: true, NoEstimate: true})
+	if !k.Submit(j) {
+		return nil, errors.New("the job was not accepted")
+	}
+	id := func(i int) taskID { return taskID{job: j.ID, index: i} }
+	for i := range tasks {
+		for !c.Judge.Running(id(i)) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	calmFrom := time.Now().Add(calm)
+	if trouble {
+		for _, r := range c.Runners {
+			if r.Running() > 0 {
+				r.Crash() // for good
+				break
+			}
+		}
+		time.AfterFunc(killAfter, func() {
+			if p := c.LastWriter(); p != nil {
+				c.Rec.Say("SIGKILL to %s", p.name)
+				p.Kill()
+				time.Sleep(downFor)
+				_ = p.Start() // only the successor matters
+			}
+		})
+		calmFrom = calmFrom.Add(killAfter + downFor)
+	}
+	var broken []string
+	lastRun := map[int]time.Time{}
+	reported := map[int]bool{}
+	for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		now := time.Now()
+		for i := range tasks {
+			if c.Judge.Running(id(i)) || lastRun[i].IsZero() {
+				if idle := now.Sub(lastRun[i]); !lastRun[i].IsZero() && idle > time.Second {
+					c.Rec.Say("task %s is back after %s", id(i), idle.Round(10*time.Millisecond))
+				}
+				lastRun[i] = now
+				continue
+			}
+			from := lastRun[i].Add(afterRun)
+			if calmFrom.After(from) {
+				from = calmFrom
+			}
+			if now.Sub(from) > idleLimit && !reported[i] {
+				reported[i] = true
+				broken = append(broken, fmt.Sprintf("LOST: task %s has had no run for %s", id(i), now.Sub(lastRun[i]).Round(10*time.Millisecond)))
+			}
+		}
+	}
+	return broken, nil
+}
--- a/review/harness-2/judge.go
+++ b/review/harness-2/judge.go
@@ -311,3 +311,10 @@
 	}
 	return failed, crashed, total - done
 }
+
+// Running reports whether a run of a task exists.
+func (j *Judge) Running(id taskID) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.history(id).running) > 0
+}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -27,6 +27,7 @@
 	"pending": refusedStarts,
 	"kind":    otherKind,
 	"born":    earlierBirth,
+	"lasting": lastingTask,
 	"mixed":   mixed,
 	"idle":    idleTasks,
 }
