--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command harness-2 plays the cases of the second review: it starts the processes of the system with stand-ins of the
 // platform, runners and clients around them, and judges by what those have seen.
 package main
--- a/review/harness-2/record.go
+++ b/review/harness-2/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
