--- a/review/harness-2/cell.go
+++ b/review/harness-2/cell.go
@@ -111,14 +111,17 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddr returns an address on which nothing listens.
-func (c *Cell) freeAddr(host int) (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", c.base, host))
-	if err != nil {
-		return "", err
+// freeAddrs returns different addresses of a host on which nothing listens.
+func (c *Cell) freeAddrs(host, count int) (addrs []string, err error) {
+	for range count {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", c.base, host))
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // all at the end, so that no port is given twice
+		addrs = append(addrs, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addrs, nil
 }
 
 // RegisterRunner writes the entry of a runner.
@@ -147,11 +150,11 @@
 // AddRunner starts a runner.
 func (c *Cell) AddRunner(kind Kind) (*Runner, error) {
 	n := len(c.Runners)
-	addr, err := c.freeAddr(100 + n)
+	addrs, err := c.freeAddrs(100+n, 1)
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{cell: c, ID: fmt.Sprintf("i-%08x", rand.Uint32()), Addr: addr, Zone: zones[n%len(zones)], Rack: fmt.Sprintf("r1-%d", n/6+1)}
+	r := &Runner{cell: c, ID: fmt.Sprintf("i-%08x", rand.Uint32()), Addr: addrs[0], Zone: zones[n%len(zones)], Rack: fmt.Sprintf("r1-%d", n/6+1)}
 	c.Runners = append(c.Runners, r)
 	return r, r.Boot(kind)
 }
@@ -174,13 +177,11 @@
 func (c *Cell) StartProcs(count int) error {
 	for i := range count {
 		p := &Proc{cell: c, name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+1)}
-		for _, at := range []*string{&p.front, &p.ready, &p.control} {
-			addr, err := c.freeAddr(10 + i)
-			if err != nil {
-				return err
-			}
-			*at = addr
+		addrs, err := c.freeAddrs(10+i, 3)
+		if err != nil {
+			return err
 		}
+		p.front, p.ready, p.control = addrs[0], addrs[1], addrs[2]
 		c.Procs = append(c.Procs, p)
 	}
 	for i, p := range c.Procs {
