--- a/review/harness-2/judge.go
+++ b/review/harness-2/judge.go
@@ -320,3 +320,10 @@
 	defer j.mu.Unlock()
 	return len(j.history(id).running) > 0
 }
+
+// StartCount returns how many runs have started.
+func (j *Judge) StartCount() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.Starts
+}
