--- a/cmd/agateyard-scheduler/serve.go
+++ b/cmd/agateyard-scheduler/serve.go
@@ -76,8 +76,10 @@
 
 func newProcess(settings *platform.Settings, log *decisionlog.Limiter, registry *prometheus.Registry) *process {
 	metrics := control.NewMetrics(registry)
+	runners := platform.NewRunners(settings.Limits.MaxFDs)
+	runners.Observe(log, metrics)
 	node := control.New(settings.Options(), control.Deps{
-		Store: platform.NewStore(settings.Platform.Addr), Runners: platform.NewRunners(settings.Limits.MaxFDs),
+		Store: platform.NewStore(settings.Platform.Addr), Runners: runners,
 		Advisor: platform.NewAdvisor(settings.Advice), Directory: platform.Directory{}, Log: log, Metrics: metrics,
 	})
 	p := &process{settings: settings, node: node, log: log}
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -98,7 +98,7 @@
 	}
 	o.n.dep.Log.Log("start", logrus.Fields{
 		"task": e.Task.String(), "run": e.Run, "runner": e.Runner.ID, "born": e.Runner.Incarnation, "fence": o.info.Rev,
-		"checkpoint": e.Checkpoint, "reason": e.Reason,
+		"lease_end_ms": request.LeaseEnd, "checkpoint": e.Checkpoint, "reason": e.Reason,
 	})
 	o.startRate.Started()
 	o.startLimit.Sent()
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -25,6 +25,8 @@
 	runTime    prometheus.Histogram
 	// runnerLosses counts runners that were probably lost with their runs, by evidence.
 	runnerLosses *prometheus.CounterVec
+	// OtherIncarnation counts the answers of another incarnation of a runner than the one that was called, by call.
+	OtherIncarnation *prometheus.CounterVec
 	// suspects counts the tasks that were suspected of the loss of a runner, by what followed.
 	suspects *prometheus.CounterVec
 	// stageWaits counts the reports of stages that have waited long without a start, by cause.
@@ -67,20 +69,21 @@
 	fast := prometheus.ExponentialBuckets(0.001, 2, 13) // 1 ms to 4 s
 	slow := prometheus.ExponentialBuckets(0.05, 2, 10)  // 50 ms to 25 s
 	m := &Metrics{
-		Owner:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "agateyard", Name: "owner", Help: "1 while this process owns the work."}),
-		Takeover:     histogram("takeover_seconds", "Time to load the durable state after a claim.", fast),
-		Advice:       histogram("advice_seconds", "Time of advice calls, waiting included.", fast),
-		Acceptance:   histogram("acceptance_seconds", "Time from a submission's arrival to its answer.", fast),
-		requests:     counter("requests_total", "Callers' requests by answer.", "answer"),
-		storeCalls:   counter("store_calls_total", "Store calls by kind and result.", "call"),
-		starts:       counter("starts_total", "Orders to start a run by outcome.", "outcome"),
-		startTime:    histogram("start_seconds", "Time of orders to start a run.", fast),
-		runEnds:      counter("run_ends_total", "Ends of runs by kind.", "how"),
-		runTime:      histogram("run_seconds", "Time from the order to start a run to its end.", slow),
-		runnerLosses: counter("runner_losses_total", "Runners that were probably lost with their runs, by evidence.", "evidence"),
-		stageWaits:   counter("stage_waits_total", "Reports of stages that have waited long without a start, by cause.", "cause"),
-		suspects:     counter("crash_suspects_total", "Tasks under which a runner was lost, by verdict, and those that were cleared.", "verdict"),
-		jobs:         counter("jobs_ended_total", "Jobs by final state.", "state"),
+		Owner:            prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "agateyard", Name: "owner", Help: "1 while this process owns the work."}),
+		Takeover:         histogram("takeover_seconds", "Time to load the durable state after a claim.", fast),
+		Advice:           histogram("advice_seconds", "Time of advice calls, waiting included.", fast),
+		Acceptance:       histogram("acceptance_seconds", "Time from a submission's arrival to its answer.", fast),
+		requests:         counter("requests_total", "Callers' requests by answer.", "answer"),
+		storeCalls:       counter("store_calls_total", "Store calls by kind and result.", "call"),
+		starts:           counter("starts_total", "Orders to start a run by outcome.", "outcome"),
+		startTime:        histogram("start_seconds", "Time of orders to start a run.", fast),
+		runEnds:          counter("run_ends_total", "Ends of runs by kind.", "how"),
+		runTime:          histogram("run_seconds", "Time from the order to start a run to its end.", slow),
+		OtherIncarnation: counter("other_incarnation_total", "Answers of another incarnation of a runner than the one that was called, by call.", "call"),
+		runnerLosses:     counter("runner_losses_total", "Runners that were probably lost with their runs, by evidence.", "evidence"),
+		stageWaits:       counter("stage_waits_total", "Reports of stages that have waited long without a start, by cause.", "cause"),
+		suspects:         counter("crash_suspects_total", "Tasks under which a runner was lost, by verdict, and those that were cleared.", "verdict"),
+		jobs:             counter("jobs_ended_total", "Jobs by final state.", "state"),
 		ConfigBehind: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "config_behind", Help: "Processes with an older configuration than this owner for more than a second.",
 		}),
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -95,7 +96,7 @@
 // newIncarnation resets what is known of a runner when it reports a new incarnation, also with its first report. After a
 // restart no earlier run exists there, but an unanswered start request may still arrive.
 func (s *Scheduler) newIncarnation(r *runner, rep Report) {
-	first := r.incarnation == 0
+	first, former := r.incarnation == 0, r.incarnation
 	if !first && r.loss == nil {
 		s.reportLoss(r, "restarted", r.aliveAt)
 		s.recordLoss(r, r.aliveAt, false)
@@ -114,7 +115,7 @@
 		s.proveIncarnations(r.ID, r.incarnation) // a predecessor may have recorded crashes of earlier ones
 		return
 	}
-	s.emit(RunnerChanged{Runner: r.ID, Change: "restarted"})
+	s.emit(RunnerChanged{Runner: r.ID, Change: "restarted", Detail: fmt.Sprintf("born %d, before %d", r.incarnation, former)})
 	present := rep.runKeys()
 	for _, x := range r.sortedRuns(matchAnyRun) {
 		if present[x.key()] {
