--- a/internal/control/closed_connection.go
+++ b/internal/control/closed_connection.go
@@ -12,6 +12,10 @@
 // ErrReplaced is the error of a call to a runner at whose address another one answers.
 var ErrReplaced = errors.New("another runner answers at the address")
 
+// ErrOtherIncarnation is the error of a call that was not sent because the connection leads to another incarnation of the
+// runner than the one that is called.
+var ErrOtherIncarnation = errors.New("another incarnation of the runner answers")
+
 // closedErrors are the errors of a connection whose other end was closed or refused it. The host of the runner answers, but
 // its process doesn't.
 var closedErrors = []error{errClosedByRunner, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE}
