--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -13,11 +13,11 @@
 	arrivedAt         time.Duration
 	finalState        job.State
 	finishedAt        int64
-	stored            bool // the acceptance is durable
-	excess            bool // beyond its tenant's rate
-	excessWaiting     bool // the same, and not started
-	inherited         bool // restored from a predecessor's record; the predecessor may have started tasks
-	started           bool
+	stored            bool     // the acceptance is durable
+	excess            bool     // beyond its tenant's rate
+	excessWaiting     bool     // the same, and not started
+	inherited         bool     // restored from a predecessor's record; the predecessor may have started tasks
+	started           bool     // a runner has taken the start of a task
 	stages            []*stage // stages of occurrences that are due or have progress
 	openedOccurrences int      // number of occurrences that openOccurrence has opened
 	doneOccurrences   int
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -154,6 +154,7 @@
 	if x == nil {
 		return
 	}
+	x.confirmStart(s.now)
 	j := x.task.stage.job
 	before := j.version
 	s.endRun(x, end.Outcome, end.Checkpoint)
@@ -198,9 +199,7 @@
 	if x.state == runStarting {
 		x.state = runRunning
 	}
-	if x.startConfirmedAt == 0 {
-		x.startConfirmedAt = s.now
-	}
+	x.confirmStart(s.now)
 	if row.Checkpoint != "" {
 		x.task.checkpoint = row.Checkpoint
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -39,6 +39,14 @@
 	return runKey{r.task.id(), r.number}
 }
 
+// confirmStart records that the runner has taken the start, so that the job has begun.
+func (r *run) confirmStart(now time.Duration) {
+	if r.startConfirmedAt == 0 {
+		r.startConfirmedAt = now
+	}
+	r.task.stage.job.started = true
+}
+
 // confirmedAt returns the time after which a requested report that doesn't list the run proves that it has ended or
 // will never start; 0 if no report proves it.
 func (r *run) confirmedAt() time.Duration {
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -32,7 +32,6 @@
 	s.startBudget--
 	s.startBacklog.started(s.now)
 	t.lastRun = max(t.lastRun, x.number)
-	t.stage.job.started = true
 	s.excessLeft(t.stage.job)
 	x.resumed = s.checkpointOf(t) != ""
 	s.sendStart(x, reason)
@@ -78,9 +77,7 @@
 		if x.state == runStarting {
 			x.state = runRunning
 		}
-		if x.startConfirmedAt == 0 {
-			x.startConfirmedAt = s.now
-		}
+		x.confirmStart(s.now)
 	case StartUnknown:
 		if x.state == runStarting {
 			s.stopUnanswered(x)
