--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -128,6 +128,9 @@
 		o.sched.RunnerUnreachable(e.Runner.ID, e.Runner.Addr, scheduler.ContactLoss{Reason: err.Error(), Closed: true, AliveUntil: sent})
 		o.poller.pollNow(e.Runner) // a connection may be reset although the runner is alive
 	}
+	if errors.Is(err, ErrOtherIncarnation) {
+		o.poller.pollNow(e.Runner) // the start was not sent; the runner has started again
+	}
 	o.sched.StartAnswered(e.Runner.ID, e.Task, e.Run, outcome)
 }
 
--- a/internal/control/interfaces.go
+++ b/internal/control/interfaces.go
@@ -96,11 +96,13 @@
 // ErrFenced is the error of a request that a runner refused because it has seen a request of a newer owner.
 var ErrFenced = errors.New("the runner has seen a newer owner")
 
-// Runners sends requests to runners.
+// Runners sends requests to runners. A request is for the incarnation that the reference names: Start and Stop fail with
+// ErrOtherIncarnation, without an effect, if another one would get them.
 type Runners interface {
 	Start(ctx context.Context, r scheduler.RunnerRef, req StartRequest) (scheduler.StartOutcome, error)
 	Stop(ctx context.Context, r scheduler.RunnerRef, req StopRequest) error
-	// Poll sends the acknowledgement only if no other incarnation can receive it, otherwise the poll without it.
+	// Poll sends the acknowledgement and the lease only if no other incarnation can receive them, otherwise the poll without them,
+	// which doesn't wait.
 	Poll(ctx context.Context, r scheduler.RunnerRef, req PollRequest) (scheduler.Report, error)
 	// LeaseEnd returns when a lease that starts now ends, on the runner's clock; 0 if the clock is not known.
 	LeaseEnd(r scheduler.RunnerRef, lease time.Duration) int64
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -25,7 +25,7 @@
 	runTime    prometheus.Histogram
 	// runnerLosses counts runners that were probably lost with their runs, by evidence.
 	runnerLosses *prometheus.CounterVec
-	// OtherIncarnation counts the answers of another incarnation of a runner than the one that was called, by call.
+	// OtherIncarnation counts the calls for an incarnation of a runner that would have reached another one, by call.
 	OtherIncarnation *prometheus.CounterVec
 	// suspects counts the tasks that were suspected of the loss of a runner, by what followed.
 	suspects *prometheus.CounterVec
@@ -79,7 +79,7 @@
 		startTime:        histogram("start_seconds", "Time of orders to start a run.", fast),
 		runEnds:          counter("run_ends_total", "Ends of runs by kind.", "how"),
 		runTime:          histogram("run_seconds", "Time from the order to start a run to its end.", slow),
-		OtherIncarnation: counter("other_incarnation_total", "Answers of another incarnation of a runner than the one that was called, by call.", "call"),
+		OtherIncarnation: counter("other_incarnation_total", "Calls for an incarnation of a runner that would have reached another one, by call.", "call"),
 		runnerLosses:     counter("runner_losses_total", "Runners that were probably lost with their runs, by evidence.", "evidence"),
 		stageWaits:       counter("stage_waits_total", "Reports of stages that have waited long without a start, by cause.", "cause"),
 		suspects:         counter("crash_suspects_total", "Tasks under which a runner was lost, by verdict, and those that were cleared.", "verdict"),
--- a/internal/control/relay_messages.go
+++ b/internal/control/relay_messages.go
@@ -43,7 +43,9 @@
 	Closed   bool                   // the runner closed or refused the connection; false from processes of earlier builds
 	Replaced bool                   // another runner answers at the address; false from processes of earlier builds
 	Outcome  scheduler.StartOutcome // of Start
-	Report   scheduler.Report       // of Poll
+	// OtherIncarnation: the call was not sent, as another incarnation of the runner answers; false from processes of earlier builds
+	OtherIncarnation bool
+	Report           scheduler.Report // of Poll
 
 	endedAt time.Duration // when the call ended, on the clock of this process; not sent
 }
--- a/internal/control/relay_server.go
+++ b/internal/control/relay_server.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		result.Error, result.Fenced, result.Local = err.Error(), errors.Is(err, ErrFenced), LocalFailure(err)
 		result.TimedOut, result.Closed = TimedOut(err), closedByRunner(err)
-		result.Replaced = errors.Is(err, ErrReplaced)
+		result.Replaced, result.OtherIncarnation = errors.Is(err, ErrReplaced), errors.Is(err, ErrOtherIncarnation)
 	}
 	*reply = result
 	return nil
--- a/internal/control/runner_calls.go
+++ b/internal/control/runner_calls.go
@@ -193,6 +193,9 @@
 		if reply.Replaced {
 			err = errors.Join(ErrReplaced, err)
 		}
+		if reply.OtherIncarnation {
+			err = errors.Join(ErrOtherIncarnation, err)
+		}
 		return reply, err
 	}
 	if args.Poll != nil {
