--- a/internal/scheduler/contact.go
+++ b/internal/scheduler/contact.go
@@ -59,7 +59,7 @@
 	for _, x := range r.sortedRuns(matchAnyRun) {
 		s.endRun(x, "replaced", "")
 	}
-	s.proveLoss(r)
+	s.proveLoss(r, noIncarnation)
 	s.runnersChanged()
 }
 
--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -100,7 +100,7 @@
 	for _, r := range s.sortedRunners() {
 		if s.discoveryRead && !r.listed && len(r.runs) == 0 && r.unknownRuns == 0 && !r.inherited {
 			delete(s.runners, r.ID)
-			s.proveIncarnations(r.ID, allIncarnations)
+			s.proveOthers(r.ID, noIncarnation)
 			s.runnersChanged()
 			continue
 		}
@@ -119,7 +119,7 @@
 		for _, x := range r.sortedRuns(matchAnyRun) {
 			s.endRun(x, "lapsed", "")
 		}
-		s.proveLoss(r)
+		s.proveLoss(r, noIncarnation)
 	}
 }
 
--- a/internal/scheduler/loss_proof.go
+++ b/internal/scheduler/loss_proof.go
@@ -2,15 +2,14 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 
 	"github.com/agateyard/agateyard/internal/blame"
 	"github.com/agateyard/agateyard/internal/job"
 )
 
-// allIncarnations stands for a point after all incarnations of a runner.
-const allIncarnations = math.MaxInt64
+// noIncarnation is no incarnation of any runner.
+const noIncarnation = 0
 
 // takeBackLoss drops the loss of an incarnation of a runner that has answered again.
 func (s *Scheduler) takeBackLoss(r *runner) {
@@ -26,14 +25,10 @@
 	}
 }
 
-// proveLoss records that an incarnation of a runner has ended with all its runs, and gives up the jobs of the tasks that have
-// caused it. The runs have been ended by the caller, so that their tasks could start again.
-func (s *Scheduler) proveLoss(r *runner) {
-	ended := r.incarnation + 1
-	if r.incarnation == 0 { // it has never answered this owner
-		ended = allIncarnations
-	}
-	s.proveIncarnations(r.ID, ended)
+// proveLoss records that all incarnations of a runner but the given one have ended with all their runs, and gives up the jobs of
+// the tasks that have caused it. The runs have been ended by the caller, so that their tasks could start again.
+func (s *Scheduler) proveLoss(r *runner, but int64) {
+	s.proveOthers(r.ID, but)
 	l := r.loss
 	if l == nil {
 		return
@@ -55,10 +50,10 @@
 	}
 }
 
-// proveIncarnations records that the incarnations of a runner before the given one have ended.
-func (s *Scheduler) proveIncarnations(id string, before int64) {
+// proveOthers records that all incarnations of a runner but the given one have ended.
+func (s *Scheduler) proveOthers(id string, but int64) {
 	maps.DeleteFunc(s.crashes.unproved, func(key incarnationKey, _ []*task) bool {
-		return key.runner == id && key.incarnation < before
+		return key.runner == id && key.incarnation != but
 	})
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -63,12 +63,17 @@
 // Report processes a runner's report.
 func (s *Scheduler) Report(rep Report) {
 	r := s.runners[rep.Runner]
-	if r == nil || r.Addr != rep.Addr || rep.Incarnation < r.incarnation {
-		return // unknown runner, or a report from an earlier incarnation or another address
+	if r == nil || r.Addr != rep.Addr {
+		return // unknown runner, or a report from another address
 	}
 	if r.incarnation != rep.Incarnation {
+		if !r.endedBefore(rep) {
+			s.emit(RunnerChanged{Runner: r.ID, Change: "report out of order", Detail: fmt.Sprintf("born %d, known is %d", rep.Incarnation, r.incarnation)})
+			return // it may be a late one of an earlier incarnation, which the next one can't be
+		}
 		s.newIncarnation(r, rep)
 	}
+	r.reportedAt = s.now
 	if r.loss != nil || len(s.crashes.unproved[incarnationKey{r.ID, r.incarnation}]) > 0 {
 		s.takeBackLoss(r)
 	}
@@ -93,6 +98,12 @@
 	s.needsPass = true
 }
 
+// endedBefore reports whether the current incarnation must have ended before the one that sent the report was started: it had
+// answered before the report was requested. Incarnations can't be ordered by the time of day at which they started, which may jump.
+func (r *runner) endedBefore(rep Report) bool {
+	return r.incarnation == 0 || rep.RequestedAt >= r.reportedAt
+}
+
 // newIncarnation resets what is known of a runner when it reports a new incarnation, also with its first report. After a
 // restart no earlier run exists there, but an unanswered start request may still arrive.
 func (s *Scheduler) newIncarnation(r *runner, rep Report) {
@@ -112,7 +123,7 @@
 	r.speed = runnerSpeed{}
 	r.sample.restarted()
 	if first {
-		s.proveIncarnations(r.ID, r.incarnation) // a predecessor may have recorded crashes of earlier ones
+		s.proveOthers(r.ID, r.incarnation) // a predecessor may have recorded crashes of earlier ones
 		return
 	}
 	s.emit(RunnerChanged{Runner: r.ID, Change: "restarted", Detail: fmt.Sprintf("born %d, before %d", r.incarnation, former)})
@@ -128,7 +139,7 @@
 		s.stop(x, "runner restarted before it answered the start")
 		x.stopConfirmedAt, x.stopSentAt = 0, 0 // the new incarnation has to refuse the start as well
 	}
-	s.proveLoss(r)
+	s.proveLoss(r, r.incarnation)
 }
 
 // handleEnds processes the ends that are new and returns the runs that the report lists as ended.
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -41,6 +41,7 @@
 	RunnerInfo
 	slot            int           // index of the current incarnation in incarnation sets
 	incarnation     int64         // incarnation that sent the last report
+	reportedAt      time.Duration // when that report arrived
 	listed          bool          // present in discovery
 	inherited       bool          // a predecessor may have started runs there that are not known yet
 	reported        bool          // has reported to this owner at its current address
