--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -163,7 +163,7 @@
 			o.handleFenced("stop")
 		}
 		if err == nil {
-			o.sched.StopAnswered(e.Runner.ID, e.Task, e.Run)
+			o.sched.StopAnswered(e.Runner, e.Task, e.Run)
 		}
 	})
 }
--- a/internal/scheduler/incarnation_order_test.go
+++ b/internal/scheduler/incarnation_order_test.go
@@ -71,3 +71,28 @@
 		}
 	}
 }
+
+// TestStopConfirmedByFormerIncarnation guards against a task that runs twice: a stop that an incarnation had confirmed before it
+// ended, known only after the next one had answered, counted for the next one, where the unanswered start may still arrive.
+func TestStopConfirmedByFormerIncarnation(t *testing.T) {
+	s, x := restartedRun(t)
+	x.state, x.startConfirmedAt = runStarting, 0 // its start got no answer
+	former := x.runner.ref()
+	s.StartAnswered("r1", x.task.id(), x.number, StartUnknown)
+	report := func(clock int64) {
+		s.after(10 * time.Millisecond)
+		s.Report(Report{Runner: "r1", Addr: "a:1", Incarnation: 2000, Clock: clock, RequestedAt: s.now})
+	}
+	report(1)
+	s.after(10 * time.Millisecond)
+	s.StopAnswered(former, x.task.id(), x.number)
+	report(2)
+	if x.runner.runs[x.key()] != x {
+		t.Error("the task may start again although the start may still arrive")
+	}
+	s.StopAnswered(x.runner.ref(), x.task.id(), x.number)
+	report(3)
+	if x.runner.runs[x.key()] == x {
+		t.Error("the run is kept although the present incarnation refuses it")
+	}
+}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -322,7 +322,7 @@
 			return
 		}
 		r.stop(runKey{e.Task, e.Run})
-		sched.StopAnswered(e.Runner.ID, e.Task, e.Run)
+		sched.StopAnswered(e.Runner, e.Task, e.Run)
 	})
 }
 
--- a/internal/scheduler/stops.go
+++ b/internal/scheduler/stops.go
@@ -38,10 +38,11 @@
 	return x.state == runStopping && x.stopConfirmedAt == 0 && s.now-x.stopSentAt >= stopRetryInterval
 }
 
-// StopAnswered processes a runner's confirmation of a stop: the run will end, or be refused if its start arrives later.
-func (s *Scheduler) StopAnswered(runnerID string, task job.TaskID, number int) {
-	r := s.runners[runnerID]
-	if r == nil {
+// StopAnswered processes the confirmation of a stop by the incarnation of a runner that was asked: the run will end, or be refused
+// if its start arrives later. Another incarnation knows nothing of it.
+func (s *Scheduler) StopAnswered(by RunnerRef, task job.TaskID, number int) {
+	r := s.runners[by.ID]
+	if r == nil || r.incarnation != by.Incarnation {
 		return
 	}
 	x := r.runs[runKey{task, number}]
