--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -132,7 +132,7 @@
 		o.raiseFence(e.Runner.ID)
 		o.poller.pollNow(e.Runner) // the start was not sent; the runner has started again
 	}
-	o.sched.StartAnswered(e.Runner.ID, e.Task, e.Run, outcome)
+	o.sched.StartAnswered(e.Runner, e.Task, e.Run, outcome)
 }
 
 // withoutBlame returns the outcome of a start that timed out while this process or its link was overloaded, or was paused:
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -278,7 +278,7 @@
 // unreachable tells the scheduler that contact with a runner is lost. The runner may start again at any time from now on, so later
 // calls get a higher fence: the first one that arrives keeps a new incarnation from carrying out calls for the one before.
 func (o *ownership) unreachable(ref scheduler.RunnerRef, lost scheduler.ContactLoss) {
-	o.sched.RunnerUnreachable(ref.ID, ref.Addr, lost)
+	o.sched.RunnerUnreachable(ref, lost)
 	o.raiseFence(ref.ID)
 }
 
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -198,7 +198,7 @@
 		if st.answered {
 			p.o.unreachable(ref, lost)
 		} else {
-			p.o.sched.RunnerUnreachable(ref.ID, ref.Addr, lost)
+			p.o.sched.RunnerUnreachable(ref, lost)
 		}
 		st.answered = false
 		st.nextAt = p.o.loopTime + failedPollRetry
--- a/internal/scheduler/contact.go
+++ b/internal/scheduler/contact.go
@@ -16,14 +16,14 @@
 // startupTime is the time after its start within which a task that can't run on a runner is assumed to crash it.
 const startupTime = 40 * time.Millisecond
 
-// RunnerUnreachable records that a call to a runner failed.
-func (s *Scheduler) RunnerUnreachable(id, addr string, lost ContactLoss) {
-	r := s.runners[id]
-	if r == nil || r.Addr != addr || r.unreachable {
+// RunnerUnreachable records that a call for an incarnation of a runner failed, which says nothing about another one.
+func (s *Scheduler) RunnerUnreachable(ref RunnerRef, lost ContactLoss) {
+	r := s.runners[ref.ID]
+	if r == nil || r.ref() != ref || r.unreachable {
 		return
 	}
 	r.unreachable = true
-	s.emit(RunnerChanged{Runner: id, Change: "silent", Detail: lost.Reason})
+	s.emit(RunnerChanged{Runner: r.ID, Change: "silent", Detail: lost.Reason})
 	if lost.Closed {
 		s.reportLoss(r, "closed", lost.AliveUntil)
 		s.recordLoss(r, lost.AliveUntil, true)
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -62,9 +62,9 @@
 	return t.checkpoint
 }
 
-// StartAnswered processes the outcome of a start request.
-func (s *Scheduler) StartAnswered(runnerID string, task job.TaskID, number int, outcome StartOutcome) {
-	r := s.runners[runnerID]
+// StartAnswered processes the outcome of a start request for an incarnation of a runner.
+func (s *Scheduler) StartAnswered(by RunnerRef, task job.TaskID, number int, outcome StartOutcome) {
+	r := s.runners[by.ID]
 	if r == nil {
 		return
 	}
@@ -72,6 +72,10 @@
 	if x == nil {
 		return
 	}
+	if r.incarnation != by.Incarnation {
+		s.formerAnswered(x, outcome)
+		return
+	}
 	switch outcome {
 	case StartOK:
 		if x.state == runStarting {
@@ -98,6 +102,18 @@
 	}
 }
 
+// formerAnswered processes the outcome of a start request for an incarnation that has ended. Its certain answer proves that the next
+// one won't get the request, and says nothing else about that.
+func (s *Scheduler) formerAnswered(x *run, outcome StartOutcome) {
+	if x.startConfirmedAt > 0 || outcome == StartUnknown || outcome == StartUnsettled {
+		return
+	}
+	if outcome == StartOK {
+		x.confirmStart(s.now)
+	}
+	s.endRun(x, "restarted", "")
+}
+
 // resendStarts sends the start requests again that this process could not send, unless the run was stopped meanwhile. The
 // run keeps its number and its capacity, so a gang stays complete.
 func (s *Scheduler) resendStarts() {
