--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -221,10 +221,10 @@
 // handleFenced reads the claim again after a runner has refused a request because a newer owner has called it, unless a later
 // call of this owner with a higher fence has overtaken the request.
 func (o *ownership) handleFenced(request, runner string, fence int64) {
-	overtaken := fence < o.fences.of(runner)
 	if o.paused {
 		return
 	}
+	overtaken := fence < o.fences.of(runner)
 	o.n.dep.Log.Log("fenced", logrus.Fields{"order": request, "runner": runner, "fence": fence, "overtaken": overtaken})
 	if overtaken {
 		return
--- a/internal/control/confirm_claim.go
+++ b/internal/control/confirm_claim.go
@@ -40,7 +40,7 @@
 				o.confirmedAt = max(o.confirmedAt, asked)
 				o.fences.confirm(item.ReadRev)
 				for id := range o.fences.wanted {
-					o.raiseFence(id)
+					o.tryRaiseFence(id) // otherwise after the next regular read
 				}
 			}
 		})
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -282,14 +282,20 @@
 	o.raiseFence(ref.ID)
 }
 
-// raiseFence raises the fence of the calls to a runner, or has the claim read, which allows a higher one.
+// raiseFence raises the fence of the calls to a runner, or has the claim read soon, which allows a higher one.
 func (o *ownership) raiseFence(id string) {
-	if !o.fences.raise(id) {
+	if !o.tryRaiseFence(id) {
 		o.nextClaimCheck = min(o.nextClaimCheck, o.loopTime)
-		return
+	}
+}
+
+func (o *ownership) tryRaiseFence(id string) bool {
+	if !o.fences.raise(id) {
+		return false
 	}
 	o.sched.FenceRaised(id)
 	o.n.dep.Log.Log("fence-raised", logrus.Fields{"runner": id, "fence": o.fences.of(id)})
+	return true
 }
 
 // logOverload logs when this owner reaches its limit and when it is below it again.
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -197,7 +197,7 @@
 		lost := p.contactLoss(st, sent, reply.endedAt, err)
 		if st.answered {
 			p.o.unreachable(ref, lost)
-		} else {
+		} else { // the fence has been raised since the last answer, and only polls without a lease have been sent
 			p.o.sched.RunnerUnreachable(ref, lost)
 		}
 		st.answered = false
