--- a/internal/scheduler/pending_test.go
+++ b/internal/scheduler/pending_test.go
@@ -70,3 +70,19 @@
 		}
 	}
 }
+
+// TestPendingAfterCrashWithoutStart guards against the same after a change of owner: a job whose only start was on a runner that was
+// lost before it answered has not begun.
+func TestPendingAfterCrashWithoutStart(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		s := New(testConfig(), 2, time.Hour, time.Unix(1_800_000_000, 0))
+		s.SetQueues([]Queue{{Name: "q", Service: "s", Attempts: 2, Stretch: 2, Objective: time.Second}})
+		spec := job.Spec{ID: "000000000000000a", Queue: "q", Steps: []job.Step{{Count: 1, Need: model.Resources{CoresMilli: 1000}, Estimate: 1000}}}
+		crashes := map[int][]job.Crash{0: {{Runner: "r1", Incarnation: 1, Run: 1, Started: started}}}
+		s.Restore(&job.Record{Spec: spec, Progress: []job.Progress{{Crashes: crashes}}})
+		s.RestoreDone()
+		if pending := s.Pending()["q"]; (pending == 0) != started {
+			t.Errorf("start taken %t: %d jobs pending", started, pending)
+		}
+	}
+}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -174,7 +174,10 @@
 	}
 	s.restoreCrashes(st, p.Crashes)
 	st.advice.recordedEligible = p.EligibleRunners
-	j.started = j.started || p.AllDone || len(p.Done)+len(p.Failed)+len(p.Checkpoints)+len(p.Crashes) > 0
+	j.started = j.started || p.AllDone || len(p.Done)+len(p.Failed)+len(p.Checkpoints) > 0
+	for _, crashes := range p.Crashes {
+		j.started = j.started || slices.ContainsFunc(crashes, func(c job.Crash) bool { return c.Started })
+	}
 	if s.occurrenceIsDone(j, p.Occurrence) {
 		j.doneOccurrences++
 	}
