--- a/internal/scheduler/stage_waits.go
+++ b/internal/scheduler/stage_waits.go
@@ -107,6 +107,8 @@
 	switch {
 	case !st.job.stored:
 		return "the acceptance is not stored"
+	case st.job.inherited && s.awaitsInheritedRunners():
+		return "a predecessor's runs may go on at a silent runner"
 	case st.reservedCount > 0 && st.preemptionDeadline > 0:
 		return "preempted runs have not ended"
 	case st.reservedCount > 0:
