--- a/internal/control/interfaces.go
+++ b/internal/control/interfaces.go
@@ -92,6 +92,7 @@
 	Acknowledged int64         // the runner may discard run ends up to this number, if it is the incarnation that is polled
 	LeaseEnd     int64         // in milliseconds on the runner's clock
 	Wait         time.Duration // how long the runner may wait for a run to end before it answers
+	Identify     bool          // a new connection is identified before the poll, which then carries its lease
 }
 
 // ErrFenced is the error of a request that a runner refused because it has seen a request of a newer owner.
@@ -103,7 +104,7 @@
 	Start(ctx context.Context, r scheduler.RunnerRef, req StartRequest) (scheduler.StartOutcome, error)
 	Stop(ctx context.Context, r scheduler.RunnerRef, req StopRequest) error
 	// Poll sends the acknowledgement and the lease only if no other incarnation can receive them, otherwise the poll without them,
-	// which doesn't wait.
+	// which doesn't wait, and says so in the report.
 	Poll(ctx context.Context, r scheduler.RunnerRef, req PollRequest) (scheduler.Report, error)
 	// LeaseEnd returns when a lease that starts now ends, on the runner's clock; 0 if the clock is not known.
 	LeaseEnd(r scheduler.RunnerRef, lease time.Duration) int64
--- a/internal/control/runner_poller.go
+++ b/internal/control/runner_poller.go
@@ -49,6 +49,7 @@
 	lastReported int64 // highest number of a run end that the runner has reported
 	acknowledged int64 // highest number that the last poll has acknowledged
 	omitted      bool  // the last poll was sent without its acknowledgement, on a new connection
+	bare         bool  // the last poll was sent without its lease, on a new connection
 	answered     bool  // the last poll was answered
 	answeredAt   time.Duration
 	firstAt      time.Duration // first poll
@@ -118,7 +119,7 @@
 		st.nextAt = o.loopTime + failedPollRetry
 		return
 	}
-	req := PollRequest{Fence: o.fences.of(st.ref.ID), Wait: pollWait}
+	req := PollRequest{Fence: o.fences.of(st.ref.ID), Wait: pollWait, Identify: st.bare}
 	if st.answered && o.loopTime-st.answeredAt < acknowledgeWindow && !o.n.pauses.check(o.n.clock.Now()) {
 		req.Acknowledged = o.sched.Acknowledged(st.ref.ID)
 	}
@@ -158,10 +159,10 @@
 
 // send polls a runner in the background and passes the reply to the event loop.
 func (p *runnerPoller) send(ref scheduler.RunnerRef, req PollRequest, margin time.Duration, done func(RelayReply, error)) {
-	sent := p.o.loopTime
+	sent, generation := p.o.loopTime, p.o.sched.FenceGeneration(ref.ID)
 	args := RelayArgs{Runner: ref, Fence: p.o.info.Rev, Within: req.Wait + margin, Poll: &req}
 	p.o.calls.send(args, func(reply RelayReply, err error) {
-		reply.Report.RequestedAt = sent
+		reply.Report.RequestedAt, reply.Report.FenceGeneration = sent, generation
 		done(reply, err)
 	})
 }
@@ -190,7 +191,7 @@
 	if errors.Is(err, ErrReplaced) {
 		st.answered = false
 		st.nextAt = p.o.loopTime + replacedPollRetry
-		p.o.sched.RunnerReplaced(ref.ID, ref.Addr)
+		p.o.sched.RunnerReplaced(ref)
 		return
 	}
 	if err != nil {
@@ -218,8 +219,16 @@
 	if known, ok := p.o.sched.Ref(ref.ID); ok && known.Addr == ref.Addr {
 		st.setRef(known) // the next poll is for the incarnation that has answered
 	}
+	st.bare = report.Bare
+	if report.Bare && !req.Identify && p.states[ref.ID] == st {
+		p.poll(st) // the lease has not been renewed
+		return
+	}
 	omitted, omittedBefore := false, st.omitted
 	for _, end := range report.Ended {
+		if report.Incarnation != st.ref.Incarnation {
+			break // a late report of an ended incarnation, whose ends have the same numbers
+		}
 		st.lastReported = max(st.lastReported, end.Seq)
 		omitted = omitted || end.Seq <= st.acknowledged
 	}
--- a/internal/scheduler/contact.go
+++ b/internal/scheduler/contact.go
@@ -44,13 +44,13 @@
 }
 
 // RunnerReplaced records that another runner answers at the address of a runner, so that its process and its runs have ended.
-func (s *Scheduler) RunnerReplaced(id, addr string) {
-	r := s.runners[id]
-	if r == nil || r.Addr != addr || r.replaced {
-		return
+func (s *Scheduler) RunnerReplaced(ref RunnerRef) {
+	r := s.runners[ref.ID]
+	if r == nil || r.ref() != ref || r.replaced {
+		return // also if another incarnation has answered meanwhile
 	}
 	r.replaced, r.unreachable, r.inherited = true, true, false
-	s.emit(RunnerChanged{Runner: id, Change: "replaced", Detail: addr})
+	s.emit(RunnerChanged{Runner: r.ID, Change: "replaced", Detail: r.Addr})
 	if r.loss == nil {
 		s.reportLoss(r, "replaced", r.aliveAt)
 		s.recordLoss(r, r.aliveAt, false) // it has been silent, so that nothing is known of its last moments
--- a/internal/scheduler/discovery.go
+++ b/internal/scheduler/discovery.go
@@ -29,19 +29,23 @@
 	r.RunnerInfo = info
 	r.listed = true
 	s.needsPass = true
-	if r.inherited && s.startedLately(info.Incarnation) {
-		r.leaseExpiresAt = max(r.leaseExpiresAt, s.takenOverAt+s.leaseExpiryDelay(s.cfg.MaxLease))
+	if r.inherited {
+		r.leaseExpiresAt = max(r.leaseExpiresAt, s.takenOverAt+s.strayLeaseLeft(info.Incarnation))
 	}
 }
 
 // clockTolerance is by how much the time of day on two machines may differ while it jumps.
 const clockTolerance = 5 * time.Second
 
-// startedLately reports whether an incarnation that was born at the given Unix millisecond may have started less than the longest
-// lease ago. Late calls for the one before may have extended its lease beyond those that a predecessor has sent.
-func (s *Scheduler) startedLately(born int64) bool {
+// strayLeaseLeft returns how much longer the leases of an incarnation that was born at the given Unix millisecond may last by late
+// calls for the one before: from its start as long as the runner grants. A predecessor may have known of the restart, this owner doesn't.
+func (s *Scheduler) strayLeaseLeft(born int64) time.Duration {
 	age := time.Duration(s.wall.UnixMilli()-born) * time.Millisecond
-	return age > -clockTolerance && age < s.cfg.MaxLease+clockTolerance
+	if age < -clockTolerance {
+		return 0 // no incarnation of this time
+	}
+	longest := s.leaseExpiryDelay(s.cfg.MaxLease)
+	return max(min(longest, longest+clockTolerance-age), 0)
 }
 
 // DiscoveryRead records that all runners in discovery have been listed, so that a runner which is not listed is gone.
@@ -113,6 +117,7 @@
 func (s *Scheduler) LeaseSent(id string) {
 	if r := s.runners[id]; r != nil {
 		r.leaseExpiresAt = max(r.leaseExpiresAt, s.now+s.leaseExpiryDelay(s.cfg.RunLease))
+		r.leaseGeneration = r.fenceGeneration
 	}
 }
 
--- a/internal/scheduler/fake_crash_test.go
+++ b/internal/scheduler/fake_crash_test.go
@@ -64,7 +64,7 @@
 		return
 	}
 	if r.replacedBy != nil {
-		sched.RunnerReplaced(r.info.ID, r.info.Addr)
+		sched.RunnerReplaced(r.ref())
 		return
 	}
 	sched.RunnerUnreachable(r.ref(), ContactLoss{Reason: "connection refused", Closed: true, AliveUntil: sim.now - 200*time.Millisecond})
--- a/internal/scheduler/innocent_test.go
+++ b/internal/scheduler/innocent_test.go
@@ -322,7 +322,7 @@
 		r.unreachable = true
 		sim.run(time.Second) // the start gets no answer and the polls fail
 		r.ended, r.delisted = true, true
-		sim.sched.RunnerReplaced(r.info.ID, r.info.Addr)
+		sim.sched.RunnerReplaced(r.ref())
 		sim.sched.RunnerDelisted(r.info.ID)
 	}
 	for _, st := range sim.sched.jobs[id].stages {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -17,8 +17,11 @@
 	Incarnation int64
 	Clock       int64         // the runner's own clock in milliseconds, which orders its reports
 	RequestedAt time.Duration // when the report was requested
-	Running     []RunningRun
-	Ended       []EndedRun
+	// FenceGeneration is that of the request. With a request, the runner begins to refuse those of lower generations.
+	FenceGeneration int
+	Bare            bool // the request carried neither its lease nor its acknowledgement
+	Running         []RunningRun
+	Ended           []EndedRun
 }
 
 // runKeys returns the keys of the runs that the report lists as running or ended.
@@ -60,9 +63,9 @@
 	EndGangIncomplete = "alone"  // other members of the gang were not started
 )
 
-// Report processes a runner's report. It returns true if the report shows that the runner has started again: calls for the
-// incarnation before may still be carried out by the new one until this has got a call with a higher fence.
-func (s *Scheduler) Report(rep Report) (restarted bool) {
+// Report processes a runner's report. It returns true if the report shows that the runner has started again and the fence of the
+// calls to it has to be raised: the new incarnation may carry out calls for the one before until it has got one with a higher fence.
+func (s *Scheduler) Report(rep Report) (raiseFence bool) {
 	r := s.runners[rep.Runner]
 	if r == nil || r.Addr != rep.Addr {
 		return false // unknown runner, or a report from another address
@@ -73,7 +76,7 @@
 			return false // it may be a late one of an earlier incarnation, which the next one can't be
 		}
 		s.newIncarnation(r, rep)
-		restarted = r.mayHaveStrays
+		raiseFence = r.mayHaveStrays && r.fenceGeneration <= r.strayGeneration
 	}
 	r.reportedAt = s.now
 	s.countStrayLeases(r, rep)
@@ -87,7 +90,7 @@
 	}
 	r.unreachable = false
 	if rep.Clock < r.lastClock {
-		return restarted // a later report, which includes all of this one, has already been processed
+		return raiseFence // a later report, which includes all of this one, has already been processed
 	}
 	r.lastClock = rep.Clock
 	endedKeys := s.handleEnds(r, rep.Ended)
@@ -99,7 +102,7 @@
 	}
 	r.inherited = false
 	s.needsPass = true
-	return restarted
+	return raiseFence
 }
 
 // countStrayLeases takes into account that calls for an earlier incarnation, which were carried out late, have extended the lease of
@@ -110,16 +113,24 @@
 		return
 	}
 	r.leaseExpiresAt = max(r.leaseExpiresAt, s.now+s.leaseExpiryDelay(s.cfg.MaxLease))
-	r.mayHaveStrays = r.fenceRaisedAt == 0 || rep.RequestedAt < r.fenceRaisedAt
+	r.mayHaveStrays = rep.FenceGeneration <= r.strayGeneration
 }
 
 // FenceRaised records that the calls for a runner that are sent from now on have a higher fence than all before.
 func (s *Scheduler) FenceRaised(id string) {
 	if r := s.runners[id]; r != nil {
-		r.fenceRaisedAt = s.now
+		r.fenceGeneration++
 	}
 }
 
+// FenceGeneration returns how many times the fence of the calls to a runner has been raised.
+func (s *Scheduler) FenceGeneration(id string) int {
+	if r := s.runners[id]; r != nil {
+		return r.fenceGeneration
+	}
+	return 0
+}
+
 // endedBefore reports whether the current incarnation must have ended before the one that sent the report was started: it had
 // answered before the report was requested. Incarnations can't be ordered by the time of day at which they started, which may jump.
 func (r *runner) endedBefore(rep Report) bool {
@@ -137,9 +148,9 @@
 	s.runnersChanged()
 	r.incarnation = rep.Incarnation
 	s.assignSlot(r)
-	r.mayHaveStrays = !first
-	if r.fenceRaisedAt <= r.reportedAt {
-		r.fenceRaisedAt = 0 // the incarnation before has got calls with the present fence
+	r.mayHaveStrays, r.strayGeneration = !first, r.leaseGeneration
+	if r.inherited && first { // the predecessor may have known the incarnation before
+		r.leaseExpiresAt = max(r.leaseExpiresAt, s.now+s.strayLeaseLeft(rep.Incarnation))
 	}
 	r.lastEndSeq = 0
 	r.lastClock = 0
@@ -152,7 +163,7 @@
 		s.proveOthers(r.ID, r.incarnation) // a predecessor may have recorded crashes of earlier ones
 		return
 	}
-	s.emit(RunnerChanged{Runner: r.ID, Change: "restarted", Detail: fmt.Sprintf("born %d, before %d", r.incarnation, former)})
+	s.emit(RunnerChanged{Runner: r.ID, Change: "restarted", Detail: fmt.Sprintf("born %d, before %d, leases may last %s", r.incarnation, former, s.leaseExpiryDelay(s.cfg.MaxLease))})
 	present := rep.runKeys()
 	for _, x := range r.sortedRuns(matchAnyRun) {
 		if present[x.key()] {
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -42,8 +42,10 @@
 	slot            int           // index of the current incarnation in incarnation sets
 	incarnation     int64         // incarnation that sent the last report
 	reportedAt      time.Duration // when that report arrived
+	fenceGeneration int           // how many times the fence of the calls to the runner has been raised
+	leaseGeneration int           // that of the latest call that extends leases
 	mayHaveStrays   bool          // late calls for earlier incarnations may still extend the leases of this one
-	fenceRaisedAt   time.Duration // since when the calls for this incarnation have a higher fence than those for the one before; 0: not yet
+	strayGeneration int           // highest of those calls
 	listed          bool          // present in discovery
 	inherited       bool          // a predecessor may have started runs there that are not known yet
 	reported        bool          // has reported to this owner at its current address
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -371,7 +371,7 @@
 	if r.unreachable || r.ended {
 		return
 	}
-	rep := Report{Runner: r.info.ID, Addr: r.info.Addr, Incarnation: r.incarnation, Clock: int64(sim.now), RequestedAt: sent}
+	rep := Report{Runner: r.info.ID, Addr: r.info.Addr, Incarnation: r.incarnation, Clock: int64(sim.now), RequestedAt: sent, FenceGeneration: sched.FenceGeneration(r.info.ID)}
 	for key := range r.runs {
 		rep.Running = append(rep.Running, RunningRun{Task: key.task, Run: key.run, Usage: -1})
 	}
--- a/internal/scheduler/stray_lease_test.go
+++ b/internal/scheduler/stray_lease_test.go
@@ -12,28 +12,36 @@
 	for name, c := range map[string]struct {
 		restarts bool
 		raiseAt  time.Duration // when the fence is raised after the restart is known; -1: never
+		lost     bool          // contact was lost before, so that the fence is raised already
 		want     time.Duration // from the restart, or without one from the last lease, to the end of the run
 	}{
-		"no restart":        {false, 0, own},
-		"raised at once":    {true, 0, longest + 100*time.Millisecond},
-		"raised later":      {true, 250 * time.Millisecond, longest + 300*time.Millisecond},
-		"not raised at all": {true, -1, longest + 900*time.Millisecond},
+		"no restart":        {false, 0, false, own},
+		"raised before":     {true, -1, true, longest},
+		"raised at once":    {true, 0, false, longest + 100*time.Millisecond},
+		"raised later":      {true, 250 * time.Millisecond, false, longest + 300*time.Millisecond},
+		"not raised at all": {true, -1, false, longest + 900*time.Millisecond},
 	} {
 		s, x := restartedRun(t)
 		s.LeaseSent("r1")
 		began := s.now
+		if c.lost {
+			s.FenceRaised("r1")
+		}
 		if c.restarts {
 			began = s.after(10 * time.Millisecond)
-			report := Report{Runner: "r1", Addr: "a:1", Incarnation: 2000, RequestedAt: s.now, Running: []RunningRun{{Task: x.task.id(), Run: x.number, Usage: -1}}}
-			if !s.Report(report) {
-				t.Errorf("%s: the restart isn't reported", name)
+			report := Report{
+				Runner: "r1", Addr: "a:1", Incarnation: 2000, RequestedAt: s.now, FenceGeneration: s.FenceGeneration("r1"),
+				Running: []RunningRun{{Task: x.task.id(), Run: x.number, Usage: -1}},
+			}
+			if raise := s.Report(report); raise == c.lost {
+				t.Errorf("%s: the fence has to be raised: %t", name, raise)
 			}
 			for since := time.Duration(0); since <= 900*time.Millisecond; since += 50 * time.Millisecond {
 				if since == c.raiseAt {
 					s.FenceRaised("r1")
 				}
 				if since > 0 && since%(100*time.Millisecond) == 0 {
-					report.Clock, report.RequestedAt = since.Milliseconds(), s.now
+					report.Clock, report.RequestedAt, report.FenceGeneration = since.Milliseconds(), s.now, s.FenceGeneration("r1")
 					s.Report(report)
 				}
 				s.after(50 * time.Millisecond)
@@ -60,6 +68,7 @@
 	}{
 		"long ago":         {time.Minute, 7890 * time.Millisecond},
 		"just now":         {2 * time.Second, 10_500 * time.Millisecond},
+		"some seconds ago": {7 * time.Second, 8500 * time.Millisecond},
 		"clock is behind":  {-2 * time.Second, 10_500 * time.Millisecond},
 		"clock is far off": {-time.Minute, 7890 * time.Millisecond},
 	} {
@@ -77,3 +86,18 @@
 		}
 	}
 }
+
+// TestSuccessorCountsStrayLeasesOfReachedRunners guards against the same for a runner that answers the successor, before its entry is
+// read, and then falls silent.
+func TestSuccessorCountsStrayLeasesOfReachedRunners(t *testing.T) {
+	wall := time.UnixMilli(1_800_000_000_000)
+	for age, want := range map[time.Duration]time.Duration{2 * time.Second: 10_500 * time.Millisecond, time.Minute: 7890 * time.Millisecond} {
+		s := New(testConfig(), 2, time.Hour, wall)
+		s.RunnerInherited("r", "10.0.0.1:1")
+		s.RestoreDone()
+		s.Report(Report{Runner: "r", Addr: "10.0.0.1:1", Incarnation: wall.Add(-age).UnixMilli(), Clock: 1, RequestedAt: s.now})
+		if left := s.runners["r"].leaseExpiresAt - s.now; left != want {
+			t.Errorf("born %s ago: the leases count for %s, want %s", age, left, want)
+		}
+	}
+}
