--- a/internal/control/interfaces.go
+++ b/internal/control/interfaces.go
@@ -95,7 +95,8 @@
 	Identify     bool          // a new connection is identified before the poll, which then carries its lease
 }
 
-// ErrFenced is the error of a request that a runner refused because it has seen a request of a newer owner.
+// ErrFenced is the error of a request that a runner refused because it has seen one with a higher fence, of a newer owner or a later
+// one of the same owner.
 var ErrFenced = errors.New("the runner has seen a newer owner")
 
 // Runners sends requests to runners. A request is for the incarnation that the reference names: Start and Stop fail with
--- a/internal/control/runner_fences.go
+++ b/internal/control/runner_fences.go
@@ -1,8 +1,8 @@
 package control
 
 // runnerFences are the fencing tokens of an owner's calls to the runners. An owner begins with the revision of its claim. Its calls
-// for a runner that has started again get a higher token, so that the new incarnation refuses calls for the one before that are
-// carried out late. A token must stay below the revisions of later claims, so it is a revision at which the store still had the
+// to a runner get a higher token when contact is lost or the runner has started again, so that a new incarnation refuses calls for
+// the one before that are carried out late. A token must stay below the revisions of later claims, so it is a revision at which the store still had the
 // claim. It never falls again: the runner may have seen it.
 type runnerFences struct {
 	claim     int64            // revision of the claim
