--- a/review/harness-3/crashes.go
+++ b/review/harness-3/crashes.go
@@ -30,7 +30,7 @@
 	job := map[string]any{"spec": "serve", "steps": []map[string]any{{"count": 1, "cpu": 2000, "mem-mb": 512, "est-ms": 1000, "daemon": true}}}
 	var ids []string
 	for i := range 5 {
-		id := fmt.Sprintf("%016x", 0x1200+i)
+		id := fmt.Sprintf("%016x", 0x1400+i)
 		if !d.submit(id, job) {
 			return fmt.Errorf("job %s was not accepted", id)
 		}
--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -100,6 +101,7 @@
 	stop    chan struct{}
 	servers []*http.Server
 	version int
+	maxFDs  int  // of each process; 0: 4100
 	linked  bool // the runners are called through links
 }
 
@@ -293,7 +295,7 @@
 cpu-share = 0.4
 cores = 1
 memory-mb = 284
-max-fds = 4100
+max-fds = %d
 link-mbps = 1000.0
 disk-mb = 0
 [tolerate]
@@ -330,7 +332,7 @@
 func (p *process) writeSettings(storeAddr string, seeds []string) error {
 	list, _ := json.Marshal(seeds)
 	p.settings = filepath.Join(p.d.dir, p.name+".toml")
-	text := fmt.Sprintf(settingsText, p.name, list, p.front, p.ready, p.control, storeAddr)
+	text := fmt.Sprintf(settingsText, p.name, list, p.front, p.ready, p.control, cmp.Or(p.d.maxFDs, 4100), storeAddr)
 	return os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -18,6 +18,8 @@
 	"ends":    manyEnds,
 	"crashes": crashesByTurns,
 	"silent":  silentConnections,
+	"explore": explore,
+	"failing": failingLasting,
 }
 
 func main() {
--- a/review/harness-3/runner.go
+++ b/review/harness-3/runner.go
@@ -6,11 +6,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,7 +24,8 @@
 	labels []string
 	rec    *recorder
 	log    *runLog
-	via    *link // its connections, if the runner is called through one
+	late   atomic.Int64 // percentage of the orders that get no answer and are carried out later
+	via    *link        // its connections, if the runner is called through one
 
 	mu       sync.Mutex
 	born     time.Time
@@ -168,6 +171,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.late.Load() > 0 && rand.Int63n(100) < r.late.Load() {
+		time.AfterFunc(time.Duration(2000+rand.Intn(10000))*time.Millisecond, func() { r.carryOut(req.URL.Path, in) })
+		<-req.Context().Done()
+		return
+	}
 	switch req.URL.Path {
 	case "/run-start":
 		r.answer(w, r.start(in))
@@ -182,6 +190,28 @@
 	}
 }
 
+// carryOut carries an order out late, by the life of the runner that there is then.
+func (r *runner) carryOut(path string, in order) {
+	r.mu.Lock()
+	up := r.up
+	r.mu.Unlock()
+	if !up {
+		return
+	}
+	switch path {
+	case "/run-start":
+		r.rec.logf("%s carries out late: start %s run %d: %q", r.id, in.Task, in.Run, r.start(in))
+	case "/run-stop":
+		r.stopRun(in)
+	case "/hold":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.admit(in) == "" {
+			r.acknowledge(in.AckedUpTo)
+		}
+	}
+}
+
 func (r *runner) answer(w http.ResponseWriter, reason string) {
 	r.mu.Lock()
 	body := map[string]any{"clock-ms": r.clock()}
@@ -245,7 +275,7 @@
 	if r.runs[in.Task] != nil || in.Run <= r.highest[in.Task] {
 		return "old"
 	}
-	x := &taskRun{task: in.Task, run: in.Run, began: time.Now(), work: workOf(in.Spec), entry: r.log.started(in.Task, in.Run, r.id)}
+	x := &taskRun{task: in.Task, run: in.Run, began: time.Now(), work: workOf(in.Spec), entry: r.log.started(in.Task, in.Run, r.id, in.Spec)}
 	r.rec.logf("%s starts %s run %d", r.id, in.Task, in.Run)
 	r.runs[in.Task] = x
 	life := r.life
@@ -365,15 +395,16 @@
 	log          *runLog
 	task, runner string
 	run          int
+	spec         string
 	began, ended time.Time
 	how          string
 	acknowledged bool // its end was taken note of, and the lease of the runner didn't lapse between the two
 }
 
-func (l *runLog) started(task string, run int, runner string) *runEntry {
+func (l *runLog) started(task string, run int, runner, spec string) *runEntry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := &runEntry{log: l, task: task, run: run, runner: runner, began: time.Now()}
+	e := &runEntry{log: l, task: task, run: run, runner: runner, spec: spec, began: time.Now()}
 	l.runs = append(l.runs, e)
 	return e
 }
