--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -46,9 +46,10 @@
 // storeServer serves the store of the platform, which can be down in the variant "reset": connections are reset.
 type storeServer struct {
 	*standin.Store
-	down  atomic.Bool
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	down     atomic.Bool
+	tooLarge atomic.Int64 // commits that were refused for a value over valueBytes
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
 }
 
 func newStoreServer() *storeServer {
@@ -62,6 +63,30 @@
 	_ = conn.Close()
 }
 
+// valueBytes is the largest value that the store takes, as in the settings.
+const valueBytes = 1048576
+
+// ServeHTTP implements http.Handler. A commit with a value that is too large is refused as a whole.
+func (s *storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/kv-txn" {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		var commit struct{ Puts []struct{ Value []byte } }
+		_ = json.Unmarshal(data, &commit)
+		for _, put := range commit.Puts {
+			if len(put.Value) > valueBytes {
+				s.tooLarge.Add(1)
+				reply(w, http.StatusBadRequest, map[string]string{"error": "value too large"})
+				return
+			}
+		}
+		r.Body = io.NopCloser(bytes.NewReader(data))
+	}
+	s.Store.ServeHTTP(w, r)
+}
+
 // setDown takes the store away or brings it back.
 func (s *storeServer) setDown(down bool) {
 	s.down.Store(down)
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -19,6 +19,7 @@
 	"crashes": crashesByTurns,
 	"silent":  silentConnections,
 	"explore": explore,
+	"array":   manyOccurrences,
 	"failing": failingLasting,
 }
 
