--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -15,11 +15,11 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(d *deployment, trouble bool) error{
-	"ends":    manyEnds,
-	"crashes": crashesByTurns,
+	"failing": failingLasting,
 	"silent":  silentConnections,
 	"array":   manyOccurrences,
-	"failing": failingLasting,
+	"late":    lateOrders,
+	"attempt": lastAttempt,
 }
 
 func main() {
--- a/review/harness-3/runner.go
+++ b/review/harness-3/runner.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"sort"
@@ -22,6 +23,8 @@
 	labels []string
 	rec    *recorder
 	log    *runLog
+	grey   bool  // fails all that it starts
+	late   int64 // percentage of the orders that get no answer and are carried out 2 to 12 s later
 	via    *link // its connections, if the runner is called through one
 
 	mu       sync.Mutex
@@ -60,6 +63,8 @@
 	// endsPerAnswer is how many ends an answer lists: the pages say 500 at a time.
 	endsPerAnswer = 500
 	holdMax       = 10 * time.Second
+	// greyFailsAfter is how long a run works on a runner that fails all that it starts.
+	greyFailsAfter = 100 * time.Millisecond
 )
 
 // begin starts a life of the runner.
@@ -160,6 +165,7 @@
 	life, _ := req.Context().Value(lifeKey{}).(int)
 	r.mu.Lock()
 	alive := r.up && r.life == life
+	late := alive && rand.Int63n(100) < r.late
 	r.mu.Unlock()
 	if !alive {
 		panic(http.ErrAbortHandler)
@@ -168,6 +174,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if late {
+		delay := 2*time.Second + time.Duration(rand.Int63n(int64(10*time.Second)))
+		time.AfterFunc(delay, func() { r.carryOut(req.URL.Path, in) })
+		<-req.Context().Done()
+		return
+	}
 	switch req.URL.Path {
 	case "/run-start":
 		r.answer(w, r.start(in))
@@ -182,6 +194,36 @@
 	}
 }
 
+// carryOut carries an order out late, by the life of the runner that there is then.
+func (r *runner) carryOut(path string, in order) {
+	r.mu.Lock()
+	up := r.up
+	r.mu.Unlock()
+	if !up {
+		return
+	}
+	switch path {
+	case "/run-start":
+		if reason := r.start(in); reason == "" {
+			r.rec.logf("%s has carried out the start of %s run %d late", r.id, in.Task, in.Run)
+		}
+	case "/run-stop":
+		r.stopRun(in)
+	case "/hold":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.admit(in) == "" {
+			r.acknowledge(in.AckedUpTo)
+		}
+	}
+}
+
+func (r *runner) set(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
 func (r *runner) answer(w http.ResponseWriter, reason string) {
 	r.mu.Lock()
 	body := map[string]any{"clock-ms": r.clock()}
@@ -253,6 +295,9 @@
 	if strings.Contains(in.Spec, "fail") {
 		how = "failed"
 	}
+	if r.grey {
+		how, x.work = "failed", greyFailsAfter
+	}
 	x.timer = time.AfterFunc(x.work, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -350,6 +395,7 @@
 	}
 	ended := [][]any{}
 	for _, e := range r.ended[:min(len(r.ended), endsPerAnswer)] {
+		e.entry.list()
 		ended = append(ended, []any{e.seq, e.task, e.run, e.how, ""})
 	}
 	return map[string]any{"clock-ms": r.clock(), "born": r.born.UnixMilli(), "running": running, "ended": ended}
@@ -359,6 +405,13 @@
 type runLog struct {
 	mu   sync.Mutex
 	runs []*runEntry
+	// calmUntil is the time of the first disruption. With none near, an end counts as taken note of 100 ms after it is listed; here
+	// only ends that were listed more than a second before the disruption do.
+	calmUntil time.Time
+}
+
+func (l *runLog) takenNoteOf(e *runEntry) bool {
+	return e.acknowledged || !e.listed.IsZero() && !l.calmUntil.IsZero() && l.calmUntil.Sub(e.listed) > time.Second
 }
 
 type runEntry struct {
@@ -368,7 +421,8 @@
 	spec         string
 	began, ended time.Time
 	how          string
-	acknowledged bool // its end was taken note of, and the lease of the runner didn't lapse between the two
+	listed       time.Time // when its end was listed first
+	acknowledged bool      // its end was taken note of, and the lease of the runner didn't lapse between the two
 }
 
 func (l *runLog) started(task string, run int, runner, spec string) *runEntry {
@@ -385,6 +439,14 @@
 	e.ended, e.how = time.Now(), how
 }
 
+func (e *runEntry) list() {
+	e.log.mu.Lock()
+	defer e.log.mu.Unlock()
+	if e.listed.IsZero() {
+		e.listed = time.Now()
+	}
+}
+
 func (e *runEntry) acknowledge(lapsed time.Time) {
 	e.log.mu.Lock()
 	defer e.log.mu.Unlock()
@@ -401,7 +463,7 @@
 		isAgain, isBeside := "", ""
 		for _, before := range byTask[e.task] {
 			switch {
-			case before.how == "done" && before.acknowledged && before.ended.Before(e.began):
+			case before.how == "done" && l.takenNoteOf(before) && before.ended.Before(e.began):
 				isAgain = fmt.Sprintf("%s: run %d starts on %s %d ms after run %d has ended done on %s, an end that was taken note of",
 					e.task, e.run, e.runner, e.began.Sub(before.ended).Milliseconds(), before.run, before.runner)
 			case before.ended.IsZero() || before.ended.After(e.began):
