--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -66,6 +66,8 @@
 	case scheduler.SuspectCleared:
 		o.n.dep.Metrics.suspects.WithLabelValues("cleared").Inc()
 		o.n.dep.Log.Log("suspect-cleared", logrus.Fields{"task": e.Task.String()})
+	case scheduler.OwnFault:
+		o.ownFault(e)
 	case scheduler.RunnerChanged:
 		o.n.dep.Log.Log("runner", logrus.Fields{"runner": e.Runner, "change": e.Change, "detail": e.Detail})
 	}
@@ -91,6 +93,15 @@
 	})
 }
 
+func (o *ownership) ownFault(e scheduler.OwnFault) {
+	of := "task"
+	if e.Index == scheduler.WholeStep {
+		of = "step"
+	}
+	o.n.dep.Metrics.ownFaults.WithLabelValues(of).Inc()
+	o.n.dep.Log.Log("own-fault", logrus.Fields{"step": e.Step.String(), "task": e.Index, "released": e.Released})
+}
+
 func (o *ownership) start(e scheduler.StartRun) {
 	request := StartRequest{
 		Task: e.Task, Run: e.Run, Payload: e.Payload, Ticket: e.Ticket, Checkpoint: e.Checkpoint,
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -29,6 +29,8 @@
 	OtherIncarnation *prometheus.CounterVec
 	// suspects counts the tasks that were suspected of the loss of a runner, by what followed.
 	suspects *prometheus.CounterVec
+	// ownFaults counts the tasks and steps whose failures count against no runner.
+	ownFaults *prometheus.CounterVec
 	// stageWaits counts the reports of stages that have waited long without a start, by cause.
 	stageWaits *prometheus.CounterVec
 	jobs       *prometheus.CounterVec
@@ -82,6 +84,7 @@
 		OtherIncarnation: counter("other_incarnation_total", "Calls for an incarnation of a runner that would have reached another one, by call.", "call"),
 		runnerLosses:     counter("runner_losses_total", "Runners that were probably lost with their runs, by evidence.", "evidence"),
 		stageWaits:       counter("stage_waits_total", "Reports of stages that have waited long without a start, by cause.", "cause"),
+		ownFaults:        counter("own_faults_total", "Tasks and whole steps that have failed on several runners, so that their failures count against none.", "of"),
 		suspects:         counter("crash_suspects_total", "Tasks under which a runner was lost, by verdict, and those that were cleared.", "verdict"),
 		jobs:             counter("jobs_ended_total", "Jobs by final state.", "state"),
 		ConfigBehind: prometheus.NewGauge(prometheus.GaugeOpts{
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -187,7 +187,7 @@
 	quarantined := false
 	for _, r := range s.byFreeCores {
 		if !s.unqueried(st, r) {
-			quarantined = quarantined || !r.health.admits(s.now)
+			quarantined = quarantined || !s.healthAdmits(st, r)
 			continue
 		}
 		copies := need.Copies(r.Capacity, limit)
@@ -243,7 +243,7 @@
 // unqueried reports whether a runner is feasible for the stage, admits runs and has not been queried in its current
 // incarnation.
 func (s *Scheduler) unqueried(st *stage, r *runner) bool {
-	return !st.advice.queried.has(r.slot) && s.feasible(st, r) && r.health.admits(s.now)
+	return !st.advice.queried.has(r.slot) && s.feasible(st, r) && s.healthAdmits(st, r)
 }
 
 // maxOnRunner returns the maximum number of tasks of the stage on one runner, at most limit.
--- a/internal/scheduler/best_fit.go
+++ b/internal/scheduler/best_fit.go
@@ -17,7 +17,7 @@
 	anywhere := why != noRisk && s.mayRunAnywhere(st, why, candidates)
 	shared := s.mayShare(st, why)
 	for _, r := range candidates {
-		if !need.Fits(r.free()) || !s.mayPlace(st, r, s.onRunner(runtime, r)) || !r.health.admits(s.now) {
+		if !need.Fits(r.free()) || !s.mayPlace(st, r, s.onRunner(runtime, r)) || !s.healthAdmits(st, r) {
 			continue
 		}
 		if !s.admitsRisk(r, why, anywhere, shared) {
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -41,6 +41,8 @@
 		return
 	case outcome == EndFailed && !st.step.LongRunning:
 		s.taskFailed(x)
+	case outcome == EndFailed && s.failedAtOnce(x):
+		s.delayRestart(x)
 	}
 	if st.step.Gang && st.job.finalState == "" {
 		s.stopGang(st, x, "member "+outcome)
@@ -103,20 +105,28 @@
 	switch outcome {
 	case EndDone:
 		r.soundAt = max(r.soundAt, x.startSentAt)
-		r.health.succeeded()
+		s.hasWorked(x)
+		s.foundSound(r, x.startSentAt)
 		s.observeOutcome(x, false)
 		s.observe(x)
 	case EndFailed:
-		if x.task.stage.step.LongRunning && s.now-x.startSentAt > probeDuration {
+		if x.task.stage.step.LongRunning && !s.failedAtOnce(x) {
+			s.hasWorked(x)
 			return // a long-running task may fail at any time, which doesn't indicate a faulty runner
 		}
+		if s.isOwnFault(x) {
+			return
+		}
 		s.observeOutcome(x, true)
-		if r.health.failed(x.task.stage.id.Job, s.now) {
+		if r.health.failed(x, s.now) {
 			s.emit(RunnerChanged{Runner: r.ID, Change: "quarantined", Detail: "runs of different jobs have failed"})
 		}
 	}
 }
 
+// failedAtOnce reports whether a run that has failed did so soon after its start, as on a faulty runner.
+func (s *Scheduler) failedAtOnce(x *run) bool { return s.now-x.startSentAt <= probeDuration }
+
 // observe adds the run time of a completed run to the run time model of its queue and, unless it was a member of a gang,
 // to the speed estimate of its runner.
 func (s *Scheduler) observe(x *run) {
--- a/internal/scheduler/failure_rate.go
+++ b/internal/scheduler/failure_rate.go
@@ -69,7 +69,7 @@
 // another runner before says nothing about this one.
 func (s *Scheduler) observeOutcome(x *run, failed bool) {
 	t := x.task
-	if failed && len(t.failedRuns) > 0 && t.avoidRunner != "" && t.avoidRunner != x.runner.ID {
+	if failed && (len(t.failedRuns) > 0 || t.counted().failures.repeated()) && t.avoidRunner != "" && t.avoidRunner != x.runner.ID {
 		return
 	}
 	for _, rate := range []*failureRate{&s.failures.all, s.failures.zone(x.runner.Zone), &x.runner.failures} {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -83,12 +83,14 @@
 func (s *Scheduler) updateFreeCapacity(runners []*runner) {
 	s.maxFree = model.Resources{}
 	s.byFreeCores = s.byFreeCores[:0]
+	s.anyQuarantined = false
 	var used, capacity int64
 	for _, r := range runners {
 		if !r.usable() {
 			continue
 		}
 		s.byFreeCores = append(s.byFreeCores, r)
+		s.anyQuarantined = s.anyQuarantined || s.now < r.health.quarantinedUntil
 		free := r.free()
 		used, capacity = used+r.used.CoresMilli, capacity+r.Capacity.CoresMilli
 		s.maxFree.CoresMilli = max(s.maxFree.CoresMilli, free.CoresMilli)
@@ -128,6 +130,7 @@
 	}
 	st.apart = s.isKeptApart(st)
 	s.updateSharing(st)
+	s.updateEarlyProbes(st)
 	if !st.job.stored || st.job.inherited && awaitingInherited {
 		if st.advice.requests == 0 && s.mayCharge(st, 1) && !s.awaitsStarts(st, waiting) {
 			s.requestAdvice(st, waiting) // overlaps the call with the write of the acceptance
@@ -155,7 +158,7 @@
 	out := s.candidateBuf[:0]
 	if st.job.queue.Advice != nil {
 		for _, e := range st.advice.eligible {
-			if r := e.runner; e.incarnation == r.incarnation && s.feasible(st, r) && r.health.admits(s.now) {
+			if r := e.runner; e.incarnation == r.incarnation && s.feasible(st, r) && s.healthAdmits(st, r) {
 				out = append(out, r)
 			}
 		}
@@ -163,7 +166,7 @@
 		return out
 	}
 	for _, r := range runners {
-		if s.feasible(st, r) && r.health.admits(s.now) {
+		if s.feasible(st, r) && s.healthAdmits(st, r) {
 			out = append(out, r)
 		}
 	}
@@ -198,7 +201,7 @@
 	}
 	costs := s.speedCostsOf(st)
 	for _, t := range st.tasks {
-		if !t.waiting() || !t.crashIsDurable() {
+		if !t.waiting() || !t.crashIsDurable() || s.startsLater(t) {
 			continue
 		}
 		if !s.mayCharge(st, 1) || !s.excessMayTake(st, 1) {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -251,8 +251,13 @@
 	if row.Checkpoint != "" {
 		x.task.checkpoint = row.Checkpoint
 	}
-	if x.task.stage.step.LongRunning && s.now-x.startSentAt > survivalTime {
-		s.clearSuspect(x.task) // it never completes
+	if x.task.stage.step.LongRunning { // it never completes
+		if s.now-x.startSentAt > probeDuration {
+			s.hasWorked(x)
+		}
+		if s.now-x.startSentAt > survivalTime {
+			s.clearSuspect(x.task)
+		}
 	}
 	s.checkProgress(x, row.Usage)
 }
--- a/internal/scheduler/runner_health.go
+++ b/internal/scheduler/runner_health.go
@@ -15,28 +15,67 @@
 	// probeDuration is how long a probe has to run to count as a success. A faulty runner that still accepts work fails
 	// its runs immediately.
 	probeDuration = 1500 * time.Millisecond
+	// soundProbeTime is how long after a quarantine only work that hasn't failed elsewhere may probe the runner. The failure of
+	// other work says little about the runner, and would keep sound work waiting for the probe.
+	soundProbeTime = 500 * time.Millisecond
+	// maxAccusations bounds the failed runs that are remembered for a runner.
+	maxAccusations = 32
 	// stalledAfterChecks is the number of consecutive usage checks without CPU usage after which a run counts as stalled.
 	stalledAfterChecks = 2
 )
 
 // runnerHealth tracks the health of a runner by the outcomes of different jobs on it.
 type runnerHealth struct {
-	failedJobs       []string // different jobs with a failed run there since the last success or quarantine
+	accusations      []accusation // since the last success, the latest of each task
+	quarantinedAt    time.Duration
 	quarantinedUntil time.Duration
 	quarantineTime   time.Duration
+	byFailures       bool // it was last quarantined for accusations
 	probing          bool // one run at a time until one succeeds or has run for probeDuration
 	probe            *run // run that probes the runner since the last quarantine; nil if none
 }
 
-// failed records a failed run and reports whether the runner is quarantined because of it.
-func (h *runnerHealth) failed(job string, now time.Duration) bool {
-	if !slices.Contains(h.failedJobs, job) {
-		h.failedJobs = append(h.failedJobs, job)
+// failed records a failed run that may be the runner's fault and reports whether the runner is quarantined because of it.
+func (h *runnerHealth) failed(x *run, now time.Duration) bool {
+	h.accusations = slices.DeleteFunc(h.accusations, func(a accusation) bool { return a.task == x.task })
+	if len(h.accusations) == maxAccusations {
+		h.accusations = slices.Delete(h.accusations, 0, 1)
 	}
-	if len(h.failedJobs) < quarantineAfterJobs && !h.probing {
+	h.accusations = append(h.accusations, accusation{task: x.task, startedAt: x.startSentAt})
+	if !h.probing && !h.isAccused() {
 		return false
 	}
 	h.quarantine(now)
+	h.byFailures = true
+	return true
+}
+
+// isAccused reports whether enough different jobs accuse the runner.
+func (h *runnerHealth) isAccused() bool {
+	jobs := make([]string, 0, quarantineAfterJobs)
+	for _, a := range h.accusations {
+		if id := a.task.stage.id.Job; !slices.Contains(jobs, id) {
+			if jobs = append(jobs, id); len(jobs) == quarantineAfterJobs {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// exonerate drops the accusations by matching tasks, as these are at fault themselves, and reports whether this ends a quarantine. A
+// runner that another task accuses as well is still probed.
+func (h *runnerHealth) exonerate(match func(*task) bool) bool {
+	before := len(h.accusations)
+	h.accusations = slices.DeleteFunc(h.accusations, func(a accusation) bool { return match(a.task) })
+	if len(h.accusations) == before || !h.byFailures || h.isAccused() {
+		return false
+	}
+	if len(h.accusations) == 0 {
+		h.succeeded()
+		return true
+	}
+	h.quarantinedUntil, h.quarantineTime = min(h.quarantinedUntil, h.quarantinedAt), 0
 	return true
 }
 
@@ -58,10 +97,9 @@
 // quarantine quarantines the runner, each time for twice as long, up to maxQuarantine.
 func (h *runnerHealth) quarantine(now time.Duration) {
 	h.quarantineTime = min(max(2*h.quarantineTime, minQuarantine), maxQuarantine)
-	h.quarantinedUntil = now + h.quarantineTime
-	h.probing = true
+	h.quarantinedAt, h.quarantinedUntil = now, now+h.quarantineTime
+	h.probing, h.byFailures = true, false
 	h.probe = nil
-	h.failedJobs = h.failedJobs[:0]
 }
 
 // succeeded resets the state after a successful run.
@@ -69,14 +107,23 @@
 	*h = runnerHealth{}
 }
 
-// admits reports whether another run may be placed. It resets the state if the probe has run for longer than
-// probeDuration: this counts as a success, as a long-running task never completes.
+// admits reports whether another run may be placed.
 func (h *runnerHealth) admits(now time.Duration) bool {
-	if now < h.quarantinedUntil {
-		return false
-	}
-	if h.probing && h.probe != nil && h.probe.state == runRunning && now-h.probe.startSentAt > probeDuration {
-		h.succeeded()
-	}
-	return !h.probing || h.probe == nil
+	return now >= h.quarantinedUntil && !h.isProbed(now)
+}
+
+// admitsEarly is admits for work that may probe the runner before its quarantine ends.
+func (h *runnerHealth) admitsEarly(now time.Duration) bool {
+	return now-h.quarantinedAt >= minQuarantine && !h.isProbed(now)
+}
+
+// isProbed reports whether a probe is at work that has shown nothing yet.
+func (h *runnerHealth) isProbed(now time.Duration) bool {
+	return h.probing && h.probe != nil && !h.probeWorks(now)
+}
+
+// probeWorks reports whether the probe has run for longer than probeDuration. This counts as a success, as a long-running task never
+// completes.
+func (h *runnerHealth) probeWorks(now time.Duration) bool {
+	return h.probe != nil && h.probe.state == runRunning && now-h.probe.startSentAt > probeDuration
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	candidateBuf   []*runner
 	maxFree        model.Resources // largest free amount of each resource on a usable runner, as of the last pass
 	mostlyFree     bool            // at least half of the usable cores are free
+	anyQuarantined bool            // a usable runner is in quarantine, as of the last pass
 	// mostlyFreeSince is when at least half of the usable cores became free; meaningful only while they are.
 	mostlyFreeSince time.Duration
 	freeServices    map[string]time.Duration // since when at least half of the usable cores of a service have been free, if they are
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -24,6 +24,8 @@
 	apart              bool            // has waiting tasks that may crash their runner, as of the last pass
 	isolatedOnlySince  time.Duration   // since when it fits on runners that are set apart only; 0 if it fits elsewhere
 	needsIsolated      bool            // it may use runners that are set apart for others
+	failures           stageFailures   // since the last success
+	probesEarly        bool            // it may probe runners before their quarantine ends, as of the last pass
 	notIsolatedSince   time.Duration   // since when no runner that is set apart is eligible; 0 if one is
 	notIsolatedAt      time.Duration   // when that was last checked
 	nextPreemption     time.Duration   // earliest time to look for runs to preempt again
--- a/internal/scheduler/stage_waits.go
+++ b/internal/scheduler/stage_waits.go
@@ -117,6 +117,8 @@
 		return "a limit of its tenant"
 	case !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && t.crashIsDurable() }):
 		return "the loss of a runner is not stored"
+	case !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && !s.startsLater(t) }):
+		return "its runs fail soon after their start, so that it waits before the next one"
 	case e.Room < wanted:
 		return s.missingRunnersCause(st)
 	case st.apart:
