--- a/internal/control/peer_client.go
+++ b/internal/control/peer_client.go
@@ -20,6 +20,10 @@
 // errNotConnected means that a call has certainly not been sent.
 var errNotConnected = errors.New("no connection to the peer")
 
+// silentPeerAfter is how long a call must have waited for its silence to say something about its connection. Votes and pings
+// wait for longer.
+const silentPeerAfter = 300 * time.Millisecond
+
 // idlePeerTimeout closes connections to processes that are no longer called, such as the voters of an earlier vote.
 const idlePeerTimeout = 15 * time.Second
 
@@ -29,7 +33,8 @@
 	address  string
 	mu       sync.Mutex
 	client   *rpc.Client
-	calls    int // calls in flight
+	conn     *HeardConn // of client
+	calls    int        // calls in flight
 	lastUsed time.Time
 	dial     func(ctx context.Context) (net.Conn, error) // nil: TCP to the address
 }
@@ -42,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	sent := time.Now()
 	decoded := new(R) // not reply itself, as net/rpc may decode a late reply after the call has been abandoned
 	pending := client.Go("Peer."+method, args, decoded, make(chan *rpc.Call, 1))
 	select {
@@ -52,10 +58,27 @@
 		}
 		return pending.Error
 	case <-ctx.Done():
+		p.abandon(ctx, client, sent)
 		return ctx.Err()
 	}
 }
 
+// abandon closes the connection of a call that has reached its time limit, if nothing has arrived on it since the call was sent: it may
+// have gone silent, and all further calls would be lost on it. A call with a short limit says nothing, nor does one during which this
+// process was paused.
+func (p *peerClient) abandon(ctx context.Context, client *rpc.Client, sent time.Time) {
+	deadline, ok := ctx.Deadline()
+	if !ok || !errors.Is(ctx.Err(), context.DeadlineExceeded) || time.Since(deadline) > pauseTolerance || time.Since(sent) < silentPeerAfter {
+		return
+	}
+	p.mu.Lock()
+	silent := p.client == client && p.conn.HeardAt().Before(sent)
+	p.mu.Unlock()
+	if silent {
+		p.disconnect(client)
+	}
+}
+
 func (p *peerClient) begin() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -105,7 +128,8 @@
 		_ = conn.Close() // another call has connected in the meantime
 		return p.client, nil
 	}
-	p.client = rpc.NewClientWithCodec(newPeerCodec(p.n, conn))
+	p.conn = NewHeardConn(conn)
+	p.client = rpc.NewClientWithCodec(newPeerCodec(p.n, p.conn))
 	return p.client, nil
 }
 
