--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,7 @@
 	client, server net.Conn
 	done           chan struct{}
 	once           sync.Once
+	silent         atomic.Bool // what arrives is dropped from now on
 }
 
 // chunk is queued data; nil data marks the end of the stream.
@@ -136,6 +138,9 @@
 	if !l.sleep(time.Until(c.due)) || !l.sleep(s.transferTime(len(c.data))) || !l.waitUnstalled(d) {
 		return false
 	}
+	if l.silent.Load() {
+		return true
+	}
 	if c.data == nil {
 		if tcp, ok := dst.(*net.TCPConn); ok {
 			return tcp.CloseWrite() == nil
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// Silence makes the open connections deliver nothing more, not even their end, and returns how many there are. New ones work.
+func (p *Proxy) Silence() int {
+	links := p.openLinks()
+	for _, l := range links {
+		l.silent.Store(true)
+	}
+	return len(links)
+}
+
 // Connections returns the number of open connections.
 func (p *Proxy) Connections() int { return len(p.openLinks()) }
 
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -180,3 +180,22 @@
 		t.Errorf("settings: %+v", got)
 	}
 }
+
+// TestSilence guards against links that end, or deliver again, after they were silenced, and against new ones that don't work.
+func TestSilence(t *testing.T) {
+	p, c := newProxiedConn(t, Settings{})
+	roundTrip(t, c, []byte("before"))
+	if n := p.Silence(); n != 1 {
+		t.Fatalf("%d connections were silenced, want 1", n)
+	}
+	if _, err := c.Write([]byte("after")); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, err := c.Read(make([]byte, 10)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	fresh := dial(t, p)
+	defer fresh.Close()
+	roundTrip(t, fresh, []byte("new"))
+}
