--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -85,6 +85,7 @@
 	ends           []EndedRun
 	lastSeq        int64
 	leaseExpiresAt time.Duration
+	refuses        func() (StartOutcome, bool) // outcome of the starts that it doesn't carry out; nil: it carries out all
 }
 
 type fakeRun struct {
@@ -306,6 +307,12 @@
 	sim.checkCap(e.Task.Job)
 	sim.afterFunc(delay, func() {
 		delete(sim.inFlight, key)
+		if r.refuses != nil && !lost {
+			if outcome, refused := r.refuses(); refused {
+				sched.StartAnswered(e.Runner, e.Task, e.Run, outcome)
+				return
+			}
+		}
 		outcome := r.start(e, fence, until, lost)
 		if !lost {
 			sched.StartAnswered(e.Runner, e.Task, e.Run, outcome)
