--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -40,6 +40,12 @@
 	maxChanges    int            // largest number of changes in an answer to a watch; 0: no limit
 }
 
+// hasLoaded reports whether the owner has loaded the durable state.
+func (o *ownership) hasLoaded() bool {
+	pending, _ := o.pendingJobs()
+	return pending != nil
+}
+
 func newMemoryStore() *memoryStore {
 	return &memoryStore{rev: 1, items: map[string]Item{}, changed: make(chan struct{})}
 }
--- a/internal/control/keys_test.go
+++ b/internal/control/keys_test.go
@@ -187,7 +187,7 @@
 	c.nodes = others(c.nodes, old)
 	eventually(t, 3*time.Second, "a new owner", func() bool {
 		owners := ownersOf(c.nodes)
-		return len(owners) == 1 && owners[0].ownership.Load().pendingJobs() != nil
+		return len(owners) == 1 && owners[0].ownership.Load().hasLoaded()
 	})
 	check("after a change of owner", job.Canceled)
 }
--- a/internal/control/lost_owner_test.go
+++ b/internal/control/lost_owner_test.go
@@ -46,7 +46,7 @@
 // loadedOwner returns the process that is the owner and has loaded the durable state, or nil.
 func loadedOwner(nodes []*testNode) *testNode {
 	for _, n := range nodes {
-		if o := n.ownership.Load(); o != nil && o.pendingJobs() != nil {
+		if o := n.ownership.Load(); o != nil && o.hasLoaded() {
 			return n
 		}
 	}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -63,6 +63,7 @@
 	Members     []Member       // only if they were requested
 	Loaded      bool           // the owner has loaded the durable state
 	Pending     map[string]int // jobs that have not started, by queue
+	PendingAge  time.Duration  // since they were counted; 0 from earlier builds
 	Config      []byte         // only if newer than the caller's
 
 	// ConfigAge is the time since ConfigVersion was confirmed as the newest. Older processes send none of the three.
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -75,6 +75,7 @@
 	mu        sync.Mutex              // guards the fields below it, and reason
 	lastPings map[string]receivedPing // by incarnation, of processes that regard this one as the owner
 	pending   map[string]int          // jobs that have not started, by queue; nil before the durable state is loaded
+	pendingAt time.Duration           // when they were counted
 }
 
 // becomeOwner starts a term of ownership unless this process has already started that term or a later one.
@@ -313,7 +314,7 @@
 func (o *ownership) publishPending() {
 	pending := o.sched.Pending()
 	o.mu.Lock()
-	o.pending = pending
+	o.pending, o.pendingAt = pending, o.n.clock.Now()
 	o.mu.Unlock()
 }
 
@@ -360,11 +361,12 @@
 	o.stepDown("neither the store nor a majority of the members confirms the ownership")
 }
 
-// pendingJobs returns the number of jobs that have not started, by queue; nil before the durable state is loaded.
-func (o *ownership) pendingJobs() map[string]int {
+// pendingJobs returns the number of jobs that have not started, by queue, and when the event loop counted them; nil before the durable
+// state is loaded.
+func (o *ownership) pendingJobs() (byQueue map[string]int, at time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.pending
+	return o.pending, o.pendingAt
 }
 
 func (o *ownership) cleanUp() {
--- a/internal/control/ownership_test.go
+++ b/internal/control/ownership_test.go
@@ -92,7 +92,7 @@
 	}
 	eventually(t, time.Second, "the durable state is loaded", func() bool {
 		local := successor.ownership.Load()
-		return local != nil && local.info.Term == next.Term && local.pendingJobs() != nil
+		return local != nil && local.info.Term == next.Term && local.hasLoaded()
 	})
 }
 
@@ -325,7 +325,7 @@
 	owner.kill()
 	eventually(t, 10*time.Second, "a new owner has loaded the durable state", func() bool {
 		o := successor.ownership.Load()
-		return o != nil && o.pendingJobs() != nil
+		return o != nil && o.hasLoaded()
 	})
 	for i := range jobs {
 		if state, found := stateOf(t, successor, spreadID(i)); !found || state != job.Done {
--- a/internal/control/peer_server.go
+++ b/internal/control/peer_server.go
@@ -65,8 +65,9 @@
 	local := n.ownership.Load()
 	if reply.IsOwner = local != nil; reply.IsOwner {
 		local.recordPing(args, now)
-		reply.Pending = local.pendingJobs()
-		reply.Loaded = reply.Pending != nil
+		var countedAt time.Duration
+		reply.Pending, countedAt = local.pendingJobs()
+		reply.Loaded, reply.PendingAge = reply.Pending != nil, now-countedAt
 	}
 	reply.ConfigAge, reply.ConfigConfirmed = n.config.age(now)
 	reply.ConfigVersion = n.configVersion()
--- a/internal/control/pending_test.go
+++ b/internal/control/pending_test.go
@@ -43,3 +43,32 @@
 		}
 	}
 }
+
+// TestPendingCountOfStalledOwner guards against counts that are older than callers may be told: the event loop of the owner stands still,
+// while its pings are answered and its last counts handed on as if they were new (MIXED).
+func TestPendingCountOfStalledOwner(t *testing.T) { inBubble(t, testPendingCountOfStalledOwner) }
+
+func testPendingCountOfStalledOwner(t *testing.T) {
+	_, nodes := startCell(t, 3)
+	known := func(want bool) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if _, known := n.Pending("q"); known != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, time.Second, "counts at all processes", known(true))
+	const stall = 2 * maxPendingAge
+	ownersOf(nodes)[0].ownership.Load().post(func() { time.Sleep(stall) })
+	time.Sleep(maxPendingAge + 500*time.Millisecond)
+	for i, n := range nodes {
+		if count, known := n.Pending("q"); known {
+			t.Errorf("process %d says %d pending jobs %s after the last count", i, count, maxPendingAge+500*time.Millisecond)
+		}
+	}
+	time.Sleep(stall)
+	eventually(t, 5*time.Second, "counts at all processes again", known(true))
+}
--- a/internal/control/queries.go
+++ b/internal/control/queries.go
@@ -142,8 +142,8 @@
 // Pending returns how many accepted jobs of a queue have not started; known is false if no owner has said so lately.
 func (n *Node) Pending(queue string) (count int, known bool) {
 	if local := n.ownership.Load(); local != nil {
-		if pending := local.pendingJobs(); pending != nil {
-			return pending[queue], true
+		if pending, at := local.pendingJobs(); pending != nil {
+			return pending[queue], n.clock.Now()-at <= maxPendingAge
 		}
 	}
 	return n.view.pendingOf(queue, maxPendingAge, n.clock.Now())
--- a/internal/control/watch_owner.go
+++ b/internal/control/watch_owner.go
@@ -127,7 +127,7 @@
 	n.view.recordOwnerReply(now)
 	if reply.Loaded {
 		n.view.recordLoadedOwner(o.Term, now)
-		n.view.setPending(reply.Pending, reply.sentAt)
+		n.view.setPending(reply.Pending, reply.sentAt-min(max(reply.PendingAge, 0), 2*maxPendingAge))
 	}
 	if !reply.StoreOK && n.health.answeredWithin(storeAnswerMaxAge, now) && n.health.stableFor(storeStableTime, now) && !n.configOverdue(now) {
 		return ownerNoStore
