--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -27,6 +27,8 @@
 	runnerLosses *prometheus.CounterVec
 	// OtherIncarnation counts the calls for an incarnation of a runner that would have reached another one, by call.
 	OtherIncarnation *prometheus.CounterVec
+	// SilentConnections counts the calls to runners that got nothing on their connection by their time limit.
+	SilentConnections prometheus.Counter
 	// suspects counts the tasks that were suspected of the loss of a runner, by what followed.
 	suspects *prometheus.CounterVec
 	// ownFaults counts the tasks and steps whose failures count against no runner.
@@ -90,6 +92,9 @@
 		ConfigBehind: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "config_behind", Help: "Processes with an older configuration than this owner for more than a second.",
 		}),
+		SilentConnections: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "agateyard", Name: "silent_connections_total", Help: "Calls to runners that got nothing on their connection by their time limit.",
+		}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "agateyard", Name: "config_version", Help: "Version of the configuration in force.",
 		}),
@@ -116,7 +121,7 @@
 	ownerless := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "agateyard", Name: "no_owner_seconds", Help: "Time since this process last knew of an owner that had loaded the durable state.",
 	}, m.readOwnerless)
-	r.MustRegister(ownerless, m.Owner, m.gauges, m.tenants, age, m.ConfigBehind, m.configVersion, m.configBad)
+	r.MustRegister(ownerless, m.Owner, m.gauges, m.tenants, age, m.ConfigBehind, m.configVersion, m.configBad, m.SilentConnections)
 	return m
 }
 
