--- a/cmd/agateyard-scheduler/serve.go
+++ b/cmd/agateyard-scheduler/serve.go
@@ -130,7 +130,9 @@
 	go func() { failed <- p.node.Run(ctx, listeners[p.settings.Listen.Control]) }()
 	go func() { failed <- p.ready.Serve(listeners[p.settings.Listen.Ready]) }()
 	go func() { failed <- p.front.Serve(listeners[p.settings.Listen.Front]) }()
-	p.log.Log("started", logrus.Fields{"name": p.settings.NodeName, "zone": p.settings.Zone})
+	fields := buildFields()
+	fields["name"], fields["zone"] = p.settings.NodeName, p.settings.Zone
+	p.log.Log("started", fields)
 
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
