--- a/cmd/agateyard-scheduler/build_test.go
+++ b/cmd/agateyard-scheduler/build_test.go
@@ -12,6 +12,9 @@
 	if revision, ok := fields["revision"].(string); !ok || revision == "" {
 		t.Errorf("revision %v", fields["revision"])
 	}
+	if built, ok := fields["built"].(string); !ok || built == "" {
+		t.Errorf("built %v", fields["built"])
+	}
 	if fields["arch"] != runtime.GOARCH {
 		t.Errorf("arch %v, want %s", fields["arch"], runtime.GOARCH)
 	}
