--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -114,7 +114,7 @@
 			s.hasWorked(x)
 			return // a long-running task may fail at any time, which doesn't indicate a faulty runner
 		}
-		if s.isOwnFault(x) {
+		if s.isOwnFault(x) || x.besideProbe {
 			return
 		}
 		s.observeOutcome(x, true)
--- a/internal/scheduler/failing_tasks_test.go
+++ b/internal/scheduler/failing_tasks_test.go
@@ -229,6 +229,79 @@
 	return all, before
 }
 
+// TestFailingTasksAloneAreStartedAgain guards against lasting tasks that wait for longer than they may while all runners are in quarantine
+// for their failures and no other work shows that these are sound, and against jobs that end which have nothing running for too long.
+func TestFailingTasksAloneAreStartedAgain(t *testing.T) {
+	small := cores(0)
+	small.CoresMilli = 500
+	for _, c := range []struct {
+		name                   string
+		runners, jobs, tasks   int
+		lasting, gang, oneEach bool
+	}{
+		{name: "few runners", runners: 4, jobs: 2, tasks: 6, lasting: true},
+		{name: "many tasks", runners: 2, jobs: 4, tasks: 8, lasting: true},
+		{name: "one a runner", runners: 4, jobs: 3, tasks: 4, lasting: true, oneEach: true},
+		{name: "gangs", runners: 2, jobs: 4, tasks: 3, lasting: true, gang: true},
+		{name: "many runners", runners: 48, jobs: 2, tasks: 6, lasting: true},
+		{name: "jobs that end", runners: 2, jobs: 4, tasks: 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newFailingLoad(5, c.runners)
+			step := job.Step{Count: c.tasks, Need: small, Estimate: 1000, LongRunning: c.lasting, Gang: c.gang}
+			if c.oneEach {
+				step.MaxPerRunner = 1
+			}
+			if !c.lasting {
+				for i := range l.queues {
+					l.queues[i].Attempts = 40
+				}
+				l.sched.SetQueues(l.queues)
+			}
+			began := l.now
+			for range c.jobs {
+				l.submitFailing("gang", step)
+			}
+			l.run(40 * time.Second)
+			if c.lasting {
+				l.mustSpaceRestarts(t, began)
+			} else {
+				l.mustNotIdle(t)
+			}
+			l.reportViolations(t)
+		})
+	}
+}
+
+// mustNotIdle checks that no failing job has had nothing running for longer than idleLimit until its end.
+func (l *failingLoad) mustNotIdle(t *testing.T) {
+	t.Helper()
+	running, idleSince := map[string]int{}, map[string]time.Duration{}
+	for _, line := range l.history("simulation: " + failingPrefix) {
+		stamp, rest, _ := strings.Cut(line, ": simulation: ")
+		at, err := time.ParseDuration(stamp)
+		if err != nil {
+			t.Fatal(err)
+		}
+		id := rest[:len(failingPrefix)+13]
+		if strings.Contains(line, "ends on") {
+			if running[id]--; running[id] == 0 {
+				idleSince[id] = at
+			}
+			continue
+		}
+		if since, ok := idleSince[id]; ok && running[id] == 0 && at-since > idleLimit {
+			t.Errorf("%s has had nothing running for %s", id, at-since)
+		}
+		running[id]++
+	}
+	for id, since := range idleSince {
+		if running[id] == 0 && l.finished[id].State == "" && l.now-since > idleLimit {
+			t.Errorf("%s has had nothing running for %s", id, l.now-since)
+		}
+	}
+}
+
 // faultyRunnerCost plays jobs of several sizes while some runners fail all that they start, beside jobs that always fail. It returns
 // how many runs of sound jobs have failed there, how many of them before the first quarantine, and how many jobs were lost.
 func faultyRunnerCost(t *testing.T, seed int64, failing, faulty int) (failed, unnoticed, lost int) {
@@ -320,3 +393,35 @@
 		t.Fatal("no run has ended")
 	}
 }
+
+// TestShortFaultOfOnlyRunner guards against jobs that use up their attempts, or one after the other an attempt each, on the only runner that
+// may run them while it is faulty for a short time.
+func TestShortFaultOfOnlyRunner(t *testing.T) {
+	for _, attempts := range []int{2, 3} {
+		sim := newFaultSimulation(6500 * time.Millisecond)
+		sim.queues[2].Attempts = attempts
+		sim.sched.SetQueues(sim.queues)
+		const jobs = 16
+		for i := range jobs {
+			sim.submitStep("fill", fmt.Sprintf("f%015x", i+1), job.Step{Count: 1, Need: cores(1), Estimate: 500, RequiredLabel: "only"})
+			sim.run(400 * time.Millisecond)
+		}
+		sim.run(finishTime)
+		done := 0
+		for _, f := range sim.finished {
+			if f.State == job.Done {
+				done++
+			}
+		}
+		failed := len(sim.history("Outcome:" + EndFailed))
+		t.Logf("%d attempts: %d of %d jobs are done, %d runs have failed", attempts, done, jobs, failed)
+		if done != jobs {
+			t.Errorf("%d attempts: %d of %d jobs are done", attempts, done, jobs)
+		}
+		// Those that accuse it, and a probe each two seconds.
+		if limit := quarantineAfterJobs + 4; failed > limit {
+			t.Errorf("%d attempts: %d runs have failed, limit %d", attempts, failed, limit)
+		}
+		sim.reportViolations(t)
+	}
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -83,14 +83,15 @@
 func (s *Scheduler) updateFreeCapacity(runners []*runner) {
 	s.maxFree = model.Resources{}
 	s.byFreeCores = s.byFreeCores[:0]
-	s.anyQuarantined = false
+	s.anyProbing = false
+	clear(s.mostlyAccused)
 	var used, capacity int64
 	for _, r := range runners {
 		if !r.usable() {
 			continue
 		}
 		s.byFreeCores = append(s.byFreeCores, r)
-		s.anyQuarantined = s.anyQuarantined || s.now < r.health.quarantinedUntil
+		s.anyProbing = s.anyProbing || r.health.probing
 		free := r.free()
 		used, capacity = used+r.used.CoresMilli, capacity+r.Capacity.CoresMilli
 		s.maxFree.CoresMilli = max(s.maxFree.CoresMilli, free.CoresMilli)
@@ -130,7 +131,7 @@
 	}
 	st.apart = s.isKeptApart(st)
 	s.updateSharing(st)
-	s.updateEarlyProbes(st)
+	s.updateLacksSound(st)
 	if !st.job.stored || st.job.inherited && awaitingInherited {
 		if st.advice.requests == 0 && s.mayCharge(st, 1) && !s.awaitsStarts(st, waiting) {
 			s.requestAdvice(st, waiting) // overlaps the call with the write of the acceptance
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -254,6 +254,9 @@
 	if x.task.stage.step.LongRunning { // it never completes
 		if s.now-x.startSentAt > probeDuration {
 			s.hasWorked(x)
+			if h := &x.runner.health; h.probing && x.startSentAt > h.quarantinedAt {
+				s.foundSound(x.runner, x.startSentAt)
+			}
 		}
 		if s.now-x.startSentAt > survivalTime {
 			s.clearSuspect(x.task)
--- a/internal/scheduler/runner_health.go
+++ b/internal/scheduler/runner_health.go
@@ -114,7 +114,7 @@
 
 // admitsEarly is admits for work that may probe the runner before its quarantine ends.
 func (h *runnerHealth) admitsEarly(now time.Duration) bool {
-	return now-h.quarantinedAt >= minQuarantine && !h.isProbed(now)
+	return now-h.quarantinedAt >= earlyProbeAfter && !h.isProbed(now)
 }
 
 // isProbed reports whether a probe is at work that has shown nothing yet.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -39,9 +39,10 @@
 	lastFullPass   time.Duration // time of the last pass over all stages
 	fleetVersion   int           // incremented by runnersChanged
 	candidateBuf   []*runner
-	maxFree        model.Resources // largest free amount of each resource on a usable runner, as of the last pass
-	mostlyFree     bool            // at least half of the usable cores are free
-	anyQuarantined bool            // a usable runner is in quarantine, as of the last pass
+	maxFree        model.Resources    // largest free amount of each resource on a usable runner, as of the last pass
+	mostlyFree     bool               // at least half of the usable cores are free
+	anyProbing     bool               // a usable runner is in quarantine or probed, as of the last pass
+	mostlyAccused  map[runnerSet]bool // as of this pass; see isMostlyAccused
 	// mostlyFreeSince is when at least half of the usable cores became free; meaningful only while they are.
 	mostlyFreeSince time.Duration
 	freeServices    map[string]time.Duration // since when at least half of the usable cores of a service have been free, if they are
@@ -95,6 +96,7 @@
 		takenOverAt:    now,
 		startBudget:    math.MaxInt,
 		adviceRefusals: map[string]int{},
+		mostlyAccused:  map[runnerSet]bool{},
 	}
 }
 
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -162,7 +162,9 @@
 	t.lastRun = number
 	s.charge(x)
 	s.placedBesideClaim(x)
-	r.health.placed(x)
+	if x.besideProbe = s.isBesideProbe(t.stage, r); !x.besideProbe {
+		r.health.placed(x)
+	}
 	return x
 }
 
