endpoint: TestNotSent gives the second start an earlier end

The answer was true, as the command had arrived. Both starts had one context: at its end the connection of the first becomes free, and the transport may give it to the second, whose end it has not noticed.

The second start now ends earlier than the first; what is checked stays: it is not sent, the error says so, one command arrives.

--- a/internal/endpoint/http_client_test.go
+++ b/internal/endpoint/http_client_test.go
@@ -238,9 +238,13 @@
 	if _, err := c.Start(cancelled, startRequest(1)); !errors.Is(err, endpoint.ErrNotSent) {
 		t.Errorf("context cancelled before the call: got %v, want ErrNotSent", err)
 	}
-	// The first start uses the only connection for starts, so the second is never sent.
-	short, cancelShort := context.WithTimeout(ctx, 100*time.Millisecond)
+	// The first start uses the only connection for starts, so the second is never sent. It is given up earlier: at the end of the first
+	// one the connection becomes free.
+	const limit = 300 * time.Millisecond
+	short, cancelShort := context.WithTimeout(ctx, limit)
 	defer cancelShort()
+	shorter, cancelShorter := context.WithTimeout(ctx, limit/3)
+	defer cancelShorter()
 	errs := make(chan error)
 	go func() {
 		_, err := c.Start(short, startRequest(2))
@@ -249,7 +253,7 @@
 	for arrived.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	if _, err := c.Start(short, startRequest(3)); !errors.Is(err, endpoint.ErrNotSent) {
+	if _, err := c.Start(shorter, startRequest(3)); !errors.Is(err, endpoint.ErrNotSent) {
 		t.Errorf("no connection free: got %v, want ErrNotSent", err)
 	}
 	if err := <-errs; !errors.Is(err, endpoint.ErrOutcomeUnknown) || !errors.Is(err, context.DeadlineExceeded) {
