--- a/internal/scheduler/failure_avoidance.go
+++ b/internal/scheduler/failure_avoidance.go
@@ -79,7 +79,7 @@
 
 // withoutAvoided returns the candidates that no member of a gang avoids.
 func (s *Scheduler) withoutAvoided(st *stage, candidates []*runner) []*runner {
-	if len(st.tasks[0].failedRuns) == 0 {
+	if len(st.tasks[0].failedRuns) == 0 && st.tasks[0].failures == nil {
 		return candidates // no run of the gang has failed
 	}
 	for _, t := range st.tasks {
