--- a/internal/scheduler/best_fit.go
+++ b/internal/scheduler/best_fit.go
@@ -17,10 +17,11 @@
 	anywhere := why != noRisk && s.mayRunAnywhere(st, why, candidates)
 	shared := s.mayShare(st, why)
 	for _, r := range candidates {
-		if !need.Fits(r.free()) || !s.mayPlace(st, r, s.onRunner(runtime, r)) || !s.healthAdmits(st, r) {
+		if !need.Fits(r.free()) || !s.mayPlace(st, r, s.onRunner(runtime, r)) {
 			continue
 		}
-		if !s.admitsRisk(r, why, anywhere, shared) {
+		health := s.admissionOf(t, r)
+		if health == notAdmitted || !s.admitsRisk(r, why, anywhere, shared) {
 			continue
 		}
 		if st.step.MaxPerRunner > 0 && st.runsOn(r) >= st.step.MaxPerRunner {
@@ -41,7 +42,7 @@
 		}
 		if r.ID == t.avoidRunner {
 			cost += avoidedRunnerCost
-		} else if avoidSuspects && s.isSuspect(r, lastAttempt) {
+		} else if health == besideProbe || avoidSuspects && s.isSuspect(r, lastAttempt) {
 			cost += suspectRunnerCost
 		}
 		if st.step.DataRack != "" && st.step.DataRack != r.Rack {
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -106,7 +106,7 @@
 	case EndDone:
 		r.soundAt = max(r.soundAt, x.startSentAt)
 		s.hasWorked(x)
-		s.foundSound(r, x.startSentAt)
+		s.foundSound(x)
 		s.observeOutcome(x, false)
 		s.observe(x)
 	case EndFailed:
@@ -119,13 +119,15 @@
 		}
 		s.observeOutcome(x, true)
 		if r.health.failed(x, s.now) {
-			s.emit(RunnerChanged{Runner: r.ID, Change: "quarantined", Detail: "runs of different jobs have failed"})
+			s.emit(RunnerChanged{Runner: r.ID, Change: "quarantined", Detail: "runs of different jobs have failed: " + r.health.accusers()})
 		}
 	}
 }
 
 // failedAtOnce reports whether a run that has failed did so soon after its start, as on a faulty runner.
-func (s *Scheduler) failedAtOnce(x *run) bool { return s.now-x.startSentAt <= probeDuration }
+func (s *Scheduler) failedAtOnce(x *run) bool {
+	return s.now-x.startSentAt <= probeDuration
+}
 
 // observe adds the run time of a completed run to the run time model of its queue and, unless it was a member of a gang,
 // to the speed estimate of its runner.
--- a/internal/scheduler/failing_tasks_test.go
+++ b/internal/scheduler/failing_tasks_test.go
@@ -54,14 +54,19 @@
 // runSound runs the simulation with a sound job each soundInterval.
 func (l *failingLoad) runSound(d time.Duration, step job.Step) {
 	for end := l.now + d; l.now < end; {
-		l.jobs++
-		id := fmt.Sprintf("50%014x", l.jobs)
-		l.submitted[id] = l.now
-		l.submitStep("gang", id, step)
+		l.submitSound(step)
 		l.run(soundInterval)
 	}
 }
 
+// submitSound submits a job whose runs are done.
+func (l *failingLoad) submitSound(step job.Step) {
+	l.jobs++
+	id := fmt.Sprintf("50%014x", l.jobs)
+	l.submitted[id] = l.now
+	l.submitStep("gang", id, step)
+}
+
 // mustBegin checks that each sound job has begun within idleLimit.
 func (l *failingLoad) mustBegin(t *testing.T) {
 	t.Helper()
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -13,6 +13,9 @@
 		return
 	}
 	candidates := s.withoutAvoided(st, s.candidates(st, runners))
+	if s.anyProbing {
+		candidates = slices.DeleteFunc(candidates, func(r *runner) bool { return s.admissionOf(st.tasks[0], r) == notAdmitted })
+	}
 	all := candidates
 	why := s.riskOf(st.tasks[0])
 	if why != noRisk {
@@ -119,7 +122,7 @@
 			limit = min(limit, 1)
 		}
 		if n := need.Copies(capacity, limit); n > 0 {
-			placements = append(placements, gangPlacement{runner: r, count: n, suspect: s.isSuspect(r, lastAttempt)})
+			placements = append(placements, gangPlacement{runner: r, count: n, suspect: r.health.isAccused() || s.isSuspect(r, lastAttempt)})
 		}
 	}
 	if s.fleetSpeed.unequal && !room.later {
--- a/internal/scheduler/own_fault.go
+++ b/internal/scheduler/own_fault.go
@@ -16,6 +16,7 @@
 	restartAt    time.Duration // a long-running task isn't started before
 }
 
+// ownFault reports whether the task has failed on enough sound runners.
 func (f *taskFailures) ownFault() bool { return len(f.soundRunners) >= ownFaultRunners }
 
 // repeated reports whether a long-running task has failed soon after its start before.
@@ -44,18 +45,28 @@
 	return st.failures.ownFault || t.failures.ownFault()
 }
 
-// foundSound records that a run which was started at the given time shows that its runner is sound. What has failed there before
-// did so by its own fault: a faulty runner fails all that it starts for seconds.
-func (s *Scheduler) foundSound(r *runner, startedAt time.Duration) {
-	accusations := r.health.accusations
-	r.health.succeeded()
+// foundSound records that a run shows that its runner is sound. What was started there before and has failed did so by its own fault: a
+// faulty runner fails all that it starts for seconds.
+func (s *Scheduler) foundSound(x *run) {
+	accusations := x.runner.health.accusations
+	x.runner.health.succeeded()
 	for _, a := range accusations {
-		if a.startedAt <= startedAt {
-			s.refute(a.task, r)
+		if a.startedAt <= x.startSentAt {
+			s.refute(a.task, x.runner)
 		}
 	}
 }
 
+// hasFailed reports whether a task, or another one of its stage, has failed since its last success. Its next failure says little about
+// a runner.
+func (t *task) hasFailed() bool { return t.stage.failures.any || t.counted().failures != nil }
+
+// mustNotFail reports whether the job fails if the next run of a task does.
+func (t *task) mustNotFail() bool {
+	limit := t.stage.job.queue.Attempts
+	return limit > 0 && !t.stage.step.LongRunning && len(t.counted().failedRuns) >= limit-1
+}
+
 // refute counts a sound runner on which a task has failed. With enough of them its failures count against no runner, nor do those of
 // the other tasks of its stage, unless the stage is at work on more runners.
 func (s *Scheduler) refute(accuser *task, r *runner) {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -39,6 +39,7 @@
 	default:
 		s.releaseInherited()
 	}
+	s.settleProbes(runners)
 	s.updateFreeCapacity(runners)
 	s.updateFreeServices(runners)
 	s.load.setCapacity(runners)
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -255,7 +255,7 @@
 		if s.now-x.startSentAt > probeDuration {
 			s.hasWorked(x)
 			if h := &x.runner.health; h.probing && x.startSentAt > h.quarantinedAt {
-				s.foundSound(x.runner, x.startSentAt)
+				s.foundSound(x)
 			}
 		}
 		if s.now-x.startSentAt > survivalTime {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -30,7 +30,7 @@
 	stopConfirmedAt  time.Duration // when the stop was confirmed; 0 if it wasn't
 	resumed          bool          // started from a checkpoint or by another owner
 	risk             risk          // why it is kept apart from others
-	besideProbe      bool          // placed on an accused runner without being its probe: its failure says nothing
+	besideProbe      bool          // placed on an accused runner without being its probe
 	adopted          bool          // started by another owner
 	idleChecks       int           // consecutive usage checks without CPU usage
 	lastUsageCheck   time.Duration
--- a/internal/scheduler/runner_health.go
+++ b/internal/scheduler/runner_health.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -35,14 +36,19 @@
 	probe            *run // run that probes the runner since the last quarantine; nil if none
 }
 
-// failed records a failed run that may be the runner's fault and reports whether the runner is quarantined because of it.
-func (h *runnerHealth) failed(x *run, now time.Duration) bool {
+// accuse records a failed run that may be the runner's fault.
+func (h *runnerHealth) accuse(x *run) {
 	h.accusations = slices.DeleteFunc(h.accusations, func(a accusation) bool { return a.task == x.task })
 	if len(h.accusations) == maxAccusations {
 		h.accusations = slices.Delete(h.accusations, 0, 1)
 	}
 	h.accusations = append(h.accusations, accusation{task: x.task, startedAt: x.startSentAt})
-	if !h.probing && !h.isAccused() {
+}
+
+// failed records a failed run and reports whether the runner is quarantined because of it.
+func (h *runnerHealth) failed(x *run, now time.Duration) bool {
+	h.accuse(x)
+	if !h.probing && !h.hasAccusers() {
 		return false
 	}
 	h.quarantine(now)
@@ -50,8 +56,11 @@
 	return true
 }
 
-// isAccused reports whether enough different jobs accuse the runner.
-func (h *runnerHealth) isAccused() bool {
+// isAccused reports whether the runner is in quarantine, or probed, for runs that have failed.
+func (h *runnerHealth) isAccused() bool { return h.probing && h.byFailures }
+
+// hasAccusers reports whether enough different jobs accuse the runner.
+func (h *runnerHealth) hasAccusers() bool {
 	jobs := make([]string, 0, quarantineAfterJobs)
 	for _, a := range h.accusations {
 		if id := a.task.stage.id.Job; !slices.Contains(jobs, id) {
@@ -63,12 +72,21 @@
 	return false
 }
 
+// accusers returns the tasks that accuse the runner, the latest first, at most as many as are needed for a quarantine.
+func (h *runnerHealth) accusers() string {
+	var names []string
+	for i := len(h.accusations) - 1; i >= 0 && len(names) < quarantineAfterJobs; i-- {
+		names = append(names, h.accusations[i].task.id().String())
+	}
+	return strings.Join(names, ", ")
+}
+
 // exonerate drops the accusations by matching tasks, as these are at fault themselves, and reports whether this ends a quarantine. A
 // runner that another task accuses as well is still probed.
 func (h *runnerHealth) exonerate(match func(*task) bool) bool {
 	before := len(h.accusations)
 	h.accusations = slices.DeleteFunc(h.accusations, func(a accusation) bool { return match(a.task) })
-	if len(h.accusations) == before || !h.byFailures || h.isAccused() {
+	if len(h.accusations) == before || !h.byFailures || h.hasAccusers() {
 		return false
 	}
 	if len(h.accusations) == 0 {
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -25,7 +25,7 @@
 	isolatedOnlySince  time.Duration   // since when it fits on runners that are set apart only; 0 if it fits elsewhere
 	needsIsolated      bool            // it may use runners that are set apart for others
 	failures           stageFailures   // since the last success
-	mostlyAccused      bool            // the runners that it may use are, as of the last pass
+	mostlyAccused      bool            // most of the runners that it may use are accused, as of the last pass
 	lacksSound         bool            // it lacks runners that are not accused, as of the last pass
 	notIsolatedSince   time.Duration   // since when no runner that is set apart is eligible; 0 if one is
 	notIsolatedAt      time.Duration   // when that was last checked
--- a/internal/scheduler/starts.go
+++ b/internal/scheduler/starts.go
@@ -162,7 +162,7 @@
 	t.lastRun = number
 	s.charge(x)
 	s.placedBesideClaim(x)
-	if x.besideProbe = s.isBesideProbe(t.stage, r); !x.besideProbe {
+	if x.besideProbe = s.admissionOf(t, r) == besideProbe; !x.besideProbe {
 		r.health.placed(x)
 	}
 	return x
