--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -104,12 +104,17 @@
 	r := x.runner
 	switch outcome {
 	case EndDone:
-		r.soundAt = max(r.soundAt, x.startSentAt)
+		if !x.adopted { // the start of an adopted run is not known
+			r.soundAt = max(r.soundAt, x.startSentAt)
+		}
 		s.hasWorked(x)
 		s.foundSound(x)
 		s.observeOutcome(x, false)
 		s.observe(x)
 	case EndFailed:
+		if x.task.stage.step.LongRunning && x.adopted {
+			return // how long it has run is not known
+		}
 		if x.task.stage.step.LongRunning && !s.failedAtOnce(x) {
 			s.hasWorked(x)
 			return // a long-running task may fail at any time, which doesn't indicate a faulty runner
@@ -126,7 +131,7 @@
 
 // failedAtOnce reports whether a run that has failed did so soon after its start, as on a faulty runner.
 func (s *Scheduler) failedAtOnce(x *run) bool {
-	return s.now-x.startSentAt <= probeDuration
+	return !x.adopted && s.now-x.startSentAt <= probeDuration
 }
 
 // observe adds the run time of a completed run to the run time model of its queue and, unless it was a member of a gang,
--- a/internal/scheduler/own_fault.go
+++ b/internal/scheduler/own_fault.go
@@ -51,7 +51,7 @@
 	accusations := x.runner.health.accusations
 	x.runner.health.succeeded()
 	for _, a := range accusations {
-		if a.startedAt <= x.startSentAt {
+		if !x.adopted && a.startedAt <= x.startSentAt { // the start of an adopted run is not known
 			s.refute(a.task, x.runner)
 		}
 	}
