--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -9,7 +9,7 @@
 
 // placeGang reserves capacity for all tasks of a gang. If there is not enough, it preempts runs or claims runners.
 func (s *Scheduler) placeGang(st *stage, runners []*runner) {
-	if !st.idle() || s.startBudget <= 0 || !st.tasks[0].crashIsDurable() || s.startsLater(st.tasks[0]) {
+	if !st.idle() || s.startBudget <= 0 || !st.tasks[0].crashIsDurable() {
 		return
 	}
 	candidates := s.withoutAvoided(st, s.candidates(st, runners))
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -133,6 +133,9 @@
 	st.apart = s.isKeptApart(st)
 	s.updateSharing(st)
 	s.updateLacksSound(st)
+	if waiting = s.startableTasks(st); waiting == 0 {
+		return // all restart later
+	}
 	if !st.job.stored || st.job.inherited && awaitingInherited {
 		if st.advice.requests == 0 && s.mayCharge(st, 1) && !s.awaitsStarts(st, waiting) {
 			s.requestAdvice(st, waiting) // overlaps the call with the write of the acceptance
@@ -150,7 +153,7 @@
 	} else {
 		s.placeTasks(st, runners)
 	}
-	if waiting = st.waitingTasks(); waiting > 0 && !s.awaitsStarts(st, waiting) {
+	if waiting = s.startableTasks(st); waiting > 0 && !s.awaitsStarts(st, waiting) {
 		s.requestAdvice(st, waiting)
 	}
 }
--- a/internal/scheduler/restart_delay.go
+++ b/internal/scheduler/restart_delay.go
@@ -20,8 +20,37 @@
 
 // startsLater reports whether a waiting task is not started yet, as its runs fail soon after their start.
 func (s *Scheduler) startsLater(t *task) bool {
-	f := t.counted().failures
-	return f != nil && s.now < f.restartAt
+	return s.now < s.restartAt(t)
+}
+
+// startableTasks returns how many waiting tasks of a stage may be started now.
+func (s *Scheduler) startableTasks(st *stage) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.waiting() && !s.startsLater(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// restartIn returns after what time the next waiting task of a stage may be started again; 0 if one may be now.
+func (s *Scheduler) restartIn(st *stage) time.Duration {
+	soonest := maxRestartDelay
+	for _, t := range st.tasks {
+		if t.waiting() {
+			soonest = min(soonest, max(s.restartAt(t)-s.now, 0))
+		}
+	}
+	return soonest
+}
+
+// restartAt returns when a task may be started again; 0 if it isn't delayed.
+func (s *Scheduler) restartAt(t *task) time.Duration {
+	if f := t.counted().failures; f != nil {
+		return f.restartAt
+	}
+	return 0
 }
 
 // delayRestart lets a long-running task that has failed soon after its start avoid the runner, and wait if it does so again and again.
