--- a/internal/scheduler/stage_waits.go
+++ b/internal/scheduler/stage_waits.go
@@ -30,7 +30,7 @@
 	// Gang is the gang that has claimed free capacity which the stage could use, and GangStartsIn when it is expected to start.
 	Gang         job.StepID
 	GangStartsIn time.Duration
-	// RetryIn is when a task that has failed may use the same runner again, if it waits for another one.
+	// RetryIn is when a task that has failed may start, or use the same runner, again, or when a quarantine ends, if it waits for that.
 	RetryIn time.Duration
 }
 
@@ -85,8 +85,14 @@
 			e.Gang, e.GangStartsIn = r.claimedBy.id, max(r.claimStart-s.now, 0)
 		}
 	}
-	if room.avoided > 0 {
+	room.quarantined = s.quarantinedRoom(st)
+	switch {
+	case s.startableTasks(st) == 0 && st.reservedCount == 0:
+		e.RetryIn = s.restartIn(st)
+	case room.avoided > 0:
 		e.RetryIn = s.retryIn(st)
+	case room.quarantined > 0:
+		e.RetryIn = s.quarantineEndsIn(st)
 	}
 	e.Cause = s.waitCause(st, e, room)
 	return e
@@ -96,6 +102,37 @@
 type stageRoom struct {
 	later   int // once the runs with an expected end have ended
 	avoided int // now, on runners that a waiting task avoids
+
+	quarantined int // now, on runners whose health doesn't let it use them
+}
+
+// heldRunners returns the runners that a stage may use but for their health.
+func (s *Scheduler) heldRunners(st *stage) []*runner {
+	var out []*runner
+	for _, r := range s.sortedRunners() {
+		if s.feasible(st, r) && s.approved(st, r) && !s.healthAdmits(st, r) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// quarantinedRoom returns for how many tasks of a stage there is room on the runners that it may use but for their health.
+func (s *Scheduler) quarantinedRoom(st *stage) int {
+	room := 0
+	for _, r := range s.heldRunners(st) {
+		room += st.step.Reserved().Copies(r.free(), st.maxOnRunner(len(st.tasks)))
+	}
+	return room
+}
+
+// quarantineEndsIn returns after what time the first of these quarantines ends; 0 if that runner is being probed.
+func (s *Scheduler) quarantineEndsIn(st *stage) time.Duration {
+	soonest := maxQuarantine
+	for _, r := range s.heldRunners(st) {
+		soonest = min(soonest, max(r.health.quarantinedUntil-s.now, 0))
+	}
+	return soonest
 }
 
 // waitCause returns the first condition that keeps the stage from starting, in the order in which a pass checks them.
@@ -117,8 +154,10 @@
 		return "a limit of its tenant"
 	case !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && t.crashIsDurable() }):
 		return "the loss of a runner is not stored"
-	case !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.waiting() && !s.startsLater(t) }):
+	case s.startableTasks(st) == 0:
 		return "its runs fail soon after their start, so that it waits before the next one"
+	case e.Room < wanted && room.quarantined > 0:
+		return "the runners that it may use are in quarantine or being probed"
 	case e.Room < wanted:
 		return s.missingRunnersCause(st)
 	case st.apart:
