--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -183,7 +183,8 @@
 	return true
 }
 
-// checkProgress stops a run that has been idle in several usage checks and quarantines its runner.
+// checkProgress stops a run that has been idle in several usage checks and quarantines its runner, unless the task stands still
+// wherever it runs.
 func (s *Scheduler) checkProgress(x *run, usage int) {
 	const checkInterval = 400 // milliseconds; the reported usage covers the last half second
 	if usage < 0 || x.state != runRunning || (s.now-x.lastUsageCheck).Milliseconds() < checkInterval {
@@ -199,7 +200,12 @@
 	if !stalled(x) {
 		return
 	}
-	x.runner.health.quarantine(s.now)
-	s.emit(RunnerChanged{Runner: x.runner.ID, Change: "quarantined", Detail: "runs make no progress"})
+	if s.isOwnFault(x) || !x.task.counted().failures.mayStall(x.number) {
+		return
+	}
+	if !x.besideProbe {
+		x.runner.health.stalled(x, s.now)
+		s.emit(RunnerChanged{Runner: x.runner.ID, Change: "quarantined", Detail: "runs make no progress: " + x.runner.health.accusers()})
+	}
 	s.stop(x, "no progress")
 }
--- a/internal/scheduler/own_fault.go
+++ b/internal/scheduler/own_fault.go
@@ -14,6 +14,21 @@
 	soundRunners []string      // different runners on which it has failed and another run was done afterwards
 	atOnce       int           // runs of a long-running task that have failed soon after their start, in a row
 	restartAt    time.Duration // a long-running task isn't started before
+	stalls       int           // runs that were stopped as they made no progress, in a row
+	stalledRun   int           // number of the last one
+}
+
+// maxStalls is the number of runs in a row without progress from which on a task counts as one that needs no processor: it isn't stopped
+// any more. A runner on which work stands still does so for seconds.
+const maxStalls = 3
+
+// mayStall records that a run makes no progress and reports whether it may be the runner's fault. The members of a gang count once.
+func (f *taskFailures) mayStall(run int) bool {
+	if f.stalledRun != run {
+		f.stalledRun = run
+		f.stalls++
+	}
+	return f.stalls < maxStalls
 }
 
 // ownFault reports whether the task has failed on enough sound runners.
--- a/internal/scheduler/runner_health.go
+++ b/internal/scheduler/runner_health.go
@@ -36,7 +36,7 @@
 	probe            *run // run that probes the runner since the last quarantine; nil if none
 }
 
-// accuse records a failed run that may be the runner's fault.
+// accuse records a run that has failed, or makes no progress, by what may be the runner's fault.
 func (h *runnerHealth) accuse(x *run) {
 	h.accusations = slices.DeleteFunc(h.accusations, func(a accusation) bool { return a.task == x.task })
 	if len(h.accusations) == maxAccusations {
@@ -45,6 +45,13 @@
 	h.accusations = append(h.accusations, accusation{task: x.task, startedAt: x.startSentAt})
 }
 
+// stalled quarantines the runner for a run that makes no progress, which is rarely a task's own fault.
+func (h *runnerHealth) stalled(x *run, now time.Duration) {
+	h.accuse(x)
+	h.quarantine(now)
+	h.byFailures = true
+}
+
 // failed records a failed run and reports whether the runner is quarantined because of it.
 func (h *runnerHealth) failed(x *run, now time.Duration) bool {
 	h.accuse(x)
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -50,6 +50,7 @@
 	inFlight    map[runKey]startInFlight                  // start requests that runners have not handled
 	deadly      func(task job.TaskID) bool                // nil: no task crashes its runner
 	crashes     map[job.TaskID]int                        // of runners under their tasks, by task
+	usage       func(task job.TaskID, runner string) int  // processor usage in millicores; nil: not reported
 	storeDown   bool                                      // no record is stored
 	stageWaits  map[string]StageWaiting                   // the last report of a long wait, by job
 
@@ -380,7 +381,11 @@
 	}
 	rep := Report{Runner: r.info.ID, Addr: r.info.Addr, Incarnation: r.incarnation, Clock: int64(sim.now), RequestedAt: sent, FenceGeneration: sched.FenceGeneration(r.info.ID)}
 	for key := range r.runs {
-		rep.Running = append(rep.Running, RunningRun{Task: key.task, Run: key.run, Usage: -1})
+		usage := -1
+		if sim.usage != nil {
+			usage = sim.usage(key.task, r.info.ID)
+		}
+		rep.Running = append(rep.Running, RunningRun{Task: key.task, Run: key.run, Usage: usage})
 	}
 	rep.Ended = append(rep.Ended, r.ends...)
 	if sim.faults && sim.rng.Intn(5) == 0 {
